Set down the workspace, the core types, the control loop and the codec

The workspace has one module for each part; commands and queries are in separate folders and separate connect services. node/loop runs the one goroutine that owns control state. command.Apply returns a new state and leaves the old one valid, so a view is published by storing a pointer.

--- /dev/null
+++ b/api/codec/codec.go
@@ -0,0 +1,109 @@
+// Package codec encodes commands, results, states and deltas as CBOR. It is the
+// only place that knows how the decisions' types look on disk and on the wire.
+package codec
+
+import (
+	"fmt"
+	"hash/fnv"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// kinds fixes the number of each command on disk. Numbers are never reused.
+var kinds = map[uint16]reflect.Type{
+	1: reflect.TypeFor[model.Noop](), 2: reflect.TypeFor[model.AcceptConfig](), 3: reflect.TypeFor[model.RevertConfig](),
+	4: reflect.TypeFor[model.JoinEntry](), 5: reflect.TypeFor[model.RemoveEntry](), 6: reflect.TypeFor[model.AnnounceTarget](),
+	7: reflect.TypeFor[model.RemoveTarget](), 8: reflect.TypeFor[model.SetReplicas](),
+	20: reflect.TypeFor[model.ClaimRequest](), 21: reflect.TypeFor[model.SettleClaim](),
+	40: reflect.TypeFor[model.DrainInstance](), 41: reflect.TypeFor[model.ReturnInstance](), 42: reflect.TypeFor[model.StartMove](),
+	43: reflect.TypeFor[model.UndoMove](), 44: reflect.TypeFor[model.AdvanceMove](), 45: reflect.TypeFor[model.StartWave](),
+	46: reflect.TypeFor[model.SetWavePhase](), 47: reflect.TypeFor[model.TakeWaveStep](), 48: reflect.TypeFor[model.SetInstancePhase](),
+	49: reflect.TypeFor[model.BeginOperation](), 50: reflect.TypeFor[model.EndOperation](),
+	60: reflect.TypeFor[model.SubmitJob](), 61: reflect.TypeFor[model.CancelJob](), 62: reflect.TypeFor[model.CancelJobs](),
+	63: reflect.TypeFor[model.PlaceJob](), 64: reflect.TypeFor[model.JobStarted](), 65: reflect.TypeFor[model.JobReport](),
+	66: reflect.TypeFor[model.JobEnded](), 67: reflect.TypeFor[model.ExpireLease](), 68: reflect.TypeFor[model.ControlJob](),
+}
+
+var numbers = func() map[reflect.Type]uint16 {
+	m := make(map[reflect.Type]uint16, len(kinds))
+	for n, t := range kinds {
+		m[t] = n
+	}
+	return m
+}()
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{MaxNestedLevels: 32, MaxArrayElements: 4 << 20, MaxMapPairs: 4 << 20}.DecMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// envelope is the wire form of model.Envelope.
+type envelope struct {
+	RequestID model.RequestID `cbor:"1,keyasint,omitempty"`
+	Actor     string          `cbor:"2,keyasint,omitempty"`
+	Time      model.Timestamp `cbor:"3,keyasint,omitempty"`
+	Kind      uint16          `cbor:"4,keyasint"`
+	Payload   cbor.RawMessage `cbor:"5,keyasint"`
+}
+
+// EncodeEnvelope returns the wire form of env.
+func EncodeEnvelope(env model.Envelope) ([]byte, error) {
+	kind, ok := numbers[reflect.TypeOf(env.Command)]
+	if !ok {
+		return nil, fmt.Errorf("codec: command type %T has no number", env.Command)
+	}
+	payload, err := encoder.Marshal(env.Command)
+	if err != nil {
+		return nil, fmt.Errorf("codec: encode %T: %w", env.Command, err)
+	}
+	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload})
+}
+
+// DecodeEnvelope reads the wire form of an envelope and sets its fingerprint.
+func DecodeEnvelope(data []byte) (model.Envelope, error) {
+	var w envelope
+	if err := decoder.Unmarshal(data, &w); err != nil {
+		return model.Envelope{}, fmt.Errorf("codec: envelope: %w", err)
+	}
+	t, ok := kinds[w.Kind]
+	if !ok {
+		return model.Envelope{}, fmt.Errorf("codec: unknown command number %d", w.Kind)
+	}
+	v := reflect.New(t)
+	if err := decoder.Unmarshal(w.Payload, v.Interface()); err != nil {
+		return model.Envelope{}, fmt.Errorf("codec: command %s: %w", t.Name(), err)
+	}
+	return model.Envelope{
+		RequestID: w.RequestID, Actor: w.Actor, Time: w.Time,
+		Fingerprint: fingerprint(w.Payload), Command: v.Elem().Interface().(model.Command),
+	}, nil
+}
+
+func fingerprint(payload []byte) uint64 {
+	h := fnv.New64a()
+	h.Write(payload)
+	return h.Sum64()
+}
+
+// EncodeResult returns the wire form of r.
+func EncodeResult(r result.Result) ([]byte, error) { return encoder.Marshal(r) }
+
+// DecodeResult reads the wire form of a result.
+func DecodeResult(data []byte) (result.Result, error) {
+	var r result.Result
+	if err := decoder.Unmarshal(data, &r); err != nil {
+		return r, fmt.Errorf("codec: result: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/api/codec/codec_test.go
@@ -0,0 +1,58 @@
+package codec
+
+import (
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+)
+
+// Guards against a command type without a number, which could not be logged.
+func TestEveryCommandSurvivesEncoding(t *testing.T) {
+	for number, typ := range kinds {
+		want := reflect.New(typ).Elem().Interface().(model.Command)
+		data, err := EncodeEnvelope(model.Envelope{Actor: "a", Time: 5, Command: want})
+		assert.NilError(t, err)
+		got, err := DecodeEnvelope(data)
+		assert.NilError(t, err, "command number %d", number)
+		assert.DeepEqual(t, got.Command, want)
+	}
+}
+
+// Guards against a snapshot that loses a part of the state.
+func TestStateSurvivesEncoding(t *testing.T) {
+	s := model.State{}
+	for i, c := range []model.Command{
+		model.JoinEntry{ID: "e1", Address: "127.0.0.1:1"},
+		model.AnnounceTarget{Target: model.Target{ID: "t1", Address: "127.0.0.1:2", Service: "quotes", Phase: model.TargetReady}},
+	} {
+		s, _ = command.Apply(s, model.Index(i+1), 1, model.Envelope{Time: 9, Command: c})
+	}
+	before, err := Digest(s)
+	assert.NilError(t, err)
+	data, err := EncodeState(s)
+	assert.NilError(t, err)
+	back, err := DecodeState(data)
+	assert.NilError(t, err)
+	after, err := Digest(back)
+	assert.NilError(t, err)
+	assert.Equal(t, before, after)
+	assert.Equal(t, back.Targets.Len(), 1)
+}
+
+// FuzzDecodeEnvelope guards against a panic on bytes from the network or the log.
+func FuzzDecodeEnvelope(f *testing.F) {
+	data, _ := EncodeEnvelope(model.Envelope{Command: model.JoinEntry{ID: "e"}})
+	f.Add(data)
+	f.Add([]byte{0xa1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		env, err := DecodeEnvelope(data)
+		if err == nil {
+			_, err = EncodeEnvelope(env)
+			assert.NilError(t, err)
+		}
+	})
+}
--- /dev/null
+++ b/api/codec/state.go
@@ -0,0 +1,75 @@
+package codec
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/table"
+)
+
+// image is the wire form of model.State. Tables become lists in key order.
+type image struct {
+	Clock      model.Timestamp
+	Index      model.Index
+	Term       model.Term
+	Revision   model.Revision
+	Config     *model.Config
+	History    []model.ConfigRecord
+	Instances  []model.Instance
+	Waves      []model.Wave
+	Moves      []model.Move
+	Targets    []model.Target
+	Entries    []model.EntryMember
+	Replicas   []model.ReplicaMember
+	Jobs       []model.Job
+	Classes    []model.ClassEstimate
+	Claims     []model.Claim
+	ClaimFloor model.Timestamp
+	Requests   []model.RequestRecord
+}
+
+// EncodeState returns the wire form of s. Equal states give equal bytes.
+func EncodeState(s model.State) ([]byte, error) {
+	return encoder.Marshal(image{
+		Clock: s.Clock, Index: s.Index, Term: s.Term, Revision: s.Revision, Config: s.Config,
+		History: s.History.Values(), Instances: s.Instances.Values(), Waves: s.Waves.Values(), Moves: s.Moves.Values(),
+		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
+		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(),
+		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
+	})
+}
+
+// DecodeState reads the wire form of a state.
+func DecodeState(data []byte) (model.State, error) {
+	var m image
+	if err := decoder.Unmarshal(data, &m); err != nil {
+		return model.State{}, fmt.Errorf("codec: state: %w", err)
+	}
+	return model.State{
+		Clock: m.Clock, Index: m.Index, Term: m.Term, Revision: m.Revision, Config: m.Config,
+		History:    table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
+		Instances:  table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
+		Waves:      table.FromValues(m.Waves, func(v model.Wave) model.WaveID { return v.ID }),
+		Moves:      table.FromValues(m.Moves, func(v model.Move) model.MoveID { return v.ID }),
+		Targets:    table.FromValues(m.Targets, func(v model.Target) model.TargetID { return v.ID }),
+		Entries:    table.FromValues(m.Entries, func(v model.EntryMember) model.EntryID { return v.ID }),
+		Replicas:   table.FromValues(m.Replicas, func(v model.ReplicaMember) model.ReplicaID { return v.ID }),
+		Jobs:       table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID }),
+		Classes:    table.FromValues(m.Classes, func(v model.ClassEstimate) string { return v.Class }),
+		Claims:     table.FromValues(m.Claims, func(v model.Claim) model.ClaimKey { return v.Key }),
+		ClaimFloor: m.ClaimFloor,
+		Requests:   table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
+	}, nil
+}
+
+// Digest returns the hex SHA-256 of the encoded state.
+func Digest(s model.State) (string, error) {
+	data, err := EncodeState(s)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
--- /dev/null
+++ b/cmd/lacewingturn/main.go
@@ -0,0 +1,4 @@
+// Command lacewingturn is the operator's command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/command/config/config.go
@@ -0,0 +1,71 @@
+// Package config decides on configurations: validation, acceptance against the
+// revision they were made from, and reverting to an earlier one.
+package config
+
+import (
+	"lacewingturn.example/core/command/fleet"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+)
+
+// HistoryLimit is the number of accepted configurations that are kept.
+const HistoryLimit = 100
+
+// Apply handles AcceptConfig and RevertConfig.
+func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
+	switch c := env.Command.(type) {
+	case model.AcceptConfig:
+		return accept(s, env, c.Base, c.Config), true
+	case model.RevertConfig:
+		return revert(s, env, c), true
+	}
+	return result.Result{}, false
+}
+
+func revert(s *model.State, env model.Envelope, c model.RevertConfig) result.Result {
+	old, ok := s.History.Get(c.To)
+	if !ok {
+		return result.New(result.NotFound, "revision %d is not in the history of the last %d", c.To, HistoryLimit)
+	}
+	return accept(s, env, c.Base, *old.Config)
+}
+
+func accept(s *model.State, env model.Envelope, base model.Revision, c model.Config) result.Result {
+	if base != s.Revision {
+		return conflict(s, c)
+	}
+	if problems := Validate(c); len(problems) > 0 {
+		return result.New(result.ConfigInvalid, "%s", problems[0])
+	}
+	if r := fleet.Reconfigure(s, c); !r.Code.OK() {
+		return r
+	}
+	s.Revision++
+	s.Config = &c
+	s.History = s.History.Set(s.Revision, model.ConfigRecord{
+		Revision: s.Revision, Base: base, Actor: env.Actor, RequestID: env.RequestID, AcceptedAt: env.Time, Config: &c,
+	})
+	trimHistory(s)
+	return result.Result{Code: result.Accepted, Revision: uint64(s.Revision)}
+}
+
+// conflict names the accepted change that won and what differs from it.
+func conflict(s *model.State, c model.Config) result.Result {
+	winner, _ := s.History.Get(s.Revision)
+	r := result.New(result.Conflicting, "revision %d by %q is in force", s.Revision, winner.Actor)
+	r.Conflict = &result.Conflict{Revision: uint64(s.Revision), Actor: winner.Actor}
+	if s.Config != nil {
+		r.Conflict.Difference = query.DiffConfig(*s.Config, c)
+	}
+	return r
+}
+
+func trimHistory(s *model.State) {
+	for rev := range s.History.All() {
+		if s.History.Len() <= HistoryLimit {
+			return
+		}
+		s.History = s.History.Delete(rev)
+	}
+}
--- /dev/null
+++ b/core/model/commands_job.go
@@ -0,0 +1,77 @@
+package model
+
+import "time"
+
+// SubmitJob queues a job, or refuses it when no instance can ever hold it.
+type SubmitJob struct{ Job Job }
+
+// CancelJob asks for the end of a job.
+type CancelJob struct{ ID JobID }
+
+// CancelJobs asks for the end of many jobs in one step.
+type CancelJobs struct{ IDs []JobID }
+
+// PlaceJob grants a lease on a worker. The applier checks free capacity again.
+type PlaceJob struct {
+	ID     JobID
+	Worker InstanceID
+}
+
+// JobStarted is reported by the worker.
+type JobStarted struct {
+	ID    JobID
+	Token uint64
+}
+
+// JobReport is a usage report; it renews the lease.
+type JobReport struct {
+	ID         JobID
+	Token      uint64
+	Used       Resources
+	Checkpoint string
+}
+
+// JobEnded is reported by the worker.
+type JobEnded struct {
+	ID        JobID
+	Token     uint64
+	Succeeded bool
+	Cancelled bool
+	Run       time.Duration
+	Used      Resources
+	Reason    string
+}
+
+// ExpireLease returns a job to the queue after its lease ran out.
+type ExpireLease struct {
+	ID    JobID
+	Token uint64
+}
+
+// ControlJob asks the worker to checkpoint, throttle or stop a job.
+type ControlJob struct {
+	ID     JobID
+	Token  uint64
+	Action JobAction
+	Reason string
+}
+
+// JobAction is a way to make room; the values are in the order of their cost.
+type JobAction uint8
+
+// Actions on a running job.
+const (
+	ActionCheckpoint JobAction = iota + 1
+	ActionThrottle
+	ActionStop
+)
+
+func (SubmitJob) isCommand()   {}
+func (CancelJob) isCommand()   {}
+func (CancelJobs) isCommand()  {}
+func (PlaceJob) isCommand()    {}
+func (JobStarted) isCommand()  {}
+func (JobReport) isCommand()   {}
+func (JobEnded) isCommand()    {}
+func (ExpireLease) isCommand() {}
+func (ControlJob) isCommand()  {}
--- /dev/null
+++ b/core/model/state.go
@@ -0,0 +1,35 @@
+package model
+
+import "lacewingturn.example/core/table"
+
+// State is the replicated control state. It is a value: applying a command
+// gives a new State and leaves the old one valid for its readers.
+type State struct {
+	// Clock is the time stamp of the last applied entry; it never goes back.
+	Clock Timestamp
+	// Index and Term are those of the last applied entry.
+	Index Index
+	Term  Term
+
+	Revision Revision
+	Config   *Config
+	History  table.Table[Revision, ConfigRecord]
+
+	Instances table.Table[InstanceID, Instance]
+	Waves     table.Table[WaveID, Wave]
+	Moves     table.Table[MoveID, Move]
+
+	Targets  table.Table[TargetID, Target]
+	Entries  table.Table[EntryID, EntryMember]
+	Replicas table.Table[ReplicaID, ReplicaMember]
+
+	Jobs    table.Table[JobID, Job]
+	Classes table.Table[string, ClassEstimate]
+
+	Claims table.Table[ClaimKey, Claim]
+	// ClaimFloor refuses keys issued before it, because claims of that age may
+	// have been dropped.
+	ClaimFloor Timestamp
+
+	Requests table.Table[RequestID, RequestRecord]
+}
--- /dev/null
+++ b/core/query/traffic.go
@@ -0,0 +1,124 @@
+package query
+
+import (
+	"cmp"
+	"errors"
+	"reflect"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/table"
+)
+
+// Traffic is the part of the control state that an entry instance holds.
+type Traffic struct {
+	Term      model.Term
+	Index     model.Index
+	Revision  model.Revision
+	Config    *model.Config
+	Instances table.Table[model.InstanceID, model.Instance]
+	Targets   table.Table[model.TargetID, model.Target]
+	Entries   table.Table[model.EntryID, model.EntryMember]
+}
+
+// TrafficDelta is the change between two traffic views.
+type TrafficDelta struct {
+	Term      model.Term
+	From, To  model.Index
+	Revision  model.Revision
+	Config    *model.Config // nil if unchanged
+	Instances Changes[model.InstanceID, model.Instance]
+	Targets   Changes[model.TargetID, model.Target]
+	Entries   Changes[model.EntryID, model.EntryMember]
+}
+
+// Changes of one table.
+type Changes[K cmp.Ordered, V any] struct {
+	Set     []V
+	Removed []K
+}
+
+// ErrGap means that a delta does not follow the view held; a snapshot is needed.
+var ErrGap = errors.New("query: delta does not follow the view held")
+
+// ErrOlder means that a delta or snapshot is older than the view held.
+var ErrOlder = errors.New("query: older than the view held")
+
+// TrafficOf returns the traffic view of a state.
+func TrafficOf(s model.State) Traffic {
+	return Traffic{
+		Term: s.Term, Index: s.Index, Revision: s.Revision, Config: s.Config,
+		Instances: s.Instances, Targets: s.Targets, Entries: s.Entries,
+	}
+}
+
+// SameTraffic reports whether nothing that entry instances use differs.
+func SameTraffic(a, b Traffic) bool {
+	return a.Revision == b.Revision && a.Instances.Same(b.Instances) && a.Targets.Same(b.Targets) && a.Entries.Same(b.Entries)
+}
+
+// DiffTraffic returns the delta from a to b.
+func DiffTraffic(a, b Traffic) TrafficDelta {
+	d := TrafficDelta{Term: b.Term, From: a.Index, To: b.Index, Revision: b.Revision}
+	if a.Revision != b.Revision {
+		d.Config = b.Config
+	}
+	d.Instances = diffTable(a.Instances, b.Instances)
+	d.Targets = diffTable(a.Targets, b.Targets)
+	d.Entries = diffTable(a.Entries, b.Entries)
+	return d
+}
+
+func diffTable[K cmp.Ordered, V any](a, b table.Table[K, V]) Changes[K, V] {
+	var c Changes[K, V]
+	if a.Same(b) {
+		return c
+	}
+	for k, v := range b.All() {
+		if old, ok := a.Get(k); !ok || !reflect.DeepEqual(old, v) {
+			c.Set = append(c.Set, v)
+		}
+	}
+	for k := range a.All() {
+		if !b.Has(k) {
+			c.Removed = append(c.Removed, k)
+		}
+	}
+	return c
+}
+
+// Apply returns the view after the delta. The view held is never taken back to
+// an older term, index or revision.
+func (t Traffic) Apply(d TrafficDelta) (Traffic, error) {
+	if d.Term < t.Term || d.To < t.Index || d.Revision < t.Revision {
+		return t, ErrOlder
+	}
+	if d.From != t.Index {
+		return t, ErrGap
+	}
+	t.Term, t.Index, t.Revision = d.Term, d.To, d.Revision
+	if d.Config != nil {
+		t.Config = d.Config
+	}
+	t.Instances = applyChanges(t.Instances, d.Instances, func(v model.Instance) model.InstanceID { return v.ID })
+	t.Targets = applyChanges(t.Targets, d.Targets, func(v model.Target) model.TargetID { return v.ID })
+	t.Entries = applyChanges(t.Entries, d.Entries, func(v model.EntryMember) model.EntryID { return v.ID })
+	return t, nil
+}
+
+func applyChanges[K cmp.Ordered, V any](t table.Table[K, V], c Changes[K, V], key func(V) K) table.Table[K, V] {
+	for _, v := range c.Set {
+		t = t.Set(key(v), v)
+	}
+	for _, k := range c.Removed {
+		t = t.Delete(k)
+	}
+	return t
+}
+
+// Replace returns the snapshot next unless it is older than the view held.
+func (t Traffic) Replace(next Traffic) (Traffic, error) {
+	if next.Term < t.Term || next.Index < t.Index || next.Revision < t.Revision {
+		return t, ErrOlder
+	}
+	return next, nil
+}
--- /dev/null
+++ b/core/result/fleet.go
@@ -0,0 +1,24 @@
+package result
+
+// Codes of pools, budgets, moves and waves.
+const (
+	BudgetExceeded   Code = 200
+	DomainLimit      Code = 201
+	WrongPhase       Code = 202
+	WaveActive       Code = 203
+	PoolMismatch     Code = 204
+	ConfigInvalid    Code = 205
+	OperationPending Code = 206
+)
+
+func init() {
+	register(
+		Info{BudgetExceeded, "budget-exceeded", OutcomeNotRun, 409, 20, "The change would break the availability budget of a pool."},
+		Info{DomainLimit, "domain-limit", OutcomeNotRun, 409, 21, "The change would exceed the limit of a rack or data centre."},
+		Info{WrongPhase, "wrong-phase", OutcomeNotRun, 409, 22, "The instance, move or wave is not in a phase that allows the change."},
+		Info{WaveActive, "wave-active", OutcomeNotRun, 409, 23, "Another maintenance wave holds the pool."},
+		Info{PoolMismatch, "pool-mismatch", OutcomeNotRun, 409, 24, "The instance is not in the named source pool."},
+		Info{ConfigInvalid, "config-invalid", OutcomeNotRun, 400, 25, "The configuration contradicts itself or the fleet."},
+		Info{OperationPending, "operation-pending", OutcomeNotRun, 409, 26, "A platform operation on the instance has not finished."},
+	)
+}
--- /dev/null
+++ b/replica/view.go
@@ -0,0 +1,42 @@
+// Package replica is the replicated control state: its subpackages hold the
+// replication decisions, the storage, and the command and query halves of its
+// interfaces.
+package replica
+
+import (
+	"context"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// View is an immutable picture of one replica, published by its loop.
+type View struct {
+	ID            model.ReplicaID
+	State         model.State
+	Term          model.Term
+	Leader        model.ReplicaID // empty if unknown
+	LeaderAddress string
+	IsLeader      bool
+	// LeaderSince is when this replica became leader, if it is.
+	LeaderSince time.Time
+	// QuorumContact is, on the leader, the latest time for which a quorum is
+	// known to have followed it.
+	QuorumContact time.Time
+	// LeaderContact is when this replica last heard from a leader; on the
+	// leader it equals QuorumContact.
+	LeaderContact time.Time
+	// Next is closed when a newer view has been published.
+	Next <-chan struct{}
+}
+
+// Replica is what the other modules use of a control replica.
+type Replica interface {
+	// Propose commits commands in order and returns their results. A result
+	// code of NotLeader or NoQuorum means that the command was not appended;
+	// Unknown means that it may still be committed.
+	Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error)
+	// View returns the latest published view.
+	View() *View
+}
