--- a/replica/view.go
+++ b/replica/view.go
@@ -40,3 +40,18 @@
 	// View returns the latest published view.
 	View() *View
 }
+
+// EntryLiveness is what the leader knows about one entry instance.
+type EntryLiveness struct {
+	ID    model.EntryID
+	Epoch uint64
+	// Revision is the configuration revision that the instance has in force.
+	Revision model.Revision
+	// RenewedAt is when the instance last renewed its membership; zero if not
+	// since this replica became leader.
+	RenewedAt time.Time
+}
+
+// Liveness gives the leader's picture of the entry instances; it is empty on
+// other replicas.
+type Liveness interface{ Entries() []EntryLiveness }
