--- /dev/null
+++ b/operator/answers/sample.go
@@ -0,0 +1,30 @@
+package answers
+
+import (
+	"embed"
+	"fmt"
+	"path"
+	"strings"
+)
+
+//go:embed samples/*.yaml
+var samples embed.FS
+
+// Samples returns the names of the embedded samples.
+func Samples() []string {
+	entries, _ := samples.ReadDir("samples")
+	var out []string
+	for _, e := range entries {
+		out = append(out, strings.TrimSuffix(e.Name(), path.Ext(e.Name())))
+	}
+	return out
+}
+
+// Sample returns an embedded sample with its comments.
+func Sample(name string) ([]byte, error) {
+	data, err := samples.ReadFile("samples/" + name + ".yaml")
+	if err != nil {
+		return nil, fmt.Errorf("answers: no sample %q; there are %s", name, strings.Join(Samples(), ", "))
+	}
+	return data, nil
+}
