Follow the traffic view and renew entry memberships

The leader removes a member only after its lease has certainly expired: renewals count from the last quorum contact, and a new leader waits one lease.

--- a/api/codec/codec_test.go
+++ b/api/codec/codec_test.go
@@ -8,6 +8,7 @@
 
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
 )
 
 // Guards against a command type without a number, which could not be logged.
@@ -56,3 +57,20 @@
 		}
 	})
 }
+
+// FuzzDecodeTraffic guards against a panic on a damaged view, delta, state or result.
+func FuzzDecodeTraffic(f *testing.F) {
+	view, _ := EncodeTraffic(query.Traffic{Index: 4})
+	delta, _ := EncodeDelta(query.TrafficDelta{From: 1, To: 2, Targets: query.Changes[model.TargetID, model.Target]{Removed: []model.TargetID{"t"}}})
+	f.Add(view)
+	f.Add(delta)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if v, err := DecodeTraffic(data); err == nil {
+			_, err = EncodeTraffic(v)
+			assert.NilError(t, err)
+		}
+		_, _ = DecodeDelta(data)
+		_, _ = DecodeState(data)
+		_, _ = DecodeResult(data)
+	})
+}
--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -14,6 +14,7 @@
 	Clock      model.Timestamp
 	Index      model.Index
 	Term       model.Term
+	Traffic    model.Index
 	Revision   model.Revision
 	Config     *model.Config
 	History    []model.ConfigRecord
@@ -33,7 +34,7 @@
 // EncodeState returns the wire form of s. Equal states give equal bytes.
 func EncodeState(s model.State) ([]byte, error) {
 	return encoder.Marshal(image{
-		Clock: s.Clock, Index: s.Index, Term: s.Term, Revision: s.Revision, Config: s.Config,
+		Clock: s.Clock, Index: s.Index, Term: s.Term, Traffic: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
 		History: s.History.Values(), Instances: s.Instances.Values(), Waves: s.Waves.Values(), Moves: s.Moves.Values(),
 		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
 		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(),
@@ -48,7 +49,7 @@
 		return model.State{}, fmt.Errorf("codec: state: %w", err)
 	}
 	return model.State{
-		Clock: m.Clock, Index: m.Index, Term: m.Term, Revision: m.Revision, Config: m.Config,
+		Clock: m.Clock, Index: m.Index, Term: m.Term, TrafficIndex: m.Traffic, Revision: m.Revision, Config: m.Config,
 		History:    table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
 		Instances:  table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
 		Waves:      table.FromValues(m.Waves, func(v model.Wave) model.WaveID { return v.ID }),
--- a/core/command/apply.go
+++ b/core/command/apply.go
@@ -23,9 +23,19 @@
 // given state stays valid. It is deterministic: equal inputs give equal outputs
 // on every replica.
 func Apply(s model.State, index model.Index, term model.Term, env model.Envelope) (model.State, result.Result) {
+	before := s
 	s.Clock = max(s.Clock, env.Time)
 	s.Index, s.Term = index, term
 	env.Time = s.Clock
+	next, r := applyOnce(s, env)
+	if trafficChanged(before, next) {
+		next.TrafficIndex = index
+	}
+	return next, r
+}
+
+// applyOnce gives a resent operator command the result of the first one.
+func applyOnce(s model.State, env model.Envelope) (model.State, result.Result) {
 	if env.RequestID == "" {
 		return dispatch(s, env)
 	}
@@ -33,16 +43,21 @@
 		return s, r
 	}
 	next, r := dispatch(s, env)
-	if !r.Code.OK() {
-		next = s
-	}
 	return remember(next, env, r), r
 }
 
+func trafficChanged(a, b model.State) bool {
+	return a.Revision != b.Revision || !a.Instances.Same(b.Instances) || !a.Targets.Same(b.Targets) || !a.Entries.Same(b.Entries)
+}
+
+// dispatch hands the command to its area. A command that is refused changes nothing.
 func dispatch(s model.State, env model.Envelope) (model.State, result.Result) {
 	next := s
 	for _, apply := range areas {
 		if r, ok := apply(&next, env); ok {
+			if !r.Code.OK() {
+				return s, r
+			}
 			return next, r
 		}
 	}
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -11,6 +11,10 @@
 	Index Index
 	Term  Term
 
+	// TrafficIndex is the index of the last entry that changed what entry
+	// instances use: configuration, instances, targets or entry members.
+	TrafficIndex Index
+
 	Revision Revision
 	Config   *Config
 	History  table.Table[Revision, ConfigRecord]
--- a/core/query/traffic.go
+++ b/core/query/traffic.go
@@ -11,7 +11,8 @@
 
 // Traffic is the part of the control state that an entry instance holds.
 type Traffic struct {
-	Term      model.Term
+	Term model.Term
+	// Index is that of the last change of this part, not of the whole log.
 	Index     model.Index
 	Revision  model.Revision
 	Config    *model.Config
@@ -46,16 +47,11 @@
 // TrafficOf returns the traffic view of a state.
 func TrafficOf(s model.State) Traffic {
 	return Traffic{
-		Term: s.Term, Index: s.Index, Revision: s.Revision, Config: s.Config,
+		Term: s.Term, Index: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
 		Instances: s.Instances, Targets: s.Targets, Entries: s.Entries,
 	}
 }
 
-// SameTraffic reports whether nothing that entry instances use differs.
-func SameTraffic(a, b Traffic) bool {
-	return a.Revision == b.Revision && a.Instances.Same(b.Instances) && a.Targets.Same(b.Targets) && a.Entries.Same(b.Entries)
-}
-
 // DiffTraffic returns the delta from a to b.
 func DiffTraffic(a, b Traffic) TrafficDelta {
 	d := TrafficDelta{Term: b.Term, From: a.Index, To: b.Index, Revision: b.Revision}
--- /dev/null
+++ b/replica/liveness/handler.go
@@ -0,0 +1,33 @@
+package liveness
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/core/command/liveness"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// RenewEntry serves the renewal of memberships; it is a command.
+func (m *Machine) RenewEntry(ctx context.Context, req *connect.Request[replicav1.RenewEntryRequest]) (*connect.Response[replicav1.RenewEntryResponse], error) {
+	msg := renewal{
+		entry: liveness.Entry{ID: model.EntryID(req.Msg.EntryId), Epoch: req.Msg.Epoch, Revision: model.Revision(req.Msg.Revision)},
+		index: model.Index(req.Msg.Index),
+		reply: make(chan reply, 1),
+	}
+	if !m.port.TrySend(msg) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, result.New(result.Overloaded, "the mailbox is full"))
+	}
+	select {
+	case r := <-msg.reply:
+		return connect.NewResponse(&replicav1.RenewEntryResponse{
+			ValidMs: uint32(r.valid.Milliseconds()), Index: uint64(r.index), Term: uint64(r.term),
+			UnknownEntry: r.unknown, NotLeader: !r.leader, LeaderAddress: r.address,
+		}), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- /dev/null
+++ b/replica/liveness/machine.go
@@ -0,0 +1,165 @@
+// Package liveness tracks on the leader which entry instances renew their
+// membership, and removes those whose lease has certainly expired.
+package liveness
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command/liveness"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+// removeTimeout bounds one attempt to commit a removal; it is tried again.
+const removeTimeout = 2 * time.Second
+
+// renewal is a message of an entry instance; the reply channel has room for one.
+type renewal struct {
+	entry liveness.Entry
+	index model.Index
+	reply chan reply
+}
+
+type reply struct {
+	valid   time.Duration
+	index   model.Index
+	term    model.Term
+	leader  bool
+	address string
+	unknown bool
+}
+
+// removalDone is posted when an attempt to remove entry instances has ended.
+type removalDone struct{}
+
+// Machine is a loop.Machine. It shares the loop of the replica.
+type Machine struct {
+	replica  replica.Replica
+	log      *zap.Logger
+	port     loop.Port
+	tracker  *liveness.Tracker
+	term     model.Term
+	seen     *replica.View
+	next     time.Time
+	removing bool
+	view     atomic.Pointer[[]replica.EntryLiveness]
+	ctx      context.Context
+}
+
+// New adds the machine to the loop of the replica. ctx ends its proposals.
+func New(ctx context.Context, l *loop.Loop, r replica.Replica, log *zap.Logger) *Machine {
+	m := &Machine{replica: r, log: log, ctx: ctx}
+	m.port = l.Add(m)
+	m.view.Store(&[]replica.EntryLiveness{})
+	return m
+}
+
+// Entries implements replica.Liveness.
+func (m *Machine) Entries() []replica.EntryLiveness { return *m.view.Load() }
+
+// Handle applies one message.
+func (m *Machine) Handle(now time.Time, msg loop.Message) {
+	m.follow(now)
+	switch msg := msg.(type) {
+	case renewal:
+		msg.reply <- m.renew(now, msg)
+	case removalDone:
+		m.removing = false
+		m.next = now.Add(liveness.DriftMargin)
+	}
+}
+
+// Tick removes the entry instances whose lease has expired.
+func (m *Machine) Tick(now time.Time) {
+	m.follow(now)
+	m.next = time.Time{}
+	if m.tracker == nil || m.removing {
+		return
+	}
+	gone, next := m.tracker.Expired(now, m.replica.View().State.Entries.Values())
+	m.next = next
+	if len(gone) > 0 {
+		m.removing = true
+		go m.remove(gone)
+	}
+}
+
+// Deadline returns when a lease can run out at the earliest.
+func (m *Machine) Deadline() time.Time { return m.next }
+
+// Flush notices changes of leadership and of the members, and publishes.
+func (m *Machine) Flush(now time.Time) { m.follow(now) }
+
+// follow starts and ends the tracker with the leadership of this replica.
+func (m *Machine) follow(now time.Time) {
+	v := m.replica.View()
+	if v == m.seen {
+		return
+	}
+	membersSame := m.seen != nil && m.seen.State.Entries.Same(v.State.Entries)
+	m.seen = v
+	switch {
+	case !v.IsLeader:
+		m.tracker, m.next = nil, time.Time{}
+		m.publish(nil)
+		return
+	case m.tracker == nil || m.term != v.Term:
+		m.tracker, m.term = liveness.NewTracker(v.LeaderSince), v.Term
+	case membersSame:
+		return
+	}
+	m.next = now
+	m.publish(v)
+}
+
+func (m *Machine) publish(v *replica.View) {
+	out := []replica.EntryLiveness{}
+	if v != nil {
+		for _, e := range m.tracker.Entries(v.State.Entries.Values()) {
+			out = append(out, replica.EntryLiveness{ID: e.ID, Epoch: e.Epoch, Revision: e.Revision, RenewedAt: e.RenewedAt})
+		}
+	}
+	m.view.Store(&out)
+}
+
+func (m *Machine) renew(now time.Time, msg renewal) reply {
+	v := m.replica.View()
+	r := reply{term: v.Term, index: v.State.TrafficIndex, leader: v.IsLeader, address: v.LeaderAddress}
+	if !v.IsLeader {
+		return r
+	}
+	member, ok := v.State.Entries.Get(msg.entry.ID)
+	if !ok || member.Epoch != msg.entry.Epoch {
+		r.unknown = true
+		return r
+	}
+	r.valid = m.tracker.Renew(now, v.QuorumContact, msg.entry)
+	m.publish(v)
+	return r
+}
+
+// remove commits the removals; it runs on a goroutine of its own.
+func (m *Machine) remove(gone []model.EntryMember) {
+	ctx, cancel := context.WithTimeout(m.ctx, removeTimeout)
+	defer cancel()
+	commands := make([]model.Envelope, 0, len(gone))
+	for _, e := range gone {
+		commands = append(commands, model.Envelope{Actor: "liveness", Command: model.RemoveEntry{ID: e.ID, Epoch: e.Epoch}})
+	}
+	results, err := m.replica.Propose(ctx, commands)
+	for i, r := range results {
+		if err == nil && r.Code.OK() {
+			event.EntryRemoved.Log(m.log, zap.String("entry", string(gone[i].ID)))
+		}
+	}
+	if err != nil {
+		event.EntryRemovalFailed.Log(m.log, zap.Error(err))
+	}
+	_ = m.port.Send(m.ctx, removalDone{})
+}
--- /dev/null
+++ b/replica/query/follow.go
@@ -0,0 +1,114 @@
+// Package query serves reads of one replica's control state. It changes nothing.
+package query
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lacewingturn.example/api/codec"
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/replica"
+)
+
+// KeepAlive is the time between messages of a follow stream without changes.
+// Followers count as current for 2.5 s, so that three may be lost.
+const KeepAlive = 600 * time.Millisecond
+
+// MinInterval is the shortest time between two deltas of a stream. Changes that
+// come faster are sent as one.
+const MinInterval = 10 * time.Millisecond
+
+// Handler implements the query service of a replica.
+type Handler struct{ replica replica.Replica }
+
+// New returns the handler for r.
+func New(r replica.Replica) *Handler { return &Handler{replica: r} }
+
+// Status describes this replica.
+func (h *Handler) Status(context.Context, *connect.Request[replicav1.StatusRequest]) (*connect.Response[replicav1.StatusResponse], error) {
+	v := h.replica.View()
+	return connect.NewResponse(&replicav1.StatusResponse{
+		ReplicaId: string(v.ID), Term: uint64(v.Term), Index: uint64(v.State.Index),
+		LeaderId: string(v.Leader), LeaderAddress: v.LeaderAddress, Leader: v.IsLeader,
+	}), nil
+}
+
+// Follow sends a snapshot of the traffic view, then its changes. A follower
+// that reconnects gets a new snapshot; the view is small and gaps cannot occur.
+func (h *Handler) Follow(ctx context.Context, _ *connect.Request[replicav1.FollowRequest], out *connect.ServerStream[replicav1.FollowResponse]) error {
+	v := h.replica.View()
+	held := query.TrafficOf(v.State)
+	first, err := snapshotMessage(held)
+	if err != nil {
+		return err
+	}
+	if err := h.send(out, v, first); err != nil {
+		return err
+	}
+	timer := time.NewTimer(KeepAlive)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-v.Next:
+			v = h.replica.View()
+			if v.State.TrafficIndex == held.Index {
+				continue
+			}
+			if err := pause(ctx, MinInterval); err != nil {
+				return err
+			}
+			v = h.replica.View()
+		case <-timer.C:
+			v = h.replica.View()
+		}
+		current := query.TrafficOf(v.State)
+		if err := h.sendChange(out, v, held, current); err != nil {
+			return err
+		}
+		held = current
+		timer.Reset(KeepAlive)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func snapshotMessage(t query.Traffic) (*replicav1.FollowResponse, error) {
+	data, err := codec.EncodeTraffic(t)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return &replicav1.FollowResponse{Snapshot: data}, nil
+}
+
+func (h *Handler) sendChange(out *connect.ServerStream[replicav1.FollowResponse], v *replica.View, held, current query.Traffic) error {
+	msg := &replicav1.FollowResponse{}
+	if current.Index != held.Index {
+		data, err := codec.EncodeDelta(query.DiffTraffic(held, current))
+		if err != nil {
+			return connect.NewError(connect.CodeInternal, err)
+		}
+		msg.Delta, msg.PreviousIndex = data, uint64(held.Index)
+	}
+	return h.send(out, v, msg)
+}
+
+func (h *Handler) send(out *connect.ServerStream[replicav1.FollowResponse], v *replica.View, msg *replicav1.FollowResponse) error {
+	msg.Term, msg.Index = uint64(v.Term), uint64(v.State.TrafficIndex)
+	msg.LeaderContactMs = uint32(max(0, time.Since(v.LeaderContact).Milliseconds()))
+	msg.LeaderAddress = v.LeaderAddress
+	return out.Send(msg)
+}
