--- a/node/loop/loop.go
+++ b/node/loop/loop.go
@@ -69,6 +69,9 @@
 // Send waits until the mailbox takes the message or ctx ends. It is for
 // completions and operator commands.
 func (p Port) Send(ctx context.Context, m Message) error {
+	if p.loop.hasStopped() {
+		return ErrStopped
+	}
 	select {
 	case p.loop.mailbox <- delivery{p.to, m}:
 		return nil
@@ -82,10 +85,8 @@
 // TrySend reports whether the mailbox took the message. It never waits; it is
 // for caller requests and for peer messages that are sent again when lost.
 func (p Port) TrySend(m Message) bool {
-	select {
-	case <-p.loop.stopped:
+	if p.loop.hasStopped() {
 		return false
-	default:
 	}
 	select {
 	case p.loop.mailbox <- delivery{p.to, m}:
@@ -95,6 +96,15 @@
 	}
 }
 
+func (l *Loop) hasStopped() bool {
+	select {
+	case <-l.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // Len returns the number of waiting messages.
 func (l *Loop) Len() int { return len(l.mailbox) }
 
--- /dev/null
+++ b/node/server/server.go
@@ -0,0 +1,92 @@
+// Package server runs HTTP listeners that speak HTTP/1.1 and HTTP/2, in the
+// clear or with mutual TLS, and stop gracefully.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// headerTimeout bounds reading the header of a request, against callers that
+// open a connection and send nothing.
+const headerTimeout = 10 * time.Second
+
+// Server is one listener and its handler.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	done     chan error
+}
+
+// Listen opens the listener, so that the address is known before serving. The
+// TLS configuration may be nil.
+func Listen(address string, handler http.Handler, tlsConfig *tls.Config) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err, "listen on %s", address)
+	}
+	if tlsConfig != nil {
+		listener = tls.NewListener(listener, tlsConfig)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &Server{
+		listener: listener,
+		http:     &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout},
+		done:     make(chan error, 1),
+	}, nil
+}
+
+// Address returns the address that the listener is bound to.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Start serves on a goroutine of its own.
+func (s *Server) Start() {
+	go func() { s.done <- s.http.Serve(s.listener) }()
+}
+
+// Stop ends the listener after the requests in flight. Streams that are still
+// open when ctx ends are closed.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		err = s.http.Close()
+	}
+	if served := <-s.done; served != nil && !errors.Is(served, http.ErrServerClosed) {
+		return trace.Wrap(served)
+	}
+	return trace.Wrap(err)
+}
+
+// Kill closes the listener and every connection at once, as the end of the
+// process would.
+func (s *Server) Kill() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+// NewClient returns a client for the processes of the system. Its connections
+// carry many requests at once and are checked when they are silent, because a
+// connection may go silent for good while new ones work.
+func NewClient(tlsConfig *tls.Config) *http.Client {
+	protocols := new(http.Protocols)
+	if tlsConfig != nil {
+		protocols.SetHTTP2(true)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: tlsConfig,
+		DialContext:     (&net.Dialer{Timeout: time.Second}).DialContext,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
+	}}
+}
