--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,8 @@
 	go build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go
 	PATH="$(CURDIR)/bin:$$PATH" protoc -I api/proto --go_out=api --go_opt=module=lacewingturn.example/api \
 		--connect-go_out=api --connect-go_opt=module=lacewingturn.example/api $$(find api/proto -name '*.proto')
+
+# Writes the tables of result codes and events from the code.
+.PHONY: docs
+docs:
+	cd cmd && go test ./internal/reference -run TestTablesMatchTheCode -count=1 -write-docs
--- /dev/null
+++ b/cmd/internal/reference/reference_test.go
@@ -0,0 +1,43 @@
+package reference
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/result"
+)
+
+var write = flag.Bool("write-docs", false, "write the tables instead of comparing them")
+
+// Guards against a table in the documentation that differs from the code.
+func TestTablesMatchTheCode(t *testing.T) {
+	for name, want := range map[string]string{"result-codes.md": ResultCodes(), "events.md": Events()} {
+		path := filepath.Join("..", "..", "..", "docs", name)
+		if *write {
+			assert.NilError(t, os.WriteFile(path, []byte(want), 0o644))
+		}
+		got, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), want, "docs/%s differs from the code; run make docs", name)
+	}
+}
+
+// Guards against two failures that a script cannot tell apart, and against a
+// success with a failing exit status.
+func TestExitStatuses(t *testing.T) {
+	seen := map[int]result.Code{}
+	for _, c := range result.All() {
+		assert.Equal(t, c.Exit == 0, c.Code.OK(), "%s", c.Name)
+		assert.Assert(t, c.Exit < 126, "%s: the shell uses statuses from 126 up", c.Name)
+		if c.Exit == 0 {
+			continue
+		}
+		other, dup := seen[c.Exit]
+		assert.Assert(t, !dup, "%s and %s share exit status %d", c.Name, other, c.Exit)
+		seen[c.Exit] = c.Code
+	}
+}
--- /dev/null
+++ b/cmd/site/target.go
@@ -0,0 +1,170 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/server"
+)
+
+// HeaderRun tells a stand-in target how long to work, in milliseconds.
+const HeaderRun = "Run-Ms"
+
+// heartbeatEvery is the time between heartbeats of a stand-in target.
+const heartbeatEvery = time.Second
+
+// Target is a stand-in for a target: a plain HTTP server that announces itself
+// to the system and works for as long as a request asks. It counts how often
+// each idempotency key was executed, so that double work is seen.
+type Target struct {
+	ID       model.TargetID
+	Instance model.InstanceID
+	Service  model.ServiceName
+	// Entries gives the base URLs to announce to, as a balancer would.
+	Entries func() []string
+
+	server  *server.Server
+	client  *http.Client
+	running atomic.Int64
+	peak    atomic.Int64
+	turn    atomic.Int64
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	mu   sync.Mutex // guards runs; the stand-in is no control state
+	runs map[string]int
+}
+
+// Start serves on a loopback address and joins.
+func (t *Target) Start(ctx context.Context) error {
+	t.runs = map[string]int{}
+	t.client = &http.Client{Timeout: 2 * time.Second}
+	s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(t.serve), nil)
+	if err != nil {
+		return err
+	}
+	t.server = s
+	s.Start()
+	if err := t.announce(ctx, "join"); err != nil {
+		return err
+	}
+	beat, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	t.cancel, t.done = cancel, make(chan struct{})
+	go t.heartbeat(beat)
+	return nil
+}
+
+// Leave announces that the target leaves, waits for what is in flight, and stops.
+func (t *Target) Leave(ctx context.Context) error {
+	err := t.announce(ctx, "leaving")
+	t.cancel()
+	<-t.done
+	return trace.NewAggregate(err, t.server.Stop(ctx))
+}
+
+// Kill ends the target without announcement.
+func (t *Target) Kill() {
+	t.cancel()
+	<-t.done
+	t.server.Kill()
+}
+
+// Runs returns how often each key was executed.
+func (t *Target) Runs() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int, len(t.runs))
+	for k, v := range t.runs {
+		out[k] = v
+	}
+	return out
+}
+
+// Peak returns the largest number of requests that ran at the same time.
+func (t *Target) Peak() int { return int(t.peak.Load()) }
+
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	now := t.running.Add(1)
+	defer t.running.Add(-1)
+	for old := t.peak.Load(); now > old && !t.peak.CompareAndSwap(old, now); old = t.peak.Load() {
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if key := r.Header.Get("Idempotency-Key"); key != "" {
+		t.mu.Lock()
+		t.runs[key]++
+		t.mu.Unlock()
+	}
+	if ms, err := strconv.Atoi(r.Header.Get(HeaderRun)); err == nil {
+		timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+		defer timer.Stop()
+		<-timer.C
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	fmt.Fprintf(w, "%s did %s %s %s", t.ID, r.Method, r.URL.Path, body)
+}
+
+func (t *Target) heartbeat(ctx context.Context) {
+	defer close(t.done)
+	ticker := time.NewTicker(heartbeatEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_ = t.announce(ctx, "heartbeat")
+		}
+	}
+}
+
+// announce tries each entry instance once, beginning with the next in turn.
+func (t *Target) announce(ctx context.Context, what string) error {
+	body, err := json.Marshal(map[string]any{
+		"instance": t.Instance, "service": t.Service, "address": t.server.Address(),
+		"slots": 8, "connections": 64, "generation": 1, "running": t.running.Load(),
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	entries := t.Entries()
+	var last error
+	for range entries {
+		base := entries[int(t.turn.Add(1))%len(entries)]
+		if last = t.post(ctx, fmt.Sprintf("%s/targets/%s/%s", base, t.ID, what), body); last == nil {
+			return nil
+		}
+	}
+	return trace.Wrap(last, "target %s: %s", t.ID, what)
+}
+
+func (t *Target) post(ctx context.Context, url string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s: %s", resp.Status, answer)
+	}
+	return nil
+}
