--- /dev/null
+++ b/entry/follow/follow_test.go
@@ -0,0 +1,169 @@
+package follow
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/api/codec"
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/server"
+	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/liveness"
+	replicaquery "lacewingturn.example/replica/query"
+)
+
+// fakeReplica applies commands at once, without replication.
+type fakeReplica struct {
+	view atomic.Pointer[replica.View]
+	next chan struct{}
+}
+
+func newFakeReplica() *fakeReplica {
+	f := &fakeReplica{next: make(chan struct{})}
+	now := time.Now()
+	f.view.Store(&replica.View{ID: "c1/1", Term: 1, Leader: "c1/1", IsLeader: true, LeaderSince: now, QuorumContact: now, LeaderContact: now, Next: f.next})
+	return f
+}
+
+func (f *fakeReplica) View() *replica.View { return f.view.Load() }
+
+// Propose is called from one goroutine at a time in these tests.
+func (f *fakeReplica) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	var results []result.Result
+	v := *f.view.Load()
+	for _, c := range commands {
+		var r result.Result
+		v.State, r = command.Apply(v.State, v.State.Index+1, v.Term, c)
+		results = append(results, r)
+	}
+	now := time.Now()
+	v.QuorumContact, v.LeaderContact = now, now
+	old := f.next
+	f.next = make(chan struct{})
+	v.Next = f.next
+	f.view.Store(&v)
+	close(old)
+	return results, nil
+}
+
+// recorder is an entry machine that keeps what the link posts.
+type recorder struct{ got chan loop.Message }
+
+func (r *recorder) Handle(_ time.Time, m loop.Message) { r.got <- m }
+func (r *recorder) Tick(time.Time)                     {}
+func (r *recorder) Deadline() time.Time                { return time.Time{} }
+func (r *recorder) Flush(time.Time)                    {}
+
+type commandService struct {
+	replicav1connect.UnimplementedReplicaCommandServiceHandler
+	*liveness.Machine
+}
+
+// RenewEntry resolves the ambiguity between the embedded types.
+func (c commandService) RenewEntry(ctx context.Context, r *connect.Request[replicav1.RenewEntryRequest]) (*connect.Response[replicav1.RenewEntryResponse], error) {
+	return c.Machine.RenewEntry(ctx, r)
+}
+
+// serve starts a control replica on loopback and returns its base URL.
+func serve(t *testing.T, f *fakeReplica) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := loop.New(64)
+	live := liveness.New(ctx, l, f, zap.NewNop())
+	go l.Run(ctx)
+	mux := http.NewServeMux()
+	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(f)))
+	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{Machine: live}))
+	s, err := server.Listen("127.0.0.1:0", mux, nil)
+	assert.NilError(t, err)
+	s.Start()
+	t.Cleanup(func() { cancel(); s.Kill() })
+	return "http://" + s.Address()
+}
+
+// Guards against an entry instance that misses the view at start, a change of
+// it, or its membership.
+func TestLinkFollowsAndRenews(t *testing.T) {
+	f := newFakeReplica()
+	url := serve(t, f)
+	dead := httptest.NewServer(http.NotFoundHandler())
+	defer dead.Close()
+	rec := &recorder{got: make(chan loop.Message, 64)}
+	l := loop.New(64)
+	port := l.Add(rec)
+	ctx, cancel := context.WithCancel(t.Context())
+	go l.Run(ctx)
+	link := New(Settings{
+		ID: "e1", Address: "127.0.0.1:9", Replicas: []string{dead.URL, url}, Scheme: "http",
+		Client: server.NewClient(nil), Control: f, Log: zap.NewNop(), Port: port,
+	})
+	done := make(chan struct{})
+	go func() { defer close(done); link.Run(ctx) }()
+	lease := await[entry.LeaseRenewed](t, rec)
+	assert.Assert(t, lease.Epoch > 0)
+	for {
+		if v := await[entry.TrafficChanged](t, rec); v.View.Entries.Len() == 1 {
+			break
+		}
+	}
+	cancel()
+	<-done
+	assert.Equal(t, f.View().State.Entries.Len(), 0, "a graceful stop gives up the membership")
+}
+
+func await[T any](t *testing.T, r *recorder) T {
+	t.Helper()
+	timeout := time.After(20 * time.Second)
+	for {
+		select {
+		case m := <-r.got:
+			if v, ok := m.(T); ok {
+				return v
+			}
+		case <-timeout:
+			t.Fatal("the link did not post the expected message")
+		}
+	}
+}
+
+func message(t *testing.T, from, to query.Traffic) *replicav1.FollowResponse {
+	data, err := codec.EncodeDelta(query.DiffTraffic(from, to))
+	assert.NilError(t, err)
+	return &replicav1.FollowResponse{Term: uint64(to.Term), Index: uint64(to.Index), Delta: data}
+}
+
+// Guards against a view that goes back to an older term or revision, and
+// against a missed change that goes unnoticed.
+func TestOlderStateAndGapsAreRefused(t *testing.T) {
+	v5 := query.Traffic{Term: 2, Index: 5, Revision: 3}
+	v6 := query.Traffic{Term: 2, Index: 6, Revision: 4, Config: &model.Config{Site: "s"}}
+	v7 := query.Traffic{Term: 2, Index: 7, Revision: 5, Config: &model.Config{Site: "t"}}
+	l := &Link{held: v6}
+	_, _, err := l.next(message(t, v6, v7))
+	assert.NilError(t, err)
+	_, _, err = l.next(message(t, query.Traffic{Term: 2, Index: 8, Revision: 6}, query.Traffic{Term: 2, Index: 9, Revision: 6}))
+	assert.ErrorIs(t, err, query.ErrGap)
+	_, _, err = l.next(&replicav1.FollowResponse{Term: 2, Index: 9})
+	assert.ErrorIs(t, err, query.ErrGap)
+	_, _, err = l.next(&replicav1.FollowResponse{Term: 1, Index: 6})
+	assert.ErrorIs(t, err, query.ErrOlder)
+	old, err := codec.EncodeTraffic(v5)
+	assert.NilError(t, err)
+	held, _, err := l.next(&replicav1.FollowResponse{Term: 3, Index: 5, Snapshot: old})
+	assert.ErrorIs(t, err, query.ErrOlder)
+	assert.Equal(t, held.Revision, model.Revision(4))
+}
