--- /dev/null
+++ b/replica/record/record_test.go
@@ -0,0 +1,58 @@
+package record
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/api/codec"
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+)
+
+// stream records joins of targets, with a snapshot in the middle of the history.
+func stream(t *testing.T) *bytes.Buffer {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	var s model.State
+	for i := model.Index(1); i <= 40; i++ {
+		env := model.Envelope{Time: model.Timestamp(i * 10), Command: model.AnnounceTarget{Target: model.Target{
+			ID: model.TargetID('a' + rune(i%7)), Generation: uint64(i), Address: "127.0.0.1:1", Service: "quotes", Phase: model.TargetReady,
+		}}}
+		data, err := codec.EncodeEnvelope(env)
+		assert.NilError(t, err)
+		s, _ = command.Apply(s, i, 1, env)
+		if i == 10 {
+			assert.NilError(t, w.Snapshot(s))
+		}
+		if i > 10 {
+			assert.NilError(t, w.Command(i, 1, data))
+		}
+	}
+	assert.NilError(t, w.Digest(s))
+	return &out
+}
+
+// Guards against a state machine whose result depends on anything but its inputs.
+func TestReplayGivesTheRecordedDigest(t *testing.T) {
+	out, err := Replay(stream(t))
+	assert.NilError(t, err)
+	assert.Equal(t, out.Commands, 30)
+	assert.Equal(t, out.Checked, 1)
+	assert.Equal(t, out.Index, model.Index(40))
+}
+
+// Guards against a check that passes when a command is missing or damaged.
+func TestReplayFindsMissingAndDamagedRecords(t *testing.T) {
+	lines := strings.SplitAfter(stream(t).String(), "\n")
+	missing := strings.Join(append(append([]string{}, lines[:20]...), lines[21:]...), "")
+	missing = strings.Replace(missing, lines[30], "", 1)
+	_, err := Replay(strings.NewReader(missing))
+	assert.ErrorContains(t, err, "recorded was")
+	_, err = Replay(strings.NewReader(lines[0] + "{\"index\":"))
+	assert.ErrorContains(t, err, "line 2")
+	_, err = Replay(strings.NewReader(lines[0] + lines[1] + lines[1]))
+	assert.ErrorContains(t, err, "line 3: index 11 follows 11")
+}
