Leave declared instances, teams and sources out of the traffic view

Cause: one accepted configuration sent the whole configuration to every entry instance; at 720 workers and 29 pools a change cost 102,594 bytes for each of them.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,8 @@
 .PHONY: docs
 docs:
 	cd cmd && go test ./internal/reference -run TestTablesMatchTheCode -count=1 -write-docs
+
+# Measures the slopes of docs/CAPACITY.md.
+.PHONY: capacity
+capacity:
+	go test ./cmd/internal/capacity -run XXX -bench . -benchtime 0.3s
--- /dev/null
+++ b/cmd/internal/capacity/capacity_test.go
@@ -0,0 +1,153 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/api/codec"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+)
+
+// sizes are the points that the slopes of docs/CAPACITY.md are fitted to.
+func sizes() map[string]Size {
+	out := map[string]Size{}
+	for _, workers := range []int{50, 180, 360, 720} {
+		s := Target
+		s.Workers, s.Claims, s.Jobs = workers, 0, 0
+		out[fmt.Sprintf("workers=%d", workers)] = s
+	}
+	return out
+}
+
+// Guards against benchmarks that measure a state which was not built.
+func TestBuild(t *testing.T) {
+	for _, s := range []Size{Today, Target} {
+		state := s.Build().State
+		assert.Equal(t, state.Instances.Len(), s.Workers)
+		assert.Equal(t, state.Targets.Len(), s.Workers)
+		assert.Equal(t, state.Claims.Len(), s.Claims)
+		assert.Equal(t, state.Jobs.Len(), s.Jobs)
+	}
+}
+
+// BenchmarkSnapshot measures the size of a snapshot and the time to encode it.
+func BenchmarkSnapshot(b *testing.B) {
+	all := sizes()
+	for _, claims := range []int{10_000, 50_000, 200_000} {
+		s := Target
+		s.Claims, s.Jobs = claims, 0
+		all[fmt.Sprintf("workers=720/claims=%d", claims)] = s
+	}
+	s := Target
+	s.Claims, s.Jobs = 0, 10_000
+	all["workers=720/jobs=10000"] = s
+	for name, size := range all {
+		b.Run(name, func(b *testing.B) {
+			state := size.Build().State
+			var n int
+			for b.Loop() {
+				data, err := codec.EncodeState(state)
+				if err != nil {
+					b.Fatal(err)
+				}
+				n = len(data)
+			}
+			b.ReportMetric(float64(n), "bytes/snapshot")
+		})
+	}
+}
+
+// BenchmarkMemory measures the heap that one state keeps.
+func BenchmarkMemory(b *testing.B) {
+	all := sizes()
+	s := Target
+	s.Claims, s.Jobs = 50_000, 0
+	all["workers=720/claims=50000"] = s
+	s.Claims, s.Jobs = 0, 10_000
+	all["workers=720/jobs=10000"] = s
+	for name, size := range all {
+		b.Run(name, func(b *testing.B) {
+			var kept float64
+			for b.Loop() {
+				before := heap()
+				state := size.Build().State
+				kept = float64(heap()) - float64(before)
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(kept, "heap-bytes")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkTraffic measures the view of an entry instance and one change of it.
+func BenchmarkTraffic(b *testing.B) {
+	for name, size := range sizes() {
+		b.Run(name, func(b *testing.B) {
+			builder := size.Build()
+			before := query.TrafficOf(builder.State)
+			builder.Apply(model.AnnounceTarget{Target: target(3, size.Services, 2)})
+			after := query.TrafficOf(builder.State)
+			var delta, view []byte
+			for b.Loop() {
+				delta, _ = codec.EncodeDelta(query.DiffTraffic(before, after))
+			}
+			view, _ = codec.EncodeTraffic(after)
+			b.ReportMetric(float64(len(view)), "bytes/view")
+			b.ReportMetric(float64(len(delta)), "bytes/delta")
+		})
+	}
+}
+
+// BenchmarkAcceptConfig measures the cost of one configuration change and what
+// it sends to each entry instance.
+func BenchmarkAcceptConfig(b *testing.B) {
+	for name, size := range sizes() {
+		b.Run(name, func(b *testing.B) {
+			builder := size.Build()
+			config := size.Config()
+			n := 0
+			before := query.TrafficOf(builder.State)
+			for b.Loop() {
+				n++
+				config.Services[0].Timeout = time.Duration(n) * time.Millisecond
+				builder.apply(model.Envelope{RequestID: RequestID(start, n), Time: start, Actor: "operator", Command: model.AcceptConfig{Base: builder.State.Revision, Config: config}})
+			}
+			after := query.TrafficOf(builder.State)
+			delta, _ := codec.EncodeDelta(query.DiffTraffic(before, after))
+			log, _ := codec.EncodeEnvelope(model.Envelope{Command: model.AcceptConfig{Config: config}})
+			b.ReportMetric(float64(len(delta)), "bytes/delta")
+			b.ReportMetric(float64(len(log)), "bytes/entry")
+		})
+	}
+}
+
+// BenchmarkApplyClaim measures claim and outcome of one non-idempotent request.
+func BenchmarkApplyClaim(b *testing.B) {
+	for _, claims := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("claims=%d", claims), func(b *testing.B) {
+			s := Today
+			s.Claims, s.Jobs = claims, 0
+			builder := s.Build()
+			config := s.Config()
+			config.Limits.MaxClaims = 100_000_000
+			builder.apply(model.Envelope{RequestID: RequestID(start, 1), Time: start, Command: model.AcceptConfig{Base: 1, Config: config}})
+			n := claims
+			for b.Loop() {
+				builder.claim(n)
+				n++
+			}
+		})
+	}
+}
--- a/core/query/traffic.go
+++ b/core/query/traffic.go
@@ -13,8 +13,9 @@
 type Traffic struct {
 	Term model.Term
 	// Index is that of the last change of this part, not of the whole log.
-	Index     model.Index
-	Revision  model.Revision
+	Index    model.Index
+	Revision model.Revision
+	// Config lacks the parts that entry instances do not use.
 	Config    *model.Config
 	Instances table.Table[model.InstanceID, model.Instance]
 	Targets   table.Table[model.TargetID, model.Target]
@@ -47,11 +48,23 @@
 // TrafficOf returns the traffic view of a state.
 func TrafficOf(s model.State) Traffic {
 	return Traffic{
-		Term: s.Term, Index: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
+		Term: s.Term, Index: s.TrafficIndex, Revision: s.Revision, Config: trafficConfig(s.Config),
 		Instances: s.Instances, Targets: s.Targets, Entries: s.Entries,
 	}
 }
 
+// trafficConfig leaves out declared instances, teams and sources. With 720
+// instances they are 93 % of the configuration, and it is sent to every entry
+// instance at each change.
+func trafficConfig(c *model.Config) *model.Config {
+	if c == nil {
+		return nil
+	}
+	trimmed := *c
+	trimmed.Instances, trimmed.Teams, trimmed.Sources = nil, nil, nil
+	return &trimmed
+}
+
 // DiffTraffic returns the delta from a to b.
 func DiffTraffic(a, b Traffic) TrafficDelta {
 	d := TrafficDelta{Term: b.Term, From: a.Index, To: b.Index, Revision: b.Revision}
