Apply all fleet commands with budget checks

Budgets are counted in core/budget, which commands and queries share. An instance between two pools counts for no budget, so a move can never push its destination below a share or a maximum. Operation IDs come from a per-instance sequence that starts at the log index of the declaration, so a late proposal of an earlier leader cannot begin a second reboot. A configuration that drops an instance marks it as retiring; it stays in service until it is drained.

--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -23,6 +23,7 @@
 	43: reflect.TypeFor[model.UndoMove](), 44: reflect.TypeFor[model.AdvanceMove](), 45: reflect.TypeFor[model.StartWave](),
 	46: reflect.TypeFor[model.SetWavePhase](), 47: reflect.TypeFor[model.TakeWaveStep](), 48: reflect.TypeFor[model.SetInstancePhase](),
 	49: reflect.TypeFor[model.BeginOperation](), 50: reflect.TypeFor[model.EndOperation](),
+	51: reflect.TypeFor[model.SkipWaveInstance](), 52: reflect.TypeFor[model.RemoveInstance](),
 	60: reflect.TypeFor[model.SubmitJob](), 61: reflect.TypeFor[model.CancelJob](), 62: reflect.TypeFor[model.CancelJobs](),
 	63: reflect.TypeFor[model.PlaceJob](), 64: reflect.TypeFor[model.JobStarted](), 65: reflect.TypeFor[model.JobReport](),
 	66: reflect.TypeFor[model.JobEnded](), 67: reflect.TypeFor[model.ExpireLease](), 68: reflect.TypeFor[model.ControlJob](),
--- a/core/command/fleet/fleet.go
+++ b/core/command/fleet/fleet.go
@@ -1,8 +1,12 @@
 // Package fleet decides on pools, budgets, moves and maintenance waves. All
-// availability budgets are checked and spent here, in log order.
+// availability budgets are checked and spent here, in log order. Its reconciler
+// (Reconcile) proposes the next commands; the checks here decide on them.
 package fleet
 
 import (
+	"strings"
+
+	"lacewingturn.example/core/budget"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
@@ -11,52 +15,149 @@
 func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
 	switch c := env.Command.(type) {
 	case model.DrainInstance:
-		return drain(s, env, c), true
+		return drain(s, c), true
 	case model.ReturnInstance:
-		return returnInstance(s, env, c), true
+		return returnInstance(s, c), true
+	case model.SetInstancePhase:
+		return setPhase(s, c), true
+	case model.RemoveInstance:
+		return removeInstance(s, c), true
+	case model.BeginOperation:
+		return beginOperation(s, c), true
+	case model.EndOperation:
+		return endOperation(s, c), true
+	}
+	if r, ok := applyWave(s, env); ok {
+		return r, true
+	}
+	return applyMove(s, env)
+}
+
+func applyWave(s *model.State, env model.Envelope) (result.Result, bool) {
+	switch c := env.Command.(type) {
+	case model.StartWave:
+		return startWave(s, env, c), true
+	case model.SetWavePhase:
+		return setWavePhase(s, c), true
+	case model.TakeWaveStep:
+		return takeWaveStep(s, c), true
+	case model.SkipWaveInstance:
+		return skipWaveInstance(s, c), true
 	}
 	return result.Result{}, false
 }
 
-// Reconfigure brings the instances in line with an accepted configuration. New
-// instances are added; the pool of a known instance changes only by a move.
-func Reconfigure(s *model.State, c model.Config) result.Result {
-	for _, spec := range c.Instances {
-		i, known := s.Instances.Get(spec.ID)
-		if !known {
-			i = model.Instance{ID: spec.ID, Pool: spec.Pool, Phase: model.PhaseActive, PhaseSince: s.Clock, Maintained: s.Clock}
-		}
-		i.Domain, i.Capacity = spec.Domain, spec.Capacity
-		s.Instances = s.Instances.Set(spec.ID, i)
+func applyMove(s *model.State, env model.Envelope) (result.Result, bool) {
+	switch c := env.Command.(type) {
+	case model.StartMove:
+		return startMove(s, env, c), true
+	case model.UndoMove:
+		return undoMove(s, c), true
+	case model.AdvanceMove:
+		return advanceMove(s, c), true
 	}
-	return result.Result{Code: result.OK}
+	return result.Result{}, false
 }
 
-func drain(s *model.State, env model.Envelope, c model.DrainInstance) result.Result {
+var (
+	accepted  = result.Result{Code: result.Accepted}
+	unchanged = result.Result{Code: result.Unchanged}
+)
+
+// holderOf gives drains without a name to the operator.
+func holderOf(heldBy string) string {
+	if heldBy == "" {
+		return model.HolderOperator
+	}
+	return heldBy
+}
+
+func drain(s *model.State, c model.DrainInstance) result.Result {
 	i, ok := s.Instances.Get(c.Instance)
 	if !ok {
 		return result.New(result.NotFound, "no instance %q", c.Instance)
 	}
+	holder := holderOf(c.HeldBy)
+	if strings.Contains(holder, "/") {
+		return result.New(result.InvalidInput, "holder %q: names with a slash belong to waves and moves", c.HeldBy)
+	}
+	if i.Phase == model.PhaseDraining && i.HeldBy == holder {
+		return unchanged
+	}
 	if i.Phase != model.PhaseActive {
 		return result.New(result.WrongPhase, "instance %s is %s", i.ID, i.Phase)
 	}
-	if r := CheckBudget(*s, i.Pool, i); !r.Code.OK() {
+	if i.Operation != "" {
+		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
+	}
+	if r := checkTake(s, i); !r.Code.OK() {
 		return r
 	}
-	i.Phase, i.PhaseSince, i.HeldBy = model.PhaseDraining, env.Time, c.HeldBy
-	s.Instances = s.Instances.Set(i.ID, i)
-	return result.Result{Code: result.Accepted}
+	enter(s, hold(i, holder), model.PhaseDraining)
+	return accepted
 }
 
-func returnInstance(s *model.State, env model.Envelope, c model.ReturnInstance) result.Result {
+// returnInstance gives a drained or draining instance back to service. One that
+// a wave took goes to the end of the instances that still wait.
+func returnInstance(s *model.State, c model.ReturnInstance) result.Result {
 	i, ok := s.Instances.Get(c.Instance)
 	if !ok {
 		return result.New(result.NotFound, "no instance %q", c.Instance)
 	}
-	if i.HeldBy != c.HeldBy || (i.Phase != model.PhaseDraining && i.Phase != model.PhaseDrained) {
+	if i.HeldBy != holderOf(c.HeldBy) || (i.Phase != model.PhaseDraining && i.Phase != model.PhaseDrained) {
+		return result.New(result.WrongPhase, "instance %s is %s and held by %q", i.ID, i.Phase, i.HeldBy)
+	}
+	if _, held := i.HeldByMove(); held {
+		return result.New(result.WrongPhase, "instance %s is held by a move; undo the move", i.ID)
+	}
+	if i.Operation != "" {
+		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
+	}
+	if id, held := i.HeldByWave(); held {
+		changeWave(s, id, func(w *model.Wave) { w.Running, w.Pending = without(w.Running, i.ID), with(w.Pending, i.ID) })
+	}
+	enter(s, hold(i, ""), model.PhaseActive)
+	return accepted
+}
+
+func removeInstance(s *model.State, c model.RemoveInstance) result.Result {
+	i, ok := s.Instances.Get(c.Instance)
+	if !ok || i.Generation != c.Generation || !i.Retiring {
+		return unchanged
+	}
+	out := i.Phase == model.PhaseLost || i.Phase == model.PhaseFailed ||
+		(i.Phase == model.PhaseDrained && i.HeldBy == model.HolderRetire)
+	if !out {
 		return result.New(result.WrongPhase, "instance %s is %s and held by %q", i.ID, i.Phase, i.HeldBy)
 	}
-	i.Phase, i.PhaseSince, i.HeldBy = model.PhaseActive, env.Time, ""
+	if i.Operation != "" {
+		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
+	}
+	s.Instances = s.Instances.Delete(i.ID)
+	for id, w := range s.Waves.All() {
+		if !w.Phase.Ended() {
+			changeWave(s, id, func(w *model.Wave) { w.Pending = without(w.Pending, i.ID) })
+		}
+	}
+	return accepted
+}
+
+func hold(i model.Instance, holder string) model.Instance {
+	i.HeldBy = holder
+	return i
+}
+
+// enter stores the instance in a new phase.
+func enter(s *model.State, i model.Instance, p model.Phase) {
+	i.Phase, i.PhaseSince = p, s.Clock
 	s.Instances = s.Instances.Set(i.ID, i)
-	return result.Result{Code: result.Accepted}
+}
+
+// checkTake reports whether the pool of the instance can spare it.
+func checkTake(s *model.State, i model.Instance) result.Result {
+	u, ok := budget.Of(*s, i.Pool)
+	if !ok {
+		return result.New(result.NotFound, "no pool %q", i.Pool)
+	}
+	return u.CheckTake(i)
 }
--- /dev/null
+++ b/core/command/fleet/fleet_test.go
@@ -0,0 +1,217 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/budget"
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// site is a state to which commands are applied, as a log would.
+type site struct {
+	t     *testing.T
+	s     model.State
+	clock model.Timestamp
+}
+
+func testConfig(pools map[model.PoolName]int, b model.Budget) model.Config {
+	c := model.Config{
+		Site: "test", Weights: model.Weights{ShortWait: 0.25, BufferCost: 0.25, RollOut: 0.25, Moves: 0.25},
+		Limits: model.Limits{SlotsPerTarget: 8, ConnectionsPerTarget: 64, KeyRetention: time.Minute, MaxClaims: 10},
+		Waves:  model.WavePolicy{MaxStep: 2},
+	}
+	for _, name := range []model.PoolName{"a", "b", "spare"} {
+		n, ok := pools[name]
+		if !ok {
+			continue
+		}
+		c.Pools = append(c.Pools, model.Pool{Name: name, Spare: name == "spare", Budget: b})
+		for k := range n {
+			c.Instances = append(c.Instances, model.InstanceSpec{
+				ID: model.InstanceID(fmt.Sprintf("%s%d", name, k)), Pool: name, Capacity: model.Resources{MilliCPU: 1000, MemoryMB: 1000},
+				Domain: model.Domain{Region: "r", DataCenter: fmt.Sprintf("dc%d", k%3), Rack: fmt.Sprintf("rack%d", k%3)},
+			})
+		}
+	}
+	return c
+}
+
+func newSite(t *testing.T, pools map[model.PoolName]int, b model.Budget) *site {
+	d := &site{t: t, clock: 1_000_000}
+	d.must(model.AcceptConfig{Config: testConfig(pools, b)})
+	return d
+}
+
+func (d *site) do(c model.Command) result.Result {
+	var r result.Result
+	d.s, r = command.Apply(d.s, d.s.Index+1, 1, model.Envelope{Time: d.clock, Command: c})
+	return r
+}
+
+func (d *site) must(c model.Command) {
+	d.t.Helper()
+	assert.NilError(d.t, d.do(c).Err())
+}
+
+func (d *site) refused(c model.Command, code result.Code) {
+	d.t.Helper()
+	assert.Equal(d.t, d.do(c).Code, code)
+}
+
+func (d *site) instance(id model.InstanceID) model.Instance {
+	i, ok := d.s.Instances.Get(id)
+	assert.Assert(d.t, ok, "instance %s is missing", id)
+	return i
+}
+
+func (d *site) observe(id model.InstanceID, to model.Phase) result.Result {
+	i := d.instance(id)
+	return d.do(model.SetInstancePhase{Instance: id, Generation: i.Generation, From: i.Phase, To: to, Reason: "test"})
+}
+
+// reboot takes an instance of a wave through its reboot to verification.
+func (d *site) reboot(wave model.WaveID, id model.InstanceID) {
+	d.t.Helper()
+	d.must(model.TakeWaveStep{ID: wave, Instance: id})
+	assert.NilError(d.t, d.observe(id, model.PhaseDrained).Err())
+	op := d.instance(id).NextOperation()
+	d.must(model.BeginOperation{Instance: id, Operation: op, Kind: model.OperationReboot})
+	d.must(model.EndOperation{Instance: id, Operation: op, Succeeded: true})
+}
+
+func (d *site) maintain(wave model.WaveID, id model.InstanceID) {
+	d.t.Helper()
+	d.reboot(wave, id)
+	assert.NilError(d.t, d.observe(id, model.PhaseSoaking).Err())
+	assert.NilError(d.t, d.observe(id, model.PhaseActive).Err())
+}
+
+// Guards against two operators, or a wave and a move, that both spend the last unit.
+func TestLastUnitIsSpentOnce(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 3, "b": 3}, model.Budget{MinAvailable: 2})
+	d.must(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	d.must(model.TakeWaveStep{ID: "w", Instance: "a0"})
+	d.refused(model.StartMove{ID: "m", Instance: "a1", From: "a", To: "b"}, result.BudgetExceeded)
+	d.refused(model.DrainInstance{Instance: "a1", HeldBy: "ann"}, result.BudgetExceeded)
+	d.must(model.ReturnInstance{Instance: "a0", HeldBy: model.WaveHolder("w")})
+	d.must(model.StartMove{ID: "m", Instance: "a1", From: "a", To: "b"})
+	d.refused(model.TakeWaveStep{ID: "w", Instance: "a0"}, result.BudgetExceeded)
+}
+
+// Guards against limits of racks and data centres that ignore unplanned losses.
+func TestDomainLimitsCountLosses(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 9}, model.Budget{MinAvailable: 2, MaxPerRack: 1})
+	assert.NilError(t, d.observe("a0", model.PhaseLost).Err())
+	d.refused(model.DrainInstance{Instance: "a3"}, result.DomainLimit)
+	d.must(model.DrainInstance{Instance: "a4"})
+	d = newSite(t, map[model.PoolName]int{"a": 9}, model.Budget{MaxUnavailableShare: 0.5, MaxPerDataCenter: 2})
+	assert.NilError(t, d.observe("a0", model.PhaseLost).Err())
+	d.must(model.DrainInstance{Instance: "a3"})
+	d.refused(model.DrainInstance{Instance: "a6"}, result.DomainLimit)
+}
+
+// Guards against planned work that starts, or goes on to a reboot, while faults
+// leave less than the budget.
+func TestFaultsStopPlannedWork(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 4, "b": 3}, model.Budget{MaxUnavailable: 1})
+	d.must(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	d.must(model.TakeWaveStep{ID: "w", Instance: "a0"})
+	assert.NilError(t, d.observe("a0", model.PhaseDrained).Err())
+	assert.NilError(t, d.observe("a1", model.PhaseLost).Err())
+	d.refused(model.BeginOperation{Instance: "a0", Operation: d.instance("a0").NextOperation(), Kind: model.OperationReboot}, result.BudgetExceeded)
+	d.refused(model.TakeWaveStep{ID: "w", Instance: "a2"}, result.BudgetExceeded)
+	d.must(model.ReturnInstance{Instance: "a0", HeldBy: model.WaveHolder("w")})
+	w, _ := d.s.Waves.Get("w")
+	assert.Equal(t, w.Pending[len(w.Pending)-1], model.InstanceID("a0"))
+}
+
+// Guards against a move that is completed although its source has fallen below
+// its budget, and one that is left half done.
+func TestInterruptedMove(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 4, "b": 3}, model.Budget{MinAvailable: 2})
+	d.must(model.StartMove{ID: "m", Instance: "a0", From: "a", To: "b"})
+	assert.NilError(t, d.observe("a0", model.PhaseDrained).Err())
+	assert.NilError(t, d.observe("a1", model.PhaseLost).Err())
+	assert.NilError(t, d.observe("a2", model.PhaseLost).Err())
+	d.refused(model.AdvanceMove{ID: "m"}, result.BudgetExceeded)
+	d.must(model.UndoMove{ID: "m", Reason: "source below its budget"})
+	assert.Equal(t, d.instance("a0").Phase, model.PhaseActive)
+	assert.Equal(t, d.instance("a0").Pool, model.PoolName("a"))
+	assert.NilError(t, d.observe("a1", model.PhaseActive).Err())
+	d.must(model.StartMove{ID: "m2", Instance: "a0", From: "a", To: "b"})
+	assert.NilError(t, d.observe("a0", model.PhaseDrained).Err())
+	d.must(model.AdvanceMove{ID: "m2"})
+	d.refused(model.UndoMove{ID: "m2"}, result.WrongPhase)
+	d.must(model.AdvanceMove{ID: "m2"})
+	assert.Equal(t, d.instance("a0").Phase, model.PhaseActive)
+	assert.Equal(t, d.instance("a0").Pool, model.PoolName("b"))
+}
+
+// Guards against a wave that goes on at full speed after failures of repaired
+// instances, and against one that stops without a reason.
+func TestSecondLossAfterRepairStopsTheWave(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 9}, model.Budget{MinAvailable: 2})
+	d.must(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	d.maintain("w", "a0")
+	assert.NilError(t, d.observe("a0", model.PhaseLost).Err())
+	w, _ := d.s.Waves.Get("w")
+	assert.Equal(t, w.Step, 1)
+	assert.Equal(t, w.Phase, model.WaveRunning)
+	d.reboot("w", "a1")
+	assert.NilError(t, d.observe("a1", model.PhaseFailed).Err())
+	w, _ = d.s.Waves.Get("w")
+	assert.Equal(t, w.Phase, model.WaveStopped)
+	assert.Equal(t, w.Reason, "2 failures after repair, the last on instance a1: test")
+	assert.DeepEqual(t, w.Passed, []model.InstanceID{"a1"})
+	d.refused(model.TakeWaveStep{ID: "w", Instance: "a2"}, result.WrongPhase)
+	d.must(model.SetWavePhase{ID: "w", Phase: model.WaveRunning})
+	d.must(model.TakeWaveStep{ID: "w", Instance: "a2"})
+}
+
+// Guards against late and repeated observations and platform answers that
+// change an instance a second time.
+func TestStaleObservationsChangeNothing(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 4}, model.Budget{MinAvailable: 2})
+	first := d.instance("a0")
+	late := model.SetInstancePhase{Instance: "a0", Generation: first.Generation, From: model.PhaseActive, To: model.PhaseLost}
+	d.must(late)
+	assert.NilError(t, d.observe("a0", model.PhaseActive).Err())
+	d.refused(late, result.Unchanged)
+	d.must(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	d.maintain("w", "a0")
+	op := model.Instance{ID: "a0", OperationSeq: first.OperationSeq}.NextOperation()
+	d.refused(model.EndOperation{Instance: "a0", Operation: op, Succeeded: false}, result.Unchanged)
+	d.must(model.TakeWaveStep{ID: "w", Instance: "a1"})
+	d.refused(model.BeginOperation{Instance: "a0", Operation: op, Kind: model.OperationReboot}, result.OperationStale)
+	d.refused(model.BeginOperation{Instance: "a1", Operation: "other", Kind: model.OperationDrain}, result.OperationStale)
+	assert.Equal(t, d.instance("a0").Phase, model.PhaseActive)
+}
+
+// Guards against an accepted configuration that drops an instance in service,
+// or a pool together with its budget.
+func TestReconfigureKeepsInstancesInService(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 4, "b": 3}, model.Budget{MinAvailable: 2})
+	c := testConfig(map[model.PoolName]int{"a": 3, "b": 3}, model.Budget{MinAvailable: 2})
+	d.must(model.AcceptConfig{Base: 1, Config: c})
+	assert.Assert(t, d.instance("a3").Retiring)
+	assert.Assert(t, d.instance("a3").Available())
+	d.refused(model.RemoveInstance{Instance: "a3", Generation: d.instance("a3").Generation}, result.WrongPhase)
+	d.must(model.DrainInstance{Instance: "a3", HeldBy: model.HolderRetire})
+	assert.NilError(t, d.observe("a3", model.PhaseDrained).Err())
+	before := d.instance("a3")
+	d.must(model.RemoveInstance{Instance: "a3", Generation: before.Generation})
+	assert.Assert(t, !d.s.Instances.Has("a3"))
+	d.refused(model.AcceptConfig{Base: 2, Config: testConfig(map[model.PoolName]int{"a": 3}, model.Budget{MinAvailable: 2})}, result.ConfigInvalid)
+	d.must(model.DrainInstance{Instance: "a1"})
+	d.must(model.AcceptConfig{Base: 2, Config: testConfig(map[model.PoolName]int{"a": 4, "b": 4}, model.Budget{MinAvailable: 3})})
+	assert.Assert(t, d.instance("a3").OperationSeq > before.OperationSeq, "operation IDs would be used again")
+	u, _ := budget.Of(d.s, "a")
+	assert.Equal(t, u.Headroom(), 0)
+	d.refused(model.DrainInstance{Instance: "a0"}, result.BudgetExceeded)
+}
--- a/core/model/commands_fleet.go
+++ b/core/model/commands_fleet.go
@@ -33,6 +33,8 @@
 type StartWave struct {
 	ID    WaveID
 	Pools []PoolName
+	// MaintainedBefore leaves out instances whose last maintenance is not older; 0 takes all.
+	MaintainedBefore Timestamp
 }
 
 // SetWavePhase pauses, resumes, stops or cancels a wave.
@@ -48,6 +50,20 @@
 	Instance InstanceID
 }
 
+// SkipWaveInstance passes by an instance that cannot be maintained in this wave.
+type SkipWaveInstance struct {
+	ID       WaveID
+	Instance InstanceID
+	Reason   string
+}
+
+// RemoveInstance forgets an instance that the configuration no longer declares
+// and that is out of service.
+type RemoveInstance struct {
+	Instance   InstanceID
+	Generation uint64
+}
+
 // SetInstancePhase records what was observed about an instance. From guards
 // against late and repeated observations.
 type SetInstancePhase struct {
@@ -80,6 +96,8 @@
 func (StartWave) isCommand()        {}
 func (SetWavePhase) isCommand()     {}
 func (TakeWaveStep) isCommand()     {}
+func (SkipWaveInstance) isCommand() {}
+func (RemoveInstance) isCommand()   {}
 func (SetInstancePhase) isCommand() {}
 func (BeginOperation) isCommand()   {}
 func (EndOperation) isCommand()     {}
--- a/core/model/fleet.go
+++ b/core/model/fleet.go
@@ -13,9 +13,12 @@
 	PhaseSoaking
 	PhaseLost   // not seen; came without plan
 	PhaseFailed // did not come back after maintenance
+	// PhaseArriving is between the change of pool and the first sign of work in
+	// the new pool; the instance counts for no budget.
+	PhaseArriving
 )
 
-var phaseNames = [...]string{"none", "active", "draining", "drained", "rebooting", "verifying", "soaking", "lost", "failed"}
+var phaseNames = [...]string{"none", "active", "draining", "drained", "rebooting", "verifying", "soaking", "lost", "failed", "arriving"}
 
 func (p Phase) String() string {
 	if int(p) < len(phaseNames) {
@@ -34,14 +37,26 @@
 	Phase    Phase
 	// PhaseSince is when Phase was entered.
 	PhaseSince Timestamp
-	// HeldBy is the wave or move that took the instance out of service; empty if none.
+	// HeldBy is the wave, move or operator that took the instance out of service;
+	// empty if none. Holder builds it.
 	HeldBy string
 	// Operation is the platform operation in progress; empty if none.
 	Operation OperationID
 	// OperationKind is what Operation does.
 	OperationKind OperationKind
+	// OperationSince is when the last operation was committed.
+	OperationSince Timestamp
+	// OperationSeq counts the operations committed for the instance.
+	OperationSeq uint64
 	// Maintained is when the last maintenance ended.
 	Maintained Timestamp
+	// MaintainedBy is the wave that made the last maintenance.
+	MaintainedBy WaveID
+	// Home is the pool that lent the instance; empty if it is not lent.
+	Home PoolName
+	// Retiring is set when the configuration no longer declares the instance. It
+	// is drained within the budget and only then forgotten.
+	Retiring bool
 	// Failures counts consecutive job failures across distinct jobs.
 	Failures    int
 	Quarantined bool
@@ -106,7 +121,7 @@
 	Phase    MovePhase
 	Actor    string
 	Reason   string
-	Since    Timestamp
+	Since    Timestamp // when Phase was entered
 	// Lend is set when the system made the move and will give the instance back.
 	Lend bool
 }
--- a/core/result/fleet.go
+++ b/core/result/fleet.go
@@ -9,6 +9,9 @@
 	PoolMismatch     Code = 204
 	ConfigInvalid    Code = 205
 	OperationPending Code = 206
+	InstanceBusy     Code = 207
+	StepFull         Code = 208
+	OperationStale   Code = 209
 )
 
 func init() {
@@ -20,5 +23,8 @@
 		Info{PoolMismatch, "pool-mismatch", OutcomeNotRun, 409, 24, "The instance is not in the named source pool."},
 		Info{ConfigInvalid, "config-invalid", OutcomeNotRun, 400, 25, "The configuration contradicts itself or the fleet."},
 		Info{OperationPending, "operation-pending", OutcomeNotRun, 409, 26, "A platform operation on the instance has not finished."},
+		Info{InstanceBusy, "instance-busy", OutcomeNotRun, 409, 27, "A job still holds a lease on the instance."},
+		Info{StepFull, "step-full", OutcomeNotRun, 409, 28, "The wave already holds as many instances of the pool as its step allows."},
+		Info{OperationStale, "operation-stale", OutcomeNotRun, 409, 29, "The operation ID is not the next one of the instance."},
 	)
 }
