--- /dev/null
+++ b/core/command/dispatch/queue.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import "time"
+
+// waiting is a queued item. Cancelled items stay in their queue until their
+// turn, so that a cancellation costs the same at any queue length.
+type waiting struct {
+	Item
+	cancelled bool
+}
+
+// queue is a first-in first-out queue of items with lazy removal.
+type queue struct {
+	items []*waiting
+	head  int
+}
+
+// shrinkAt is the number of consumed places at which the queue is compacted.
+const shrinkAt = 64
+
+func (q *queue) push(w *waiting) { q.items = append(q.items, w) }
+
+// pop returns the oldest item that is not cancelled, or nil. Items whose
+// deadline passed are appended to expired.
+func (q *queue) pop(now time.Time, expired *[]Item) *waiting {
+	for q.head < len(q.items) {
+		w := q.items[q.head]
+		q.items[q.head] = nil
+		q.head++
+		q.compact()
+		if w.cancelled {
+			continue
+		}
+		if !w.Deadline.IsZero() && !now.Before(w.Deadline) {
+			*expired = append(*expired, w.Item)
+			continue
+		}
+		return w
+	}
+	return nil
+}
+
+func (q *queue) compact() {
+	if q.head < shrinkAt || q.head*2 < len(q.items) {
+		return
+	}
+	n := copy(q.items, q.items[q.head:])
+	clear(q.items[n:])
+	q.items, q.head = q.items[:n], 0
+}
