Keep the place in the rotation when no caller waits

A call with nothing queued reset the rotation to its start, so the caller served last went first again.

--- a/core/command/dispatch/rotation.go
+++ b/core/command/dispatch/rotation.go
@@ -77,12 +77,12 @@
 // turn takes the next caller of the rotation out of its heap.
 func (r *rotation) turn() *rotating {
 	if r.round.Len() == 0 {
+		if r.after.Len() == 0 {
+			return nil // the place in the rotation is kept
+		}
 		r.round, r.after = r.after, r.round
 		r.last = nil
 	}
-	if r.round.Len() == 0 {
-		return nil
-	}
 	c := heap.Pop(&r.round).(*rotating)
 	c.listed = false
 	return c
