Add the default queue policy

Flows (caller and service) share the slots by start-time fair queueing with run times learned from completions. Flows of unknown run time that would occupy most slots start slowly. Longer work leaves free the recent peak of work at least two powers of two shorter; the reserve decays two observed gaps after the last burst and its idle time is bounded by 8 % of the longer work.

--- a/core/command/dispatch/dispatch.go
+++ b/core/command/dispatch/dispatch.go
@@ -81,7 +81,7 @@
 const CapPerCaller = 2
 
 // Policies lists all policies.
-func Policies() []Policy { return []Policy{FIFO, RoundRobin, Capped} }
+func Policies() []Policy { return []Policy{FIFO, RoundRobin, Capped, Default} }
 
 // Options of a Dispatcher. The zero value is valid.
 type Options struct {
@@ -103,6 +103,8 @@
 		return newRotation(o.CompareCallers, 0), nil
 	case Capped:
 		return newRotation(o.CompareCallers, CapPerCaller), nil
+	case Default:
+		return newFair(o.Weights), nil
 	}
 	return nil, fmt.Errorf("dispatch: unknown policy %q; known are %v", p, Policies())
 }
--- /dev/null
+++ b/core/command/dispatch/estimate.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// Run times are grouped in classes of powers of two milliseconds. Class 0
+// holds unknown run times and those below 1 ms.
+const classes = 25
+
+// separation is how many classes shorter work must be to be protected from
+// longer work: its run time is at most half, typically a quarter or less.
+const separation = 2
+
+func classOf(run time.Duration) int {
+	return min(bits.Len64(uint64(run/time.Millisecond)), classes-1)
+}
+
+// typical returns the middle of the run times in a class.
+func typical(class int) time.Duration {
+	return time.Duration(3<<class) * time.Millisecond / 4
+}
+
+// Weights of a new run time in the estimate. The estimate is an average of
+// logarithms whose step is limited, so that one straggler among short runs
+// moves it by less than one class.
+const (
+	settledWeight = 0.25
+	firstSamples  = 4
+	maxStep       = 2.0 // in powers of two, before weighting
+)
+
+// estimate is the learned run time of one flow.
+type estimate struct {
+	samples int
+	log2    float64 // of milliseconds
+}
+
+func (e *estimate) learn(run time.Duration) {
+	v := math.Log2(max(float64(run)/float64(time.Millisecond), 0.5))
+	e.samples++
+	if e.samples <= firstSamples {
+		e.log2 += (v - e.log2) / float64(e.samples)
+		return
+	}
+	e.log2 += settledWeight * min(max(v-e.log2, -maxStep), maxStep)
+}
+
+// run returns the expected run time; 0 if unknown.
+func (e *estimate) run() time.Duration {
+	if e.samples == 0 {
+		return 0
+	}
+	return time.Duration(math.Exp2(e.log2) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/core/command/dispatch/flow.go
@@ -0,0 +1,82 @@
+package dispatch
+
+import (
+	"container/list"
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// flowKey names a flow: the items of one caller for one service, whose run
+// times are learned together.
+type flowKey struct {
+	service model.ServiceName
+	caller  model.CallerID
+}
+
+// flow is the state of one flow in the default policy.
+type flow struct {
+	key      flowKey
+	queue    queue
+	live     int // queued and not cancelled
+	running  int
+	fresh    int // arrived since the last Next
+	estimate estimate
+	class    int
+	finish   time.Duration // virtual time at which its last started item ends
+	tag      time.Duration // virtual time at which its next item should start
+	order    uint64        // breaks ties of tags by time of listing
+	index    int           // place in the heap of its class; -1 if in none
+	counted  int           // its share in the demand of its class and longer ones
+	guessed  int           // highest share before its run time was known
+	// allowed is the number of items that may run during slow start; 0 otherwise.
+	allowed   int
+	ramped    bool          // slow start is over or was not needed
+	rampStart time.Time     // start of the first item of the slow start; zero before
+	idle      *list.Element // place in the list of idle flows; nil if not idle
+}
+
+func (f *flow) demand() int { return f.live + f.running }
+
+// mayStart reports whether the slow start lets another item start.
+func (f *flow) mayStart() bool { return f.allowed == 0 || f.running < f.allowed }
+
+// cost returns the virtual time charged for one item.
+func (f *flow) cost() time.Duration {
+	if f.estimate.samples == 0 {
+		return typical(f.class)
+	}
+	return max(f.estimate.run(), time.Millisecond)
+}
+
+// flowHeap orders the flows of one class by their tags.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+
+func (h flowHeap) Less(i, j int) bool {
+	if h[i].tag != h[j].tag {
+		return h[i].tag < h[j].tag
+	}
+	return h[i].order < h[j].order
+}
+
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *flowHeap) Pop() any {
+	last := len(*h) - 1
+	f := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	f.index = -1
+	return f
+}
--- /dev/null
+++ b/core/command/dispatch/learn.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+)
+
+// admit takes note of the items that arrived since the last Next. They are
+// counted here and not in Arrive because the number of slots decides whether a
+// flow starts slowly.
+func (f *fair) admit(now time.Time) {
+	for i, fl := range f.fresh {
+		fl.fresh = 0
+		f.fresh[i] = nil
+		if !fl.ramped && fl.allowed == 0 && fl.estimate.samples == 0 && fl.demand()*2 > f.total {
+			fl.allowed = max(1, f.total/floorShare)
+			f.slow = append(f.slow, fl)
+		}
+		f.settle(now, fl)
+	}
+	f.fresh = f.fresh[:0]
+}
+
+// learn updates the estimate of the flow and moves it to its class.
+func (f *fair) learn(now time.Time, fl *flow, run time.Duration) {
+	if fl.estimate.samples == 0 {
+		f.prior.learn(run)
+	}
+	fl.estimate.learn(run)
+	f.reclass(now, fl, classOf(fl.estimate.run()))
+	if fl.class >= separation && f.demands[fl.class-separation].peak > 0 {
+		earned := time.Duration(idleShare * f.weight * float64(run))
+		f.credit = min(f.credit+earned, time.Duration(f.total)*creditLimit*time.Second)
+	}
+	if fl.allowed == 0 {
+		fl.ramped = true
+		return
+	}
+	// One more item for each completion doubles the flow in each run time.
+	fl.allowed++
+	if fl.allowed >= f.total {
+		f.endSlowStart(now, fl)
+	}
+}
+
+func (f *fair) reclass(now time.Time, fl *flow, class int) {
+	if class == fl.class {
+		return
+	}
+	if fl.index >= 0 {
+		heap.Remove(&f.ready[fl.class], fl.index)
+	}
+	for c := fl.class; c < class; c++ {
+		f.demands[c].remove(now, fl.counted)
+		f.demands[c].retract(fl.guessed)
+	}
+	fl.guessed = 0
+	for c := class; c < fl.class; c++ {
+		f.demands[c].current += fl.counted // known work is not a new burst
+	}
+	f.runningIn[fl.class] -= fl.running
+	f.queuedIn[fl.class] -= fl.live
+	fl.class = class
+	f.runningIn[class] += fl.running
+	f.queuedIn[class] += fl.live
+	f.list(now, fl)
+}
+
+// endSlowStarts ends the slow start of flows whose first items run for long;
+// their run time so far stands for the estimate.
+func (f *fair) endSlowStarts(now time.Time) {
+	for i := len(f.slow) - 1; i >= 0; i-- {
+		fl := f.slow[i]
+		if fl.estimate.samples == 0 && !fl.rampStart.IsZero() && now.Sub(fl.rampStart) >= slowStartLimit {
+			f.reclass(now, fl, classOf(now.Sub(fl.rampStart)))
+			f.endSlowStart(now, fl)
+		}
+	}
+}
+
+func (f *fair) endSlowStart(now time.Time, fl *flow) {
+	fl.allowed, fl.ramped = 0, true
+	for i, other := range f.slow {
+		if other == fl {
+			f.slow = append(f.slow[:i], f.slow[i+1:]...)
+			break
+		}
+	}
+	f.settle(now, fl)
+}
+
+// count brings the flow's share in the demand in line with its items. A flow
+// in slow start is not counted, because its run time is not known.
+func (f *fair) count(now time.Time, fl *flow) {
+	want := min(fl.demand(), max(1, f.total/flowShare))
+	if fl.allowed > 0 {
+		want = 0
+	}
+	change := want - fl.counted
+	fl.counted = want
+	if fl.estimate.samples == 0 {
+		fl.guessed = max(fl.guessed, want)
+	}
+	for c := fl.class; c < classes; c++ {
+		switch {
+		case change > 0:
+			f.demands[c].add(now, change)
+		case change < 0:
+			f.demands[c].remove(now, -change)
+		}
+	}
+}
