--- /dev/null
+++ b/operator/replay/reference_test.go
@@ -0,0 +1,53 @@
+package replay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command/dispatch"
+)
+
+// Guards against reference policies that differ from the published ones: the
+// figures are those of "The same capacity can produce different waits (SaaS
+// noisy neighbor)".
+func TestReferencePoliciesGivePublishedFigures(t *testing.T) {
+	for _, c := range []struct {
+		bulkRun   int
+		policy    dispatch.Policy
+		p95, max  float64
+		bulkMS    float64
+		utilValue string
+	}{
+		{100, dispatch.FIFO, 4900, 5000, 5000, "99.17"},
+		{100, dispatch.RoundRobin, 200, 200, 6000, "99.17"},
+		{100, dispatch.Capped, 200, 200, 20800, "28.61"},
+		{500, dispatch.FIFO, 24900, 25000, 25000, "99.81"},
+		{500, dispatch.RoundRobin, 500, 500, 26000, "99.81"},
+		{500, dispatch.Capped, 200, 300, 100200, "25.90"},
+	} {
+		r, err := Run(reference(c.bulkRun).trace(), Options{Policy: c.policy})
+		assert.NilError(t, err)
+		name := string(c.policy)
+		assert.Equal(t, r.Cohorts["quiet"].Wait.P95, c.p95, name)
+		assert.Equal(t, r.Cohorts["quiet"].Wait.Max, c.max, name)
+		assert.Equal(t, r.Cohorts["bulk"].FinishedMS, c.bulkMS, name)
+		assert.Equal(t, percent(r.Utilization), c.utilValue, name)
+		assert.Equal(t, r.Completed, 476, name)
+	}
+}
+
+// Guards against a default policy that misses the goals of the design: quiet
+// p95 200 ms with bulk finished in 28.0 s and 6.5 s.
+func TestDefaultPolicyOnReferenceWorkloads(t *testing.T) {
+	for _, c := range []struct {
+		bulkRun int
+		bulkMS  float64
+	}{{500, 28000}, {100, 6500}} {
+		r, err := Run(reference(c.bulkRun).trace(), Options{Policy: dispatch.Default})
+		assert.NilError(t, err)
+		t.Logf("bulk run %d ms: %+v", c.bulkRun, r)
+		assert.Assert(t, r.Cohorts["quiet"].Wait.P95 <= 200, "%v", r.Cohorts["quiet"].Wait)
+		assert.Assert(t, r.Cohorts["bulk"].FinishedMS <= c.bulkMS, "%v", r.Cohorts["bulk"])
+	}
+}
--- /dev/null
+++ b/operator/replay/trace_test.go
@@ -0,0 +1,92 @@
+package replay
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command/dispatch"
+)
+
+func percent(f float64) string { return fmt.Sprintf("%.2f", 100*f) }
+
+const head = `{"trace":1,"targets":[{"id":"t1","slots":8}]}` + "\n"
+
+const good = `{"at_ms":0,"id":"a","caller":0,"cohort":"c","service":"s","run_ms":10}` + "\n"
+
+// Guards against faults in a trace that are accepted or reported on the wrong line.
+func TestReadReportsTheLineOfAFault(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		line int
+	}{
+		{"", 1},
+		{`{"trace":2,"targets":[{"id":"t1","slots":8}]}`, 1},
+		{`{"trace":1,"targets":[{"id":"t1","slots":0}]}`, 1},
+		{`{"trace":1,"targets":[]}`, 1},
+		{head + good + good, 3}, // repeated ID
+		{head + strings.Replace(good, `"id"`, `"x":1,"id"`, 1), 2},
+		{head + strings.Replace(good, `:10`, `:-10`, 1), 2},
+		{head + strings.Replace(good, `:10`, `:"10"`, 1), 2},
+		{head + strings.Replace(good, `:10`, `:1e999`, 1), 2},
+		{head + strings.Replace(good, `:10`, `:0`, 1), 2},
+		{head + strings.Replace(good, `"at_ms":0,`, ``, 1), 2},
+		{head + strings.Replace(good, `:10}`, `:10,"cancel_at_ms":-1}`, 1), 2},
+		{head + strings.TrimSpace(good) + good, 2}, // two values
+		{head + good + "\n{", 4},
+	} {
+		_, err := Read(strings.NewReader(c.text))
+		var line *LineError
+		assert.Assert(t, errors.As(err, &line), "%q: %v", c.text, err)
+		assert.Equal(t, line.Line, c.line, "%q: %v", c.text, err)
+	}
+}
+
+// Guards against another order at one instant than completions, arrivals,
+// dispatch, and against a cancelled or late request that runs.
+func TestReplayOrderAtOneInstant(t *testing.T) {
+	text := `{"trace":1,"targets":[{"id":"t1","slots":1}]}
+{"at_ms":0,"id":"first","caller":"b","cohort":"x","service":"s","run_ms":10}
+{"at_ms":10,"id":"second","caller":"a","cohort":"y","service":"s","run_ms":10}
+{"at_ms":5,"id":"late","caller":"a","cohort":"z","service":"s","run_ms":10,"deadline_ms":5}
+{"at_ms":6,"id":"gone","caller":"a","cohort":"z","service":"s","run_ms":10,"cancel_at_ms":10}
+{"at_ms":0,"id":"kept","caller":"b","cohort":"w","service":"s","run_ms":5,"cancel_at_ms":21}
+`
+	trace, err := Read(strings.NewReader(text))
+	assert.NilError(t, err)
+	r, err := Run(trace, Options{Policy: dispatch.RoundRobin})
+	assert.NilError(t, err)
+	assert.Equal(t, r.Completed, 3)
+	assert.Equal(t, r.Rejected, 1)
+	assert.Equal(t, r.Cancelled, 1)
+	assert.Equal(t, r.Cohorts["y"].Wait.Max, 0.0)
+	assert.Equal(t, r.Cohorts["w"].FinishedMS, 25.0)
+	assert.Equal(t, r.Cohorts["z"].Count, 0)
+	assert.Equal(t, r.Utilization, 1.0)
+	var table bytes.Buffer
+	assert.NilError(t, r.WriteTable(&table))
+	assert.Assert(t, strings.Contains(table.String(), "1 rejected"), table.String())
+}
+
+// FuzzRead guards against a panic on any input and against a trace that is
+// accepted and cannot be replayed to its end.
+func FuzzRead(f *testing.F) {
+	f.Add(head + good)
+	f.Add(head + strings.Replace(good, `:10`, `:0.5,"deadline_ms":3,"cancel_at_ms":7`, 1))
+	f.Add("{")
+	f.Fuzz(func(t *testing.T, text string) {
+		trace, err := Read(strings.NewReader(text))
+		if err != nil || len(trace.Records) > 1000 {
+			return
+		}
+		for _, p := range dispatch.Policies() {
+			r, err := Run(trace, Options{Policy: p})
+			assert.NilError(t, err)
+			assert.Equal(t, r.Completed+r.Rejected+r.Cancelled, len(trace.Records), string(p))
+		}
+	})
+}
