Send caller requests to announced targets

The thin path of an entry instance: requests are queued for each caller and service by the control loop, sent by their own goroutines, and claimed in the replicated log first when they are not idempotent. A recorded claim now gives status and content type back with its body, so that a resend gets the same answer as the first request.

--- a/core/command/claim/claim.go
+++ b/core/command/claim/claim.go
@@ -80,7 +80,10 @@
 	case old.Phase == model.ClaimNotRun:
 		return result.New(result.KeyMismatch, "attempt was settled as not run"), true
 	case old.Phase == model.ClaimDone:
-		return result.Result{Code: result.Recorded, Value: string(old.Key), Revision: uint64(s.Index), Body: old.Body}, true
+		return result.Result{
+			Code: result.Recorded, Value: string(old.Key), Revision: uint64(s.Index), Body: old.Body,
+			Status: old.Status, ContentType: old.ContentType, BodyOmitted: old.BodyOmitted,
+		}, true
 	case old.Phase == model.ClaimPending && old.Attempt == c.Attempt:
 		return result.Result{Code: result.Accepted, Revision: uint64(s.Index)}, true
 	case old.Phase == model.ClaimPending && claimantAlive(s, old):
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -88,6 +88,11 @@
 	Conflict *Conflict
 	// Body is the recorded answer of a claimed request, if it was kept.
 	Body []byte
+	// Status and ContentType belong to Body. BodyOmitted is set when the answer
+	// was too long to be kept.
+	Status      int
+	ContentType string
+	BodyOmitted bool
 }
 
 // Conflict names the accepted change that a rejected one lost to.
--- a/core/result/traffic.go
+++ b/core/result/traffic.go
@@ -16,6 +16,8 @@
 	Recorded        Code = 3
 	ServiceUnknown  Code = 411
 	CallerGone      Code = 412
+	BodyTooLong     Code = 413
+	AnswerNotKept   Code = 414
 )
 
 func init() {
@@ -34,5 +36,7 @@
 		Info{EntryStale, "entry-stale", OutcomeNotRun, 503, 50, "The entry instance has lost touch with the control state."},
 		Info{ServiceUnknown, "service-unknown", OutcomeNotRun, 404, 51, "The configuration in force has no such service."},
 		Info{CallerGone, "caller-gone", OutcomeUnknown, 499, 52, "The caller closed its connection before the answer."},
+		Info{BodyTooLong, "body-too-long", OutcomeNotRun, 413, 53, "The body of the request is longer than 1 MiB."},
+		Info{AnswerNotKept, "answer-not-kept", OutcomeDone, 409, 54, "An earlier request with the same key was done; its answer was too long to be recorded."},
 	)
 }
--- /dev/null
+++ b/entry/command/announcements.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry/command/announce"
+	"lacewingturn.example/node/event"
+)
+
+// HeartbeatEvery is the time between heartbeats that targets are asked for.
+const HeartbeatEvery = 500 * time.Millisecond
+
+// announceTimeout bounds the commit of an announcement. It leaves a target
+// time to try another entry instance before 3 s have passed.
+const announceTimeout = 1200 * time.Millisecond
+
+// What a worker offers if the configuration sets no other limit.
+const (
+	defaultSlots       = 8
+	defaultConnections = 64
+)
+
+// announced answers a target.
+type announced struct {
+	Code        result.Code `json:"code"`
+	Name        string      `json:"name"`
+	Detail      string      `json:"detail,omitempty"`
+	HeartbeatMs int64       `json:"heartbeat_ms"`
+}
+
+// RegisterTargets adds the routes for announcements of targets.
+func (g *Gateway) RegisterTargets(r *mux.Router) {
+	r.HandleFunc("/targets/{id}/join", g.serveJoin).Methods(http.MethodPost)
+	r.HandleFunc("/targets/{id}/heartbeat", g.serveHeartbeat).Methods(http.MethodPost)
+	r.HandleFunc("/targets/{id}/leaving", g.serveLeaving).Methods(http.MethodPost)
+}
+
+func (g *Gateway) serveJoin(w http.ResponseWriter, r *http.Request) {
+	j, err := announce.DecodeJoin(r.Body, g.offer())
+	if err != nil {
+		g.announced(w, result.New(result.InvalidInput, "%v", err))
+		return
+	}
+	t := model.Target{
+		ID: model.TargetID(mux.Vars(r)["id"]), Instance: j.Instance, Service: j.Service, Address: j.Address,
+		Slots: j.Slots, Connections: j.Connections, Generation: j.Generation, Phase: model.TargetReady,
+	}
+	if bad := g.checkJoin(t); !bad.Code.OK() {
+		g.announced(w, bad)
+		return
+	}
+	g.announced(w, g.commitTarget(t))
+}
+
+// checkJoin refuses a target that could get no work.
+func (g *Gateway) checkJoin(t model.Target) result.Result {
+	v := g.source.View()
+	if v == nil || v.Traffic.Config == nil {
+		return result.New(result.EntryStale, "no configuration is in force here yet")
+	}
+	if _, ok := v.Services[t.Service]; !ok {
+		return result.New(result.NotFound, "service: there is no service %q", t.Service)
+	}
+	if !v.Traffic.Instances.Has(t.Instance) {
+		return result.New(result.NotFound, "instance: there is no instance %q", t.Instance)
+	}
+	return result.Result{}
+}
+
+func (g *Gateway) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
+	h, err := announce.DecodeHeartbeat(r.Body)
+	if err != nil {
+		g.announced(w, result.New(result.InvalidInput, "%v", err))
+		return
+	}
+	id := model.TargetID(mux.Vars(r)["id"])
+	if bad := g.checkKnown(id, h.Generation); !bad.Code.OK() {
+		g.announced(w, bad)
+		return
+	}
+	if !g.port.TrySend(heartbeat{target: id, Heartbeat: h}) {
+		g.announced(w, result.New(result.Overloaded, "the mailbox is full"))
+		return
+	}
+	g.announced(w, result.Result{})
+}
+
+// checkKnown tells a target to join if its generation is not known as ready or leaving.
+func (g *Gateway) checkKnown(id model.TargetID, generation uint64) result.Result {
+	v := g.source.View()
+	if v == nil {
+		return result.New(result.EntryStale, "no configuration is in force here yet")
+	}
+	t, ok := v.Traffic.Targets.Get(id)
+	switch {
+	case !ok || t.Generation < generation:
+		return result.New(result.NotFound, "generation %d of target %q has not joined", generation, id)
+	case t.Generation > generation:
+		return result.New(result.StaleToken, "target %q has joined with generation %d", id, t.Generation)
+	case t.Phase == model.TargetLost:
+		return result.New(result.NotFound, "target %q was considered lost and has to join again", id)
+	}
+	return result.Result{}
+}
+
+func (g *Gateway) serveLeaving(w http.ResponseWriter, r *http.Request) {
+	l, err := announce.DecodeLeaving(r.Body)
+	if err != nil {
+		g.announced(w, result.New(result.InvalidInput, "%v", err))
+		return
+	}
+	id := model.TargetID(mux.Vars(r)["id"])
+	if bad := g.checkKnown(id, l.Generation); !bad.Code.OK() {
+		g.announced(w, bad)
+		return
+	}
+	t, _ := g.source.View().Traffic.Targets.Get(id)
+	t.Phase = model.TargetLeaving
+	g.announced(w, g.commitTarget(t))
+}
+
+// commitTarget proposes an announcement until its result is certain.
+func (g *Gateway) commitTarget(t model.Target) result.Result {
+	task := &claimTask{
+		commands: []model.Command{model.AnnounceTarget{Target: t}}, until: time.Now().Add(announceTimeout), reply: make(chan claimReply, 1),
+	}
+	g.claims.submit(task)
+	r := g.claims.await(task).result
+	fields := []zap.Field{zap.String("target", string(t.ID)), zap.Stringer("phase", t.Phase), zap.Stringer("result", r.Code)}
+	if r.Code.OK() {
+		event.TargetAnnounced.Log(g.log, fields...)
+	} else {
+		event.AnnouncementLost.Log(g.log, fields...)
+	}
+	return r
+}
+
+func (g *Gateway) offer() announce.Offer {
+	most := announce.Offer{Slots: defaultSlots, Connections: defaultConnections}
+	if v := g.source.View(); v != nil && v.Traffic.Config != nil {
+		if n := v.Traffic.Config.Limits.SlotsPerTarget; n > 0 {
+			most.Slots = n
+		}
+		if n := v.Traffic.Config.Limits.ConnectionsPerTarget; n > 0 {
+			most.Connections = n
+		}
+	}
+	return most
+}
+
+func (g *Gateway) announced(w http.ResponseWriter, r result.Result) {
+	info := r.Code.Info()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(info.HTTP)
+	_ = json.NewEncoder(w).Encode(announced{Code: r.Code, Name: info.Name, Detail: r.Detail, HeartbeatMs: HeartbeatEvery.Milliseconds()})
+}
--- /dev/null
+++ b/entry/command/attempt.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 3
+
+// Bounds of the wait before a retry, before jitter.
+const (
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+)
+
+// run sends a request and repeats it where that is safe: always when it
+// certainly did not run, and after an unknown outcome only if it is idempotent.
+// A retry needs a token of the budget; without one the first answer stands.
+func (g *Gateway) run(ctx context.Context, c *call) answer {
+	a, s, avoid := g.attempt(ctx, c, 0, "")
+	for n := 1; n < maxAttempts && retriable(c, a, s); n++ {
+		if !backoff(ctx, n) {
+			return a
+		}
+		next, nextSample, target := g.attempt(ctx, c, n, avoid)
+		if next.result.Code == result.RetryBudget || neverSent(nextSample) && a.outcome == result.OutcomeUnknown {
+			return a
+		}
+		// An earlier attempt that may have run makes the outcome unknown.
+		if a.outcome == result.OutcomeUnknown && next.outcome == result.OutcomeNotRun {
+			next.outcome = result.OutcomeUnknown
+		}
+		a, s, avoid = next, nextSample, target
+	}
+	return a
+}
+
+func neverSent(s sample) bool { return s.kind == sampleUnsent }
+
+// retriable reports whether another attempt may help and does no harm.
+func retriable(c *call, a answer, s sample) bool {
+	switch s.kind {
+	case sampleRefused:
+		return a.outcome == result.OutcomeNotRun || c.idempotent
+	case sampleSilent, sampleTruncated:
+		return c.idempotent
+	}
+	return false
+}
+
+// backoff waits before attempt n and reports false if the deadline comes first.
+func backoff(ctx context.Context, n int) bool {
+	d := min(firstBackoff<<(n-1), maxBackoff)
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt gets a slot and sends the request once. The last attempt may use all
+// the time that is left; earlier ones of an idempotent request leave half of it
+// for a retry on another target.
+func (g *Gateway) attempt(ctx context.Context, c *call, n int, avoid model.TargetID) (answer, sample, model.TargetID) {
+	if n > 0 {
+		g.metrics.retries.Inc()
+	}
+	id, d := g.acquire(ctx, c, n > 0, avoid)
+	if d.code != result.OK {
+		return refusal(result.Result{Code: d.code, Detail: d.detail}, d.retryAfter), sample{kind: sampleUnsent}, avoid
+	}
+	ctx, span := g.tracer.Start(ctx, "entry.exchange", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("lacewingturn.target", string(d.target.id)), attribute.Int("lacewingturn.attempt", n)))
+	cancel := context.CancelFunc(func() {})
+	if c.idempotent && n+1 < maxAttempts {
+		ctx, cancel = context.WithTimeout(ctx, time.Until(c.deadline)/2)
+	}
+	a, s := g.exchange(ctx, c, d.target)
+	if a.stream == nil {
+		cancel()
+		span.End()
+		g.finish(id, s)
+		return a, s, d.target.id
+	}
+	a.stream.ended = func(err error) {
+		cancel()
+		span.End()
+		if err != nil {
+			s.kind = sampleTruncated
+		}
+		g.finish(id, s)
+		c.release()
+	}
+	return a, s, d.target.id
+}
--- /dev/null
+++ b/entry/command/claims.go
@@ -0,0 +1,199 @@
+package command
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry"
+)
+
+// Limits of claims.
+const (
+	maxClaimBatch  = 256
+	claimQueue     = 4096
+	proposeTimeout = time.Second
+	proposeBackoff = 50 * time.Millisecond
+	// claimPatience is how long a request waits for a leader; it outlives a failover of 2 s.
+	claimPatience = 3 * time.Second
+	// settleKeep is how long an outcome that could not be recorded is proposed again.
+	settleKeep = time.Minute
+)
+
+// claimTask is one or two commands that are proposed together until their
+// result is certain or until the task ends.
+type claimTask struct {
+	commands []model.Command
+	until    time.Time
+	maybe    bool // an earlier proposal may have been committed
+	reply    chan claimReply
+}
+
+// claimReply is the result of the last command. If certain is false, the
+// commands may have been committed.
+type claimReply struct {
+	result  result.Result
+	certain bool
+}
+
+// claimer proposes claims and their outcomes in batches. One goroutine runs it,
+// so that one proposal is in flight for each entry instance.
+type claimer struct {
+	actor   string
+	control entry.Control
+	metrics *Metrics
+	tasks   chan *claimTask
+	done    chan struct{}
+	open    sync.WaitGroup // tasks that have not ended
+}
+
+func newClaimer(id model.EntryID, c entry.Control, m *Metrics) *claimer {
+	return &claimer{actor: string(id), control: c, metrics: m, tasks: make(chan *claimTask, claimQueue), done: make(chan struct{})}
+}
+
+// submit hands a task to the claimer. It waits if the queue is full; the number
+// of senders is bounded by the requests in flight.
+func (c *claimer) submit(t *claimTask) {
+	c.open.Add(1)
+	select {
+	case c.tasks <- t:
+	case <-c.done:
+		c.refuse([]*claimTask{t})
+	}
+}
+
+func (c *claimer) end(t *claimTask, r claimReply) {
+	if t.reply != nil {
+		t.reply <- r
+	}
+	c.open.Done()
+}
+
+// run proposes until ctx ends.
+func (c *claimer) run(ctx context.Context) {
+	defer c.refuseRest()
+	defer close(c.done)
+	var again []*claimTask
+	for {
+		batch, ok := c.collect(ctx, again)
+		if !ok {
+			c.refuse(batch)
+			return
+		}
+		again = c.propose(ctx, batch)
+		if len(again) > 0 && !waitFor(ctx, proposeBackoff) {
+			c.refuse(again)
+			return
+		}
+	}
+}
+
+// collect waits for the next task unless some are left over.
+func (c *claimer) collect(ctx context.Context, batch []*claimTask) ([]*claimTask, bool) {
+	if len(batch) == 0 {
+		select {
+		case t := <-c.tasks:
+			batch = append(batch, t)
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+	for len(batch) < maxClaimBatch {
+		select {
+		case t := <-c.tasks:
+			batch = append(batch, t)
+		default:
+			return batch, true
+		}
+	}
+	return batch, true
+}
+
+// propose sends a batch and returns the tasks to be proposed again.
+func (c *claimer) propose(ctx context.Context, batch []*claimTask) []*claimTask {
+	var envelopes []model.Envelope
+	for _, t := range batch {
+		for _, cmd := range t.commands {
+			envelopes = append(envelopes, model.Envelope{Actor: c.actor, Command: cmd})
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	results, err := c.control.Propose(ctx, envelopes)
+	cancel()
+	now := time.Now()
+	var again []*claimTask
+	next := 0
+	for _, t := range batch {
+		next += len(t.commands)
+		r := result.New(result.Unknown, "the answer to the claim was lost")
+		if err == nil && next <= len(results) {
+			r = results[next-1]
+		}
+		if !c.settled(now, t, r) {
+			again = append(again, t)
+		}
+	}
+	return again
+}
+
+// settled reports whether a task has ended and answers it if so.
+func (c *claimer) settled(now time.Time, t *claimTask, r result.Result) bool {
+	switch r.Code {
+	case result.Unknown:
+		t.maybe = true
+	case result.NotLeader, result.NoQuorum, result.Overloaded, result.Stopping, result.Deadline, result.StorageFail:
+		t.maybe = t.maybe || r.Code == result.StorageFail
+	default:
+		c.metrics.claims.WithLabelValues(codeLabel(r.Code)).Inc()
+		c.end(t, claimReply{result: r, certain: true})
+		return true
+	}
+	if now.Before(t.until) {
+		return false
+	}
+	c.metrics.claims.WithLabelValues(codeLabel(r.Code)).Inc()
+	c.end(t, claimReply{result: r, certain: !t.maybe})
+	return true
+}
+
+// refuseRest ends the tasks that nobody will propose.
+func (c *claimer) refuseRest() {
+	for {
+		select {
+		case t := <-c.tasks:
+			c.refuse([]*claimTask{t})
+		default:
+			return
+		}
+	}
+}
+
+// await returns the reply to a task that has one.
+func (c *claimer) await(t *claimTask) claimReply {
+	select {
+	case r := <-t.reply:
+		return r
+	case <-c.done:
+		return claimReply{result: result.New(result.Stopping, "the instance has stopped")}
+	}
+}
+
+// refuse ends tasks at the end of the process.
+func (c *claimer) refuse(batch []*claimTask) {
+	for _, t := range batch {
+		c.end(t, claimReply{result: result.New(result.Stopping, "the instance has stopped"), certain: !t.maybe})
+	}
+}
+
+func waitFor(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/entry/command/exchange.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+
+	"lacewingturn.example/core/result"
+)
+
+var propagator = propagation.TraceContext{}
+
+// exchange sends a request to a target once and reads the answer up to
+// MaxBody bytes. When the answer is longer, answer.stream holds the rest and
+// ends the use of the slot.
+func (g *Gateway) exchange(ctx context.Context, c *call, d destination) (answer, sample) {
+	started := time.Now()
+	l := g.pool.lane(d)
+	l.active.Add(1)
+	defer l.active.Add(-1)
+	sent := &sending{}
+	resp, err := l.transport.RoundTrip(outgoing(sent.trace(ctx), c, d))
+	if err != nil {
+		return sent.failure(ctx, err, time.Since(started))
+	}
+	a, s := readAnswer(ctx, c, resp)
+	s.run = time.Since(started)
+	return a, s
+}
+
+// sending observes how far a request got.
+type sending struct{ conn *countedConn }
+
+// trace records the connection that the request is written to. The transport
+// calls GotConn before RoundTrip returns.
+func (s *sending) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*countedConn); ok {
+			c.mark()
+			s.conn = c
+		}
+	}})
+}
+
+// failure tells a request that certainly did not run from one that may have.
+func (s *sending) failure(ctx context.Context, err error, run time.Duration) (answer, sample) {
+	switch {
+	case s.conn == nil && ctx.Err() != nil:
+		return refusal(result.New(result.Deadline, "no connection to the target before the deadline"), 0), sample{sampleRefused, run}
+	case s.conn == nil || s.conn.unwritten():
+		return refusal(result.New(result.TargetRefused, "nothing was sent: %v", err), overloadRetry), sample{sampleRefused, run}
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		return refusal(result.New(result.CallerGone, "the caller closed its connection"), 0), sample{sampleCancelled, run}
+	case ctx.Err() != nil:
+		return refusal(result.New(result.TargetSilent, "no answer from the target after %s", run.Round(time.Millisecond)), 0), sample{sampleSilent, run}
+	}
+	return refusal(result.New(result.TargetTruncated, "the connection broke before the answer: %v", err), 0), sample{sampleTruncated, run}
+}
+
+// outgoing builds the request to the target.
+func outgoing(ctx context.Context, c *call, d destination) *http.Request {
+	h := make(http.Header, len(c.header)+4)
+	drop := connectionHeaders(c.header)
+	for k, values := range c.header {
+		if !hopByHop(k) && !drop[k] {
+			h[k] = values
+		}
+	}
+	// The transport repeats a request by itself when it finds this key in its
+	// canonical form. Header names have no case on the wire.
+	if values, ok := h[HeaderKey]; ok {
+		delete(h, HeaderKey)
+		h[strings.ToLower(HeaderKey)] = values
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		h[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10)}
+	}
+	h[HeaderSlot] = []string{d.slot}
+	propagator.Inject(ctx, propagation.HeaderCarrier(h))
+	req := &http.Request{
+		Method: c.method, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h, Host: d.address,
+		URL: &url.URL{Scheme: "http", Host: d.address, Path: c.path, RawPath: c.rawPath, RawQuery: c.query},
+	}
+	if len(c.body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
+	}
+	return req.WithContext(ctx)
+}
+
+// connectionHeaders returns the headers that Connection names as its own.
+func connectionHeaders(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	drop := map[string]bool{}
+	for _, v := range values {
+		for name := range strings.SplitSeq(v, ",") {
+			drop[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return drop
+}
+
+// readAnswer reads an answer whole or up to MaxBody bytes. An answer whose end
+// is not marked cannot be told from a truncated one and counts as truncated.
+func readAnswer(ctx context.Context, c *call, resp *http.Response) (answer, sample) {
+	if notRun(resp) {
+		_ = resp.Body.Close()
+		return refusal(result.New(result.TargetRefused, "the target answered %d and did not run the request", resp.StatusCode), overloadRetry), sample{kind: sampleRefused}
+	}
+	bodiless := c.method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if !bodiless && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		_ = resp.Body.Close()
+		return refusal(result.New(result.TargetTruncated, "the answer has neither a length nor an end mark"), 0), sample{kind: sampleTruncated}
+	}
+	body, err := readUpTo(resp, MaxBody)
+	if err != nil {
+		_ = resp.Body.Close()
+		return cut(ctx, err)
+	}
+	a := answer{outcome: result.OutcomeDone, status: resp.StatusCode, header: resp.Header, body: body}
+	if len(body) > MaxBody {
+		a.stream = &stream{rest: resp.Body, length: resp.ContentLength}
+		return a, sample{kind: kindOf(resp)}
+	}
+	_ = resp.Body.Close()
+	return a, sample{kind: kindOf(resp)}
+}
+
+// cut classifies an answer that ended early.
+func cut(ctx context.Context, err error) (answer, sample) {
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		return refusal(result.New(result.CallerGone, "the caller closed its connection"), 0), sample{kind: sampleCancelled}
+	case ctx.Err() != nil:
+		return refusal(result.New(result.TargetSilent, "the answer was not complete at the deadline"), 0), sample{kind: sampleSilent}
+	}
+	return refusal(result.New(result.TargetTruncated, "the answer ended early: %v", err), 0), sample{kind: sampleTruncated}
+}
+
+func kindOf(resp *http.Response) sampleKind {
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return sampleFailed
+	}
+	return sampleDone
+}
+
+// notRun reports whether the target states that it did not run the request.
+func notRun(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == result.OutcomeNotRun.String()
+}
+
+// readUpTo reads the body whole, or limit+1 bytes if it is longer.
+func readUpTo(resp *http.Response, limit int) ([]byte, error) {
+	n := resp.ContentLength
+	if n >= 0 && n <= int64(limit) {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+}
--- /dev/null
+++ b/entry/command/gateway.go
@@ -0,0 +1,121 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry/query"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+)
+
+// Gateway is the traffic side of an entry instance. Its methods run on the
+// goroutines of requests; they read the published view and send messages to
+// the machine.
+type Gateway struct {
+	id      model.EntryID
+	log     *zap.Logger
+	metrics *Metrics
+	tracer  trace.Tracer
+	source  *query.Source
+	port    loop.Port
+	pool    *pool
+	claims  *claimer
+	nextID  atomic.Uint64
+}
+
+// Register adds the routes for callers.
+func (g *Gateway) Register(r *mux.Router) {
+	r.PathPrefix("/services/{service}").HandlerFunc(g.serveCall)
+}
+
+// serveCall answers one request of a caller.
+func (g *Gateway) serveCall(w http.ResponseWriter, r *http.Request) {
+	ctx := propagator.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := g.tracer.Start(ctx, "entry.request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	a := g.answer(ctx, r)
+	span.SetAttributes(attribute.Int("lacewingturn.result", int(a.result.Code)), attribute.String("lacewingturn.outcome", a.outcome.String()))
+	g.metrics.results.WithLabelValues(codeLabel(a.result.Code)).Inc()
+	if err := a.write(w); errors.Is(err, errAborted) {
+		event.AnswerAborted.Log(g.log, zap.String("path", r.URL.Path))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer checks a request, claims it if needed, and runs it.
+func (g *Gateway) answer(ctx context.Context, r *http.Request) answer {
+	v := g.source.View()
+	if v == nil || v.Traffic.Config == nil {
+		return refusal(result.New(result.EntryStale, "no configuration is in force here yet"), overloadRetry)
+	}
+	c, bad := readCall(v, r, time.Now())
+	if !bad.Code.OK() {
+		return refusal(bad, 0)
+	}
+	if !c.idempotent {
+		// The request goes on when its caller goes away, so that its outcome
+		// can be recorded for a resend.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	c.release = cancel
+	var a answer
+	if c.idempotent {
+		a = g.run(ctx, c)
+	} else {
+		a = g.runOnce(ctx, v, c)
+	}
+	if a.stream == nil {
+		cancel()
+	}
+	return a
+}
+
+// acquire asks the machine for a target. It returns a refusal if there is none
+// before the deadline.
+func (g *Gateway) acquire(ctx context.Context, c *call, retry bool, avoid model.TargetID) (uint64, decision) {
+	a := arrival{
+		id: g.nextID.Add(1), service: c.service.Name, caller: c.caller, deadline: c.deadline,
+		retry: retry, avoid: avoid, reply: make(chan decision, 1),
+	}
+	if !g.port.TrySend(a) {
+		return a.id, decision{code: result.Overloaded, detail: "the mailbox is full", retryAfter: overloadRetry}
+	}
+	select {
+	case d := <-a.reply:
+		return a.id, d
+	case <-ctx.Done():
+	}
+	if g.port.Send(context.WithoutCancel(ctx), cancellation{a.id}) != nil {
+		return a.id, decision{code: result.Stopping, detail: "the instance has stopped"}
+	}
+	d := <-a.reply
+	switch {
+	case d.code == result.OK:
+		g.finish(a.id, sample{kind: sampleUnsent})
+		fallthrough
+	case d.code == result.CallerGone:
+		return a.id, decision{code: result.Deadline, detail: "no slot was free before the deadline"}
+	}
+	return a.id, d
+}
+
+// finish ends the use of a slot.
+func (g *Gateway) finish(id uint64, s sample) {
+	_ = g.port.Send(context.Background(), completion{id: id, sample: s})
+}
+
+// Port leads to the machine.
+func (g *Gateway) Port() loop.Port { return g.port }
--- /dev/null
+++ b/entry/command/messages.go
@@ -0,0 +1,80 @@
+// Package command is the half of an entry instance that changes state: caller
+// requests, target announcements, dispatch and slot credits. The Machine holds
+// the state and belongs to the control loop; everything else runs on traffic
+// goroutines and talks to it by messages.
+package command
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry/command/announce"
+)
+
+// Messages from traffic goroutines to the machine.
+type (
+	// arrival asks for a target. Exactly one decision follows on reply, which
+	// has room for it.
+	arrival struct {
+		id       uint64
+		service  model.ServiceName
+		caller   model.CallerID
+		deadline time.Time
+		retry    bool           // counts against the retry budget
+		avoid    model.TargetID // target that failed before; used only if no other has room
+		reply    chan decision
+	}
+	// cancellation withdraws an arrival. If it is still queued, a decision
+	// with code CallerGone follows; otherwise the decision was made already.
+	cancellation struct{ id uint64 }
+	// completion ends the use of a slot.
+	completion struct {
+		id     uint64
+		sample sample
+	}
+	// heartbeat of a target, from the target itself or forwarded.
+	heartbeat struct {
+		target model.TargetID
+		announce.Heartbeat
+	}
+	// withdraw ends the readiness of the instance; it still serves.
+	withdraw struct{}
+	// drain refuses new requests; done is closed when no request is
+	// queued or in flight.
+	drain struct{ done chan struct{} }
+)
+
+// decision answers an arrival: a target, or a refusal with its code.
+type decision struct {
+	code       result.Code
+	detail     string
+	retryAfter time.Duration
+	target     destination
+}
+
+// destination is the target that a request may be sent to now.
+type destination struct {
+	id         model.TargetID
+	generation uint64
+	address    string
+	slot       string // names the slot in use; the target lists it while it runs the request
+}
+
+// sample is what a round trip taught about a target.
+type sample struct {
+	kind sampleKind
+	run  time.Duration
+}
+
+type sampleKind uint8
+
+const (
+	sampleDone      sampleKind = iota + 1 // complete answer
+	sampleFailed                          // complete answer with a status of 500 or more
+	sampleRefused                         // connection not accepted, or the target answered that it did not run the request
+	sampleSilent                          // no answer before the deadline
+	sampleTruncated                       // answer ended early
+	sampleCancelled                       // the caller went away; says nothing about the target
+	sampleUnsent                          // never sent, for reasons on this side
+)
--- /dev/null
+++ b/entry/command/once.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/entry/query"
+)
+
+// runOnce runs a non-idempotent request at most once: it is sent only after a
+// claim for its key is committed, and its outcome is recorded after.
+func (g *Gateway) runOnce(ctx context.Context, v *query.View, c *call) answer {
+	if time.Since(v.Contact) > entry.StaleAfter || v.Epoch == 0 {
+		return refusal(result.New(result.EntryStale, "no contact to the control state for more than %s", entry.StaleAfter), overloadRetry)
+	}
+	request := model.ClaimRequest{
+		Key: c.key, Caller: c.caller, Fingerprint: c.fingerprint(), Entry: g.id, EntryEpoch: v.Epoch, Attempt: rand.Text(),
+	}
+	r := g.claim(c, request)
+	if r.Code != result.Accepted {
+		return answerClaim(r)
+	}
+	a := g.run(ctx, c)
+	g.settle(request, a)
+	return a
+}
+
+// claim proposes the claim until its result is certain. If that is not so in
+// time, the request is not sent, and the claim is settled as not run in case it
+// was committed: a claim and its settlement under the same attempt are proposed
+// together, so that a late copy of the claim finds the attempt settled.
+func (g *Gateway) claim(c *call, request model.ClaimRequest) result.Result {
+	until := time.Now().Add(claimPatience)
+	if c.deadline.Before(until) {
+		until = c.deadline
+	}
+	t := &claimTask{commands: []model.Command{request}, until: until, reply: make(chan claimReply, 1)}
+	g.claims.submit(t)
+	reply := g.claims.await(t)
+	if reply.certain {
+		return reply.result
+	}
+	g.claims.submit(&claimTask{
+		commands: []model.Command{request, settlement(request, model.ClaimNotRun)}, until: time.Now().Add(settleKeep), maybe: true,
+	})
+	return result.New(result.NoQuorum, "the claim could not be committed; nothing was sent")
+}
+
+// answerClaim answers a request whose claim was not granted.
+func answerClaim(r result.Result) answer {
+	if r.Code != result.Recorded {
+		retry := time.Duration(0)
+		switch r.Code {
+		case result.NoQuorum, result.NotLeader, result.Overloaded, result.KeyInProgress, result.EntryStale:
+			retry = overloadRetry
+		}
+		return refusal(r, retry)
+	}
+	if r.BodyOmitted {
+		return refusal(result.New(result.AnswerNotKept, "the request was done with status %d; its answer was too long to be recorded", r.Status), 0)
+	}
+	h := http.Header{}
+	if r.ContentType != "" {
+		h.Set("Content-Type", r.ContentType)
+	}
+	return answer{result: result.Result{Code: result.Recorded}, outcome: result.OutcomeDone, status: r.Status, header: h, body: r.Body}
+}
+
+func settlement(r model.ClaimRequest, phase model.ClaimPhase) model.SettleClaim {
+	return model.SettleClaim{Key: r.Key, Caller: r.Caller, Attempt: r.Attempt, Phase: phase}
+}
+
+// settle records the outcome. The caller does not wait for it: until it is
+// committed a resend gets "in progress", or "unknown" if this instance dies.
+func (g *Gateway) settle(request model.ClaimRequest, a answer) {
+	s := settlement(request, model.ClaimLost)
+	switch a.outcome {
+	case result.OutcomeNotRun:
+		s.Phase = model.ClaimNotRun
+	case result.OutcomeDone:
+		s.Phase, s.Status, s.ContentType = model.ClaimDone, a.status, a.header.Get("Content-Type")
+		s.Body, s.BodyOmitted = a.body, a.stream != nil
+		if s.BodyOmitted || len(s.Body) > model.MaxRecordedBody {
+			s.Body, s.BodyOmitted = nil, true
+		}
+	}
+	g.claims.submit(&claimTask{commands: []model.Command{s}, until: time.Now().Add(settleKeep)})
+}
--- /dev/null
+++ b/entry/command/pool.go
@@ -0,0 +1,119 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// Limits of connections to one target. All entry instances together open at
+// most 64: each keeps at most floor((64 - 16) / entry members) idle ones, at
+// least 12 members being assumed, and the up to 8 slots and 8 health checks of
+// all instances use one each.
+const (
+	maxConnections  = 64
+	activeReserve   = 16
+	leastMembers    = 12
+	dialTimeout     = time.Second
+	idleConnTimeout = 60 * time.Second
+)
+
+// errTooManyConnections means that a connection would exceed the share of this instance.
+var errTooManyConnections = errors.New("entry: too many connections to the target")
+
+// idleShare returns how many idle connections one entry instance may keep.
+func idleShare(members int) int {
+	return (maxConnections - activeReserve) / max(members, leastMembers)
+}
+
+// laneKey is one life of a target.
+type laneKey struct {
+	id         model.TargetID
+	generation uint64
+	address    string
+}
+
+// lane holds the connections to one life of a target.
+type lane struct {
+	transport *http.Transport
+	open      atomic.Int32 // connections
+	active    atomic.Int32 // requests that may need one
+}
+
+// pool holds the lanes of all targets. It is traffic state: traffic goroutines
+// use it at the same time.
+type pool struct {
+	lanes   sync.Map // laneKey to *lane
+	members atomic.Int32
+}
+
+func (p *pool) lane(d destination) *lane {
+	k := laneKey{d.id, d.generation, d.address}
+	if l, ok := p.lanes.Load(k); ok {
+		return l.(*lane)
+	}
+	l, _ := p.lanes.LoadOrStore(k, p.newLane())
+	return l.(*lane)
+}
+
+func (p *pool) newLane() *lane {
+	l := &lane{}
+	share := idleShare(int(p.members.Load()))
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	l.transport = &http.Transport{
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: share,
+		IdleConnTimeout:     idleConnTimeout,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if int(l.open.Add(1)) > share+int(l.active.Load()) {
+				l.open.Add(-1)
+				return nil, errTooManyConnections
+			}
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				l.open.Add(-1)
+				return nil, err
+			}
+			return &countedConn{Conn: conn, lane: l}, nil
+		},
+	}
+	return l
+}
+
+// countedConn counts towards the limit of its lane and knows whether the
+// current request has been written to it.
+type countedConn struct {
+	net.Conn
+	lane   *lane
+	closed atomic.Bool
+	writes atomic.Int64
+	marked atomic.Int64
+}
+
+func (c *countedConn) mark() { c.marked.Store(c.writes.Load()) }
+
+// Write counts before it writes, so that a write in progress is never missed.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	if c.closed.CompareAndSwap(false, true) {
+		c.lane.open.Add(-1)
+	}
+	return err
+}
+
+// unwritten reports whether it is certain that nothing of the current request
+// was or will be written: the connection is closed and no write was begun.
+func (c *countedConn) unwritten() bool {
+	return c.closed.Load() && c.writes.Load() == c.marked.Load()
+}
--- /dev/null
+++ b/entry/instance/instance.go
@@ -0,0 +1,96 @@
+// Package instance puts the two halves of an entry instance together.
+package instance
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/entry/command"
+	"lacewingturn.example/entry/query"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+)
+
+// DefaultWithdrawal is how long an instance serves after its readiness is
+// withdrawn, so that the load balancer notices before requests are refused.
+const DefaultWithdrawal = time.Second
+
+// Settings of an entry instance.
+type Settings struct {
+	ID      model.EntryID
+	Address string // host:port for other processes of the system
+	Domain  model.Domain
+	Control entry.Control
+	// Loop owns the control state of the process. It must not run yet.
+	Loop       *loop.Loop
+	Log        *zap.Logger
+	Metrics    prometheus.Registerer
+	Tracer     trace.Tracer
+	Withdrawal time.Duration // DefaultWithdrawal if 0
+}
+
+// Instance is an entry instance.
+type Instance struct {
+	// Machine is the control state.
+	Machine *command.Machine
+	// Port leads to the machine; the control link posts its messages there.
+	Port loop.Port
+	// Traffic serves callers, targets and queries.
+	Traffic http.Handler
+	// Source gives the published view.
+	Source *query.Source
+
+	gateway    *command.Gateway
+	log        *zap.Logger
+	withdrawal time.Duration
+}
+
+// New checks the settings and builds an instance.
+func New(s Settings) (*Instance, error) {
+	if s.ID == "" || s.Control == nil || s.Loop == nil || s.Log == nil || s.Metrics == nil || s.Tracer == nil {
+		return nil, errors.New("instance: ID, Control, Loop, Log, Metrics and Tracer are needed")
+	}
+	if s.Withdrawal == 0 {
+		s.Withdrawal = DefaultWithdrawal
+	}
+	source := &query.Source{}
+	m, g := command.New(command.Settings{
+		ID: s.ID, Control: s.Control, Log: s.Log, Metrics: command.NewMetrics(s.Metrics), Tracer: s.Tracer, Source: source, Loop: s.Loop,
+	})
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	query.Register(router, source)
+	g.RegisterTargets(router)
+	g.Register(router)
+	return &Instance{Machine: m, Port: g.Port(), Traffic: router, Source: source, gateway: g, log: s.Log, withdrawal: s.Withdrawal}, nil
+}
+
+// Run does the background work of the instance until ctx ends.
+func (i *Instance) Run(ctx context.Context) { i.gateway.Run(ctx) }
+
+// Stop is a graceful shutdown: readiness is withdrawn first, then new requests
+// are refused, and it returns when no request is in flight and every outcome
+// is recorded. The caller closes the listeners after that, then ends Run, the
+// control link and the loop.
+func (i *Instance) Stop(ctx context.Context) error {
+	event.EntryDraining.Log(i.log)
+	if err := i.gateway.Withdraw(ctx); err != nil {
+		return err
+	}
+	t := time.NewTimer(i.withdrawal)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return i.gateway.Drain(ctx)
+}
--- /dev/null
+++ b/entry/instance/site_test.go
@@ -0,0 +1,216 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/core/table"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/node/loop"
+)
+
+// fakeControl is a replicated log of one replica. Its hook may lose answers.
+type fakeControl struct {
+	mu     sync.Mutex
+	state  model.State
+	ports  []loop.Port
+	hook   func(n int, apply func() []result.Result) ([]result.Result, error)
+	number int
+}
+
+func newControl(c model.Config, instances ...model.Instance) *fakeControl {
+	f := &fakeControl{}
+	f.state.Config, f.state.Revision, f.state.Index = &c, 1, 1
+	f.state.Instances = table.FromValues(instances, func(i model.Instance) model.InstanceID { return i.ID })
+	return f
+}
+
+// Propose implements entry.Control.
+func (f *fakeControl) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.number++
+	apply := func() []result.Result { return f.apply(commands) }
+	if f.hook != nil {
+		return f.hook(f.number, apply)
+	}
+	return apply(), nil
+}
+
+func (f *fakeControl) apply(commands []model.Envelope) []result.Result {
+	before := f.state
+	var out []result.Result
+	for _, env := range commands {
+		env.Time = model.At(time.Now())
+		next, r := command.Apply(f.state, f.state.Index+1, 1, env)
+		f.state = next
+		out = append(out, r)
+	}
+	if !before.Targets.Same(f.state.Targets) || !before.Entries.Same(f.state.Entries) {
+		f.publish()
+	}
+	return out
+}
+
+func (f *fakeControl) publish() {
+	for _, p := range f.ports {
+		_ = p.Send(context.Background(), entry.TrafficChanged{View: query.TrafficOf(f.state)})
+	}
+}
+
+func (f *fakeControl) change(fn func(*model.State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Index++
+	fn(&f.state)
+	f.publish()
+}
+
+func (f *fakeControl) claim(key model.RequestID, caller model.CallerID) (model.Claim, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Claims.Get(model.MakeClaimKey(key, caller))
+}
+
+const service = model.ServiceName("orders")
+
+func config() model.Config {
+	return model.Config{
+		Services: []model.Service{{Name: service, Pool: "counter", Timeout: 2 * time.Second, QueueLimit: 4, Idempotent: []string{"/quote"}}},
+		Pools:    []model.Pool{{Name: "counter"}},
+		Limits:   model.Limits{SlotsPerTarget: 8, ConnectionsPerTarget: 64, RetryShare: 0.1, KeyRetention: 15 * time.Minute, MaxClaims: 1000},
+	}
+}
+
+func machines(n int) (out []model.Instance) {
+	for i := range n {
+		out = append(out, model.Instance{ID: model.InstanceID(fmt.Sprintf("w%d", i+1)), Pool: "counter", Phase: model.PhaseActive})
+	}
+	return out
+}
+
+// site is one entry instance over a fake control.
+type site struct {
+	*Instance
+	control *fakeControl
+	server  *httptest.Server
+	metrics *prometheus.Registry
+}
+
+// startEntry joins an entry instance and keeps its lease valid.
+func startEntry(t testing.TB, control *fakeControl, id model.EntryID, tracer trace.Tracer) *site {
+	t.Helper()
+	l := loop.New(loop.DefaultCapacity)
+	reg := prometheus.NewRegistry()
+	if tracer == nil {
+		tracer = noop.NewTracerProvider().Tracer("")
+	}
+	i, err := New(Settings{
+		ID: id, Control: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
+	})
+	assert.NilError(t, err)
+	s := &site{Instance: i, control: control, server: httptest.NewServer(i.Traffic), metrics: reg}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { l.Run(ctx) })
+	done.Go(func() { i.Run(ctx) })
+	control.mu.Lock()
+	control.ports = append(control.ports, i.Port)
+	control.mu.Unlock()
+	results, err := control.Propose(ctx, []model.Envelope{{Command: model.JoinEntry{ID: id, Address: s.server.Listener.Addr().String()}}})
+	assert.NilError(t, err)
+	s.lease(results[0].Revision, time.Hour)
+	s.until(t, func() bool { ok, _ := s.Source.View().Ready(time.Now()); return ok })
+	t.Cleanup(func() {
+		s.server.Close()
+		cancel()
+		done.Wait()
+	})
+	return s
+}
+
+// until waits for a state that messages in flight lead to.
+func (s *site) until(t testing.TB, reached func() bool) {
+	t.Helper()
+	for range 10_000 {
+		if reached() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("state not reached within 10 s")
+}
+
+func (s *site) lease(epoch uint64, valid time.Duration) {
+	now := time.Now()
+	_ = s.Port.Send(context.Background(), entry.LeaseRenewed{Until: now.Add(valid), Epoch: epoch})
+	_ = s.Port.Send(context.Background(), entry.ControlContact{At: now.Add(valid)})
+}
+
+// target starts a back end and announces it.
+func (s *site) target(t testing.TB, id string, h http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	back := httptest.NewServer(h)
+	t.Cleanup(back.Close)
+	status, body := s.announce(t, id, "join", fmt.Sprintf(`{"instance":%q,"service":%q,"address":%q,"generation":1}`,
+		strings.Replace(id, "t", "w", 1), service, back.Listener.Addr()))
+	assert.Equal(t, status, http.StatusOK, body)
+	s.until(t, func() bool { return s.Source.View().Traffic.Targets.Has(model.TargetID(id)) })
+	return back
+}
+
+func (s *site) announce(t testing.TB, id, what, body string) (int, string) {
+	t.Helper()
+	resp, err := http.Post(s.server.URL+"/targets/"+id+"/"+what, "application/json", strings.NewReader(body))
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, string(data)
+}
+
+type reply struct {
+	status  int
+	result  string
+	outcome string
+	body    string
+	header  http.Header
+}
+
+func (s *site) call(t testing.TB, method, path, body string, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, s.server.URL+"/services/"+string(service)+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return reply{resp.StatusCode, resp.Header.Get("Lacewingturn-Result"), resp.Header.Get("Lacewingturn-Outcome"), string(data), resp.Header}
+}
+
+// keyAt returns a UUIDv7 issued at the time given.
+func keyAt(at time.Time, n int) string {
+	ms := at.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
