--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -22,7 +22,7 @@
 const HeaderRun = "Run-Ms"
 
 // heartbeatEvery is the time between heartbeats of a stand-in target.
-const heartbeatEvery = time.Second
+const heartbeatEvery = 500 * time.Millisecond
 
 // Target is a stand-in for a target: a plain HTTP server that announces itself
 // to the system and works for as long as a request asks. It counts how often
@@ -42,13 +42,15 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
-	mu   sync.Mutex // guards runs; the stand-in is no control state
-	runs map[string]int
+	mu       sync.Mutex // guards the fields below; the stand-in is no control state
+	runs     map[string]int
+	slots    map[string]bool // tokens of the requests that run now
+	sequence uint64
 }
 
 // Start serves on a loopback address and joins.
 func (t *Target) Start(ctx context.Context) error {
-	t.runs = map[string]int{}
+	t.runs, t.slots = map[string]int{}, map[string]bool{}
 	t.client = &http.Client{Timeout: 2 * time.Second}
 	s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(t.serve), nil)
 	if err != nil {
@@ -56,7 +58,9 @@
 	}
 	t.server = s
 	s.Start()
-	if err := t.announce(ctx, "join"); err != nil {
+	if err := t.announce(ctx, "join", join{
+		Instance: t.Instance, Service: t.Service, Address: s.Address(), Generation: 1, Slots: 8, Connections: 64,
+	}); err != nil {
 		return err
 	}
 	beat, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -67,7 +71,7 @@
 
 // Leave announces that the target leaves, waits for what is in flight, and stops.
 func (t *Target) Leave(ctx context.Context) error {
-	err := t.announce(ctx, "leaving")
+	err := t.announce(ctx, "leaving", leaving{Generation: 1})
 	t.cancel()
 	<-t.done
 	return trace.NewAggregate(err, t.server.Stop(ctx))
@@ -103,11 +107,7 @@
 	if err != nil {
 		return
 	}
-	if key := r.Header.Get("Idempotency-Key"); key != "" {
-		t.mu.Lock()
-		t.runs[key]++
-		t.mu.Unlock()
-	}
+	defer t.begin(r.Header.Get("Idempotency-Key"), r.Header.Get("Lacewingturn-Slot"))()
 	if ms, err := strconv.Atoi(r.Header.Get(HeaderRun)); err == nil {
 		timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
 		defer timer.Stop()
@@ -117,6 +117,25 @@
 	fmt.Fprintf(w, "%s did %s %s %s", t.ID, r.Method, r.URL.Path, body)
 }
 
+// begin counts the execution of a key and lists the slot until the returned
+// function is called.
+func (t *Target) begin(key, slot string) func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if key != "" {
+		t.runs[key]++
+	}
+	if slot == "" {
+		return func() {}
+	}
+	t.slots[slot] = true
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.slots, slot)
+	}
+}
+
 func (t *Target) heartbeat(ctx context.Context) {
 	defer close(t.done)
 	ticker := time.NewTicker(heartbeatEvery)
@@ -126,17 +145,44 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			_ = t.announce(ctx, "heartbeat")
+			_ = t.announce(ctx, "heartbeat", t.beat())
 		}
 	}
 }
 
+type join struct {
+	Instance    model.InstanceID  `json:"instance"`
+	Service     model.ServiceName `json:"service"`
+	Address     string            `json:"address"`
+	Generation  uint64            `json:"generation"`
+	Slots       int               `json:"slots"`
+	Connections int               `json:"connections"`
+}
+
+type beat struct {
+	Generation uint64   `json:"generation"`
+	Sequence   uint64   `json:"sequence"`
+	Running    []string `json:"running"`
+}
+
+type leaving struct {
+	Generation uint64 `json:"generation"`
+}
+
+func (t *Target) beat() beat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence++
+	b := beat{Generation: 1, Sequence: t.sequence, Running: []string{}}
+	for slot := range t.slots {
+		b.Running = append(b.Running, slot)
+	}
+	return b
+}
+
 // announce tries each entry instance once, beginning with the next in turn.
-func (t *Target) announce(ctx context.Context, what string) error {
-	body, err := json.Marshal(map[string]any{
-		"instance": t.Instance, "service": t.Service, "address": t.server.Address(),
-		"slots": 8, "connections": 64, "generation": 1, "running": t.running.Load(),
-	})
+func (t *Target) announce(ctx context.Context, what string, message any) error {
+	body, err := json.Marshal(message)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -37,8 +37,6 @@
 	Domain  model.Domain
 	// Replicas are base URLs, those of the own data centre first.
 	Replicas []string
-	// Scheme of addresses that replicas name, http or https.
-	Scheme  string
 	Client  *http.Client
 	Control entry.Control
 	Log     *zap.Logger
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -106,8 +106,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go l.Run(ctx)
 	link := New(Settings{
-		ID: "e1", Address: "127.0.0.1:9", Replicas: []string{dead, url}, Scheme: "http",
-		Client: server.NewClient(nil), Control: f, Log: zap.NewNop(), Port: port,
+		ID: "e1", Address: "127.0.0.1:9", Replicas: []string{dead, url},
+		Client: server.NewClient(server.Dialer(nil)), Control: f, Log: zap.NewNop(), Port: port,
 	})
 	done := make(chan struct{})
 	go func() { defer close(done); link.Run(ctx) }()
--- a/entry/follow/renew.go
+++ b/entry/follow/renew.go
@@ -95,7 +95,7 @@
 
 func (r *renewer) lead(address string) {
 	if address != "" {
-		r.url = r.Scheme + "://" + address
+		r.url = "http://" + address
 	}
 }
 
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -73,20 +73,32 @@
 	<-s.done
 }
 
+// dialTimeout bounds opening a connection to another process of the system.
+const dialTimeout = time.Second
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that opens connections, with mutual TLS if the
+// configuration is not nil. TLS is a matter of the connection only: the URLs
+// between processes have the scheme http in both cases.
+func Dialer(tlsConfig *tls.Config) DialFunc {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if tlsConfig == nil {
+		return dialer.DialContext
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: tlsConfig}).DialContext
+}
+
 // NewClient returns a client for the processes of the system. Its connections
 // carry many requests at once and are checked when they are silent, because a
 // connection may go silent for good while new ones work.
-func NewClient(tlsConfig *tls.Config) *http.Client {
+func NewClient(dial DialFunc) *http.Client {
 	protocols := new(http.Protocols)
-	if tlsConfig != nil {
-		protocols.SetHTTP2(true)
-	} else {
-		protocols.SetUnencryptedHTTP2(true)
-	}
+	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		Protocols:       protocols,
-		TLSClientConfig: tlsConfig,
-		DialContext:     (&net.Dialer{Timeout: time.Second}).DialContext,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
+		Protocols:   protocols,
+		DialContext: dial,
+		HTTP2:       &http.HTTP2Config{SendPingTimeout: time.Second, PingTimeout: time.Second},
 	}}
 }
