--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -37,9 +37,9 @@
 	Domain  model.Domain
 	// Replicas are base URLs, those of the own data centre first.
 	Replicas []string
-	Client  *http.Client
-	Control entry.Control
-	Log     *zap.Logger
+	Client   *http.Client
+	Control  entry.Control
+	Log      *zap.Logger
 	// Port leads to the entry machine.
 	Port loop.Port
 }
