--- a/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
+++ b/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
@@ -45,6 +45,11 @@
 	// ReplicationServiceInstallSnapshotProcedure is the fully-qualified name of the
 	// ReplicationService's InstallSnapshot RPC.
 	ReplicationServiceInstallSnapshotProcedure = "/lacewingturn.replica.v1.ReplicationService/InstallSnapshot"
+	// ReplicationServiceIdentifyProcedure is the fully-qualified name of the ReplicationService's
+	// Identify RPC.
+	ReplicationServiceIdentifyProcedure = "/lacewingturn.replica.v1.ReplicationService/Identify"
+	// ReplicationServiceJoinProcedure is the fully-qualified name of the ReplicationService's Join RPC.
+	ReplicationServiceJoinProcedure = "/lacewingturn.replica.v1.ReplicationService/Join"
 	// ReplicaCommandServiceProposeProcedure is the fully-qualified name of the ReplicaCommandService's
 	// Propose RPC.
 	ReplicaCommandServiceProposeProcedure = "/lacewingturn.replica.v1.ReplicaCommandService/Propose"
@@ -61,8 +66,16 @@
 
 // ReplicationServiceClient is a client for the lacewingturn.replica.v1.ReplicationService service.
 type ReplicationServiceClient interface {
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Exchange carries messages in one direction over one long stream. Messages
+	// may be lost; the protocol sends them again.
+	Exchange(context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse]
+	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context) *connect.ClientStreamForClient[v1.InstallSnapshotRequest, v1.InstallSnapshotResponse]
+	// Identify tells who answers at this address. It is used to form a new site.
+	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Join asks the leader to admit a new incarnation of a member or a new
+	// address. Other replicas ignore it.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewReplicationServiceClient constructs a client for the
@@ -88,6 +101,18 @@
 			connect.WithSchema(replicationServiceMethods.ByName("InstallSnapshot")),
 			connect.WithClientOptions(opts...),
 		),
+		identify: connect.NewClient[v1.IdentifyRequest, v1.IdentifyResponse](
+			httpClient,
+			baseURL+ReplicationServiceIdentifyProcedure,
+			connect.WithSchema(replicationServiceMethods.ByName("Identify")),
+			connect.WithClientOptions(opts...),
+		),
+		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+			httpClient,
+			baseURL+ReplicationServiceJoinProcedure,
+			connect.WithSchema(replicationServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -95,11 +120,13 @@
 type replicationServiceClient struct {
 	exchange        *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	installSnapshot *connect.Client[v1.InstallSnapshotRequest, v1.InstallSnapshotResponse]
+	identify        *connect.Client[v1.IdentifyRequest, v1.IdentifyResponse]
+	join            *connect.Client[v1.JoinRequest, v1.JoinResponse]
 }
 
 // Exchange calls lacewingturn.replica.v1.ReplicationService.Exchange.
-func (c *replicationServiceClient) Exchange(ctx context.Context, req *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return c.exchange.CallUnary(ctx, req)
+func (c *replicationServiceClient) Exchange(ctx context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse] {
+	return c.exchange.CallClientStream(ctx)
 }
 
 // InstallSnapshot calls lacewingturn.replica.v1.ReplicationService.InstallSnapshot.
@@ -107,11 +134,29 @@
 	return c.installSnapshot.CallClientStream(ctx)
 }
 
+// Identify calls lacewingturn.replica.v1.ReplicationService.Identify.
+func (c *replicationServiceClient) Identify(ctx context.Context, req *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
+	return c.identify.CallUnary(ctx, req)
+}
+
+// Join calls lacewingturn.replica.v1.ReplicationService.Join.
+func (c *replicationServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // ReplicationServiceHandler is an implementation of the lacewingturn.replica.v1.ReplicationService
 // service.
 type ReplicationServiceHandler interface {
-	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Exchange carries messages in one direction over one long stream. Messages
+	// may be lost; the protocol sends them again.
+	Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context, *connect.ClientStream[v1.InstallSnapshotRequest]) (*connect.Response[v1.InstallSnapshotResponse], error)
+	// Identify tells who answers at this address. It is used to form a new site.
+	Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error)
+	// Join asks the leader to admit a new incarnation of a member or a new
+	// address. Other replicas ignore it.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewReplicationServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -121,7 +166,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewReplicationServiceHandler(svc ReplicationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	replicationServiceMethods := v1.File_lacewingturn_replica_v1_replica_proto.Services().ByName("ReplicationService").Methods()
-	replicationServiceExchangeHandler := connect.NewUnaryHandler(
+	replicationServiceExchangeHandler := connect.NewClientStreamHandler(
 		ReplicationServiceExchangeProcedure,
 		svc.Exchange,
 		connect.WithSchema(replicationServiceMethods.ByName("Exchange")),
@@ -133,12 +178,28 @@
 		connect.WithSchema(replicationServiceMethods.ByName("InstallSnapshot")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicationServiceIdentifyHandler := connect.NewUnaryHandler(
+		ReplicationServiceIdentifyProcedure,
+		svc.Identify,
+		connect.WithSchema(replicationServiceMethods.ByName("Identify")),
+		connect.WithHandlerOptions(opts...),
+	)
+	replicationServiceJoinHandler := connect.NewUnaryHandler(
+		ReplicationServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(replicationServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lacewingturn.replica.v1.ReplicationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicationServiceExchangeProcedure:
 			replicationServiceExchangeHandler.ServeHTTP(w, r)
 		case ReplicationServiceInstallSnapshotProcedure:
 			replicationServiceInstallSnapshotHandler.ServeHTTP(w, r)
+		case ReplicationServiceIdentifyProcedure:
+			replicationServiceIdentifyHandler.ServeHTTP(w, r)
+		case ReplicationServiceJoinProcedure:
+			replicationServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -148,7 +209,7 @@
 // UnimplementedReplicationServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedReplicationServiceHandler struct{}
 
-func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
+func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Exchange is not implemented"))
 }
 
@@ -156,6 +217,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.InstallSnapshot is not implemented"))
 }
 
+func (UnimplementedReplicationServiceHandler) Identify(context.Context, *connect.Request[v1.IdentifyRequest]) (*connect.Response[v1.IdentifyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Identify is not implemented"))
+}
+
+func (UnimplementedReplicationServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Join is not implemented"))
+}
+
 // ReplicaCommandServiceClient is a client for the lacewingturn.replica.v1.ReplicaCommandService
 // service.
 type ReplicaCommandServiceClient interface {
--- /dev/null
+++ b/replica/client/client.go
@@ -0,0 +1,191 @@
+// Package client proposes commands to the leader of the control replicas.
+package client
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lacewingturn.example/api/codec"
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+const (
+	// attemptTimeout bounds one call, so that a leader that was cut off does not
+	// use up the deadline. It is longer than a commit under load.
+	attemptTimeout = time.Second
+	// minBackoff and maxBackoff bound the wait between rounds. An election takes
+	// 0.5 to 0.9 s, so that about five rounds fall into it.
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = 200 * time.Millisecond
+)
+
+// Client implements entry.Control over the network. It is safe for concurrent use.
+type Client struct {
+	addresses []string
+	http      connect.HTTPClient
+	leader    atomic.Pointer[string] // address of the last known leader
+}
+
+// New returns a client that knows the replicas at the addresses (host:port).
+// The HTTP client must speak HTTP/2 without TLS or TLS as the replicas do.
+func New(addresses []string, httpClient connect.HTTPClient) *Client {
+	return &Client{addresses: slices.Clone(addresses), http: httpClient}
+}
+
+// NewHTTPClient returns an HTTP client for HTTP/2 without TLS that replaces
+// connections which have gone silent.
+func NewHTTPClient() *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: attemptTimeout / 2}).DialContext, Protocols: protocols,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: attemptTimeout / 2, PingTimeout: attemptTimeout / 2},
+	}}
+}
+
+// Propose commits the commands in order through the leader. It tries other
+// replicas until ctx ends as long as that is safe: nothing was appended, or
+// every command may be repeated. A result of NoQuorum means that no leader was
+// found and that nothing was appended; Unknown that the commands may have been.
+func (c *Client) Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error) {
+	req := &replicav1.ProposeRequest{}
+	repeatable := true
+	for _, env := range commands {
+		data, err := codec.EncodeEnvelope(env)
+		if err != nil {
+			return nil, err
+		}
+		req.Envelopes = append(req.Envelopes, data)
+		repeatable = repeatable && Repeatable(env)
+	}
+	if len(commands) == 0 {
+		return nil, nil
+	}
+	return c.rounds(ctx, req, repeatable), nil
+}
+
+// rounds tries the replicas until there is an answer, a repetition would not be
+// safe, or ctx ends.
+func (c *Client) rounds(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
+	maybe := false // an attempt may have been appended
+	backoff := minBackoff
+	for {
+		for _, address := range c.candidates() {
+			a := c.attempt(ctx, address, req)
+			if a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil) {
+				return a.results
+			}
+			maybe = maybe || a.unknown
+			if a.unknown && !repeatable || ctx.Err() != nil {
+				return c.gaveUp(len(req.Envelopes), maybe)
+			}
+			if a.leader != "" && a.leader != address {
+				c.leader.Store(&a.leader)
+				break // ask that one first
+			}
+		}
+		if !wait(ctx, backoff) {
+			return c.gaveUp(len(req.Envelopes), maybe)
+		}
+		backoff = min(backoff*2, maxBackoff)
+	}
+}
+
+func (c *Client) gaveUp(n int, maybe bool) []result.Result {
+	r := result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
+	if maybe {
+		r = result.New(result.Unknown, "the answer of the leader was lost")
+	}
+	return slices.Repeat([]result.Result{r}, n)
+}
+
+// candidates lists the last known leader and then the others in random order.
+func (c *Client) candidates() []string {
+	list := slices.Clone(c.addresses)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	leader := c.leader.Load()
+	if leader == nil {
+		return list
+	}
+	list = slices.DeleteFunc(list, func(a string) bool { return a == *leader })
+	return append([]string{*leader}, list...)
+}
+
+// answer is the outcome of one attempt.
+type answer struct {
+	results []result.Result // nil if there was none
+	unknown bool            // the commands may have been appended
+	leader  string          // where the leader is, if the replica told
+}
+
+func (c *Client) attempt(ctx context.Context, address string, req *replicav1.ProposeRequest) answer {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	resp, err := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address).Propose(ctx, connect.NewRequest(req))
+	if err != nil {
+		return answer{unknown: !notSent(err)}
+	}
+	if resp.Msg.NotLeader {
+		return answer{leader: resp.Msg.LeaderAddress}
+	}
+	a := answer{results: make([]result.Result, len(req.Envelopes))}
+	for i := range a.results {
+		if i >= len(resp.Msg.Results) {
+			return answer{unknown: true}
+		}
+		if a.results[i], err = codec.DecodeResult(resp.Msg.Results[i]); err != nil {
+			return answer{unknown: true}
+		}
+		a.unknown = a.unknown || a.results[i].Code == result.Unknown
+	}
+	c.leader.Store(&address)
+	return a
+}
+
+// notSent reports whether the request certainly did not reach a replica, or
+// was refused by its server before it was handled.
+func notSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	code := connect.CodeOf(err)
+	return code == connect.CodeInvalidArgument || code == connect.CodeUnimplemented
+}
+
+// wait pauses between rounds, with jitter; it reports false when ctx has ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + rand.N(d/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Repeatable reports whether a command has the same effect when it is committed
+// twice: it carries a request ID, or it is guarded by an attempt, generation or
+// epoch of its own.
+func Repeatable(env model.Envelope) bool {
+	if env.RequestID != "" {
+		return true
+	}
+	switch env.Command.(type) {
+	case model.Noop, model.ClaimRequest, model.SettleClaim, model.AnnounceTarget, model.RemoveTarget, model.RemoveEntry:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/replica/command/enroll.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/replica/raft"
+)
+
+const (
+	// enrollEvery is the time between two attempts to form or join a site.
+	enrollEvery = 500 * time.Millisecond
+	// enrollTimeout bounds one call of an attempt.
+	enrollTimeout = 400 * time.Millisecond
+)
+
+func (r *Replica) self() raft.Member {
+	return raft.Member{ID: r.id, Address: r.settings.Address, Domain: r.settings.Domain}
+}
+
+// enrolled reports whether the membership lists this replica as it is now.
+func (r *Replica) enrolled() bool {
+	m, ok := r.Status().Members.Get(r.id)
+	return ok && m.Address == r.settings.Address && m.Domain == r.settings.Domain
+}
+
+// enroll forms a new site with the peers, or asks their leader for admission,
+// until this replica is a member under its present address.
+func (r *Replica) enroll(ctx context.Context) {
+	client := newHTTPClient(r.settings.Dial)
+	defer client.CloseIdleConnections()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for attempt := 0; !r.enrolled(); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.View().Next:
+			continue
+		case <-timer.C:
+		}
+		timer.Reset(enrollEvery)
+		if !r.form(ctx, client) {
+			r.join(ctx, client)
+		}
+		if attempt++; attempt%20 == 0 {
+			event.ReplicaJoinAttempts.Log(r.log, zap.Int("attempts", attempt))
+		}
+	}
+}
+
+// form writes the first membership if no replica of the site has ever had a
+// log. Only the replica whose name is first does this, so that there is one
+// first membership; it reports whether it did.
+func (r *Replica) form(ctx context.Context, client *http.Client) bool {
+	if r.Status().Last > 0 {
+		return false
+	}
+	members := raft.Membership{r.self()}
+	for _, p := range r.settings.others() {
+		if p.Name < r.settings.Name {
+			return false
+		}
+		info, ok := r.identify(ctx, client, p)
+		if !ok {
+			return false
+		}
+		members = append(members, info)
+	}
+	for i := range members {
+		members[i].Voter = true
+	}
+	slices.SortFunc(members, func(a, b raft.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	if r.port.Send(ctx, bootstrap{members}) != nil {
+		return false
+	}
+	event.SiteFormed.Log(r.log, zap.Int("replicas", len(members)))
+	return true
+}
+
+// identify asks a peer for its ID; it reports false unless the peer is empty.
+func (r *Replica) identify(ctx context.Context, client *http.Client, p Peer) (raft.Member, bool) {
+	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
+	defer cancel()
+	resp, err := replicav1connect.NewReplicationServiceClient(client, "http://"+p.Address).Identify(ctx, connect.NewRequest(&replicav1.IdentifyRequest{}))
+	if err != nil {
+		return raft.Member{}, false
+	}
+	m := fromInfo(resp.Msg.GetReplica())
+	return m, resp.Msg.Empty && raft.Name(m.ID) == p.Name
+}
+
+// join asks every peer to admit this replica; the leader among them does.
+func (r *Replica) join(ctx context.Context, client *http.Client) {
+	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
+	defer cancel()
+	req := &replicav1.JoinRequest{Replica: toInfo(r.self())}
+	for _, p := range r.settings.others() {
+		// A failure is answered by the next attempt.
+		_, _ = replicav1connect.NewReplicationServiceClient(client, "http://"+p.Address).Join(ctx, connect.NewRequest(req))
+	}
+}
--- /dev/null
+++ b/replica/command/settings.go
@@ -0,0 +1,107 @@
+// Package command runs a control replica: a state machine for the control loop
+// that drives the replication decisions, a goroutine that owns the data folder,
+// a goroutine for each peer, and the handlers of the command services.
+package command
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/replica/raft"
+	"lacewingturn.example/replica/storage"
+)
+
+// Peer is a replica that a new site is formed of.
+type Peer struct {
+	Name    string
+	Address string // host:port
+}
+
+// Settings of a replica.
+type Settings struct {
+	// Name survives the loss of the disk; the ID is the name and an incarnation.
+	Name string
+	// Address is where the other replicas reach this one, host:port.
+	Address string
+	Domain  model.Domain
+	// DataFolder is created if it does not exist.
+	DataFolder string
+	// Peers are the replicas of the site, with or without this one. They are
+	// used to form a new site and to ask for admission; after that the
+	// membership in the log counts.
+	Peers  []Peer
+	Logger *zap.Logger
+
+	Heartbeat   time.Duration // 150 ms if zero
+	ElectionMin time.Duration // 500 ms if zero
+	ElectionMax time.Duration // 900 ms if zero
+	// ReplaceAfter is how long a replica must be unreachable before a new
+	// incarnation of it is admitted; 3 s if zero.
+	ReplaceAfter time.Duration
+	// SnapshotEvery is the number of log entries between snapshots; 8192 if zero.
+	SnapshotEvery int
+	// KeepEntries is the number of entries kept before a snapshot, so that a
+	// follower that is a little behind needs no snapshot; 2048 if zero.
+	KeepEntries int
+	// Dial opens connections to other replicas; a net.Dialer if nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// FS replaces the data folder in tests.
+	FS storage.FS
+	// Seed decides the random election timeouts; drawn at start if zero.
+	Seed uint64
+}
+
+const (
+	defaultSnapshotEvery = 8192
+	defaultKeepEntries   = 2048
+)
+
+// check fills in defaults and reports what is missing.
+func (s *Settings) check() error {
+	if s.Name == "" || s.Address == "" || s.DataFolder == "" && s.FS == nil {
+		return trace.BadParameter("a replica needs a name, an address and a data folder")
+	}
+	if s.Logger == nil {
+		s.Logger = zap.NewNop()
+	}
+	if s.SnapshotEvery == 0 {
+		s.SnapshotEvery = defaultSnapshotEvery
+	}
+	if s.KeepEntries == 0 {
+		s.KeepEntries = defaultKeepEntries
+	}
+	if s.Dial == nil {
+		s.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return nil
+}
+
+func (s *Settings) raftConfig(id model.ReplicaID) raft.Config {
+	cfg := raft.Defaults(id)
+	override := func(to *time.Duration, value time.Duration) {
+		if value > 0 {
+			*to = value
+		}
+	}
+	override(&cfg.Heartbeat, s.Heartbeat)
+	override(&cfg.ElectionMin, s.ElectionMin)
+	override(&cfg.ElectionMax, s.ElectionMax)
+	override(&cfg.ReplaceAfter, s.ReplaceAfter)
+	return cfg
+}
+
+// others returns the peers without this replica.
+func (s *Settings) others() []Peer {
+	var list []Peer
+	for _, p := range s.Peers {
+		if p.Name != s.Name {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/replica/command/wire.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/replica/raft"
+	"lacewingturn.example/replica/storage"
+)
+
+// toWire encodes messages of one sender.
+func toWire(from model.ReplicaID, messages []raft.Message) (*replicav1.ExchangeRequest, error) {
+	req := &replicav1.ExchangeRequest{From: string(from), Messages: make([]*replicav1.RaftMessage, len(messages))}
+	for i, m := range messages {
+		w := &replicav1.RaftMessage{
+			Type: uint32(m.Type), To: string(m.To), Term: uint64(m.Term), Index: uint64(m.Index), LogTerm: uint64(m.LogTerm),
+			Commit: uint64(m.Commit), Reject: m.Reject, RejectHint: uint64(m.Hint), Context: m.Context,
+		}
+		for _, e := range m.Entries {
+			data, err := storage.EntryData(e)
+			if err != nil {
+				return nil, err
+			}
+			w.Entries = append(w.Entries, &replicav1.LogEntry{
+				Index: uint64(e.Index), Term: uint64(e.Term), Kind: uint32(e.Kind), Time: int64(e.Time), Data: data,
+			})
+		}
+		req.Messages[i] = w
+	}
+	return req, nil
+}
+
+// fromWire decodes messages and the commands in them.
+func fromWire(req *replicav1.ExchangeRequest) ([]raft.Message, error) {
+	messages := make([]raft.Message, len(req.Messages))
+	for i, w := range req.Messages {
+		m := raft.Message{
+			Type: raft.MessageType(w.Type), From: model.ReplicaID(req.From), To: model.ReplicaID(w.To), Term: model.Term(w.Term),
+			Index: model.Index(w.Index), LogTerm: model.Term(w.LogTerm), Commit: model.Index(w.Commit),
+			Reject: w.Reject, Hint: model.Index(w.RejectHint), Context: w.Context,
+		}
+		for _, e := range w.Entries {
+			kind := raft.Kind(e.Kind)
+			value, err := storage.EntryValue(kind, e.Data)
+			if err != nil {
+				return nil, err
+			}
+			m.Entries = append(m.Entries, raft.Entry{
+				Index: model.Index(e.Index), Term: model.Term(e.Term), Kind: kind,
+				Time: model.Timestamp(e.Time), Data: e.Data, Value: value,
+			})
+		}
+		messages[i] = m
+	}
+	return messages, nil
+}
+
+func toInfo(m raft.Member) *replicav1.ReplicaInfo {
+	return &replicav1.ReplicaInfo{
+		Id: string(m.ID), Address: m.Address, Region: m.Domain.Region, DataCenter: m.Domain.DataCenter, Rack: m.Domain.Rack,
+	}
+}
+
+func fromInfo(i *replicav1.ReplicaInfo) raft.Member {
+	return raft.Member{
+		ID: model.ReplicaID(i.GetId()), Address: i.GetAddress(),
+		Domain: model.Domain{Region: i.GetRegion(), DataCenter: i.GetDataCenter(), Rack: i.GetRack()},
+	}
+}
--- /dev/null
+++ b/replica/command/writer.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica/raft"
+	"lacewingturn.example/replica/storage"
+)
+
+// job is one turn of the storage goroutine: writes, then a snapshot that was
+// prepared and comes into force.
+type job struct {
+	writes []raft.Write
+	adopt  *raft.Snapshot
+}
+
+func (j job) empty() bool { return len(j.writes) == 0 && j.adopt == nil }
+
+// writer owns the data folder while the replica runs.
+type writer struct {
+	store   *storage.Store
+	jobs    chan job // holds one job; the machine sends the next after the answer
+	stopped chan struct{}
+}
+
+func newWriter(store *storage.Store) *writer {
+	return &writer{store: store, jobs: make(chan job, 1), stopped: make(chan struct{})}
+}
+
+// run carries out jobs until ctx ends.
+func (w *writer) run(ctx context.Context, port loop.Port) {
+	defer close(w.stopped)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case j := <-w.jobs:
+			if port.Send(ctx, w.do(j)) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (w *writer) do(j job) written {
+	done := written{}
+	if len(j.writes) > 0 {
+		done.seq = j.writes[len(j.writes)-1].Seq
+		done.err = w.store.Apply(j.writes)
+	}
+	if done.err == nil && j.adopt != nil {
+		done.err = w.store.AdoptSnapshot(*j.adopt)
+		done.adopted = j.adopt
+	}
+	return done
+}
+
+// startWrite gives the storage goroutine what has accumulated.
+func (m *machine) startWrite() {
+	if m.writing || m.queue.empty() {
+		return
+	}
+	m.writing = true
+	m.r.writer.jobs <- m.queue // never waits: the one before was answered
+	m.queue = job{}
+}
+
+func (m *machine) written(now time.Time, done written) {
+	m.writing = false
+	if done.err != nil {
+		event.StorageFailed.Log(m.r.log, zap.Error(done.err))
+		m.queue = job{}
+		m.step(now, raft.StorageFailed{})
+		m.abandon()
+		return
+	}
+	if done.seq > 0 {
+		m.step(now, raft.Persisted{Seq: done.seq})
+	}
+	if done.adopted != nil {
+		m.adopted(now, *done.adopted)
+	}
+}
--- /dev/null
+++ b/replica/raft/election.go
@@ -0,0 +1,206 @@
+package raft
+
+import (
+	"slices"
+
+	"lacewingturn.example/core/model"
+)
+
+// handoverContext marks a vote request that the old leader asked for.
+const handoverContext = 1
+
+func (m *machine) tick() {
+	if m.role == Leader {
+		m.leaderTick()
+		return
+	}
+	if m.now.Before(m.electionAt) {
+		return
+	}
+	m.resetElection()
+	if m.leader != "" {
+		m.leader = ""
+		m.notice(LostLeadership, "")
+	}
+	if m.members().Voter(m.cfg.ID) {
+		m.campaign(PreCandidate)
+	}
+}
+
+// campaign asks the voters whether they would vote (PreCandidate) or for their
+// vote (Candidate). The first keeps a replica that was cut off from raising the
+// term of a working leader.
+func (m *machine) campaign(role Role) {
+	m.role, m.leader = role, ""
+	m.granted = nil
+	msg := Message{Type: PreVote, Term: m.hard.Term + 1, Index: m.log.Last(), LogTerm: m.log.LastTerm()}
+	if role == Candidate {
+		m.hard = HardState{Term: m.hard.Term + 1, Vote: m.cfg.ID}
+		m.campaignAt = m.now
+		m.writeHard()
+		msg.Type = Vote
+		if m.handover {
+			msg.Context = handoverContext
+		}
+	}
+	for _, member := range m.members() {
+		if member.Voter && member.ID != m.cfg.ID {
+			msg.To = member.ID
+			m.send(msg, 0)
+		}
+	}
+	m.tally()
+}
+
+// tally counts the votes. The own vote counts once it is durable.
+func (m *machine) tally() {
+	votes := 0
+	members := m.members()
+	if m.role == PreCandidate || m.writes.termSeq <= m.writes.synced || m.rules.answerUnsynced {
+		votes++
+	}
+	for _, id := range m.granted {
+		if members.Voter(id) {
+			votes++
+		}
+	}
+	if votes < members.Quorum() {
+		return
+	}
+	if m.role == PreCandidate {
+		m.campaign(Candidate)
+		return
+	}
+	m.becomeLeader()
+}
+
+// becomeFollower enters a term. The vote of an earlier term does not count in it.
+func (m *machine) becomeFollower(term model.Term) {
+	if m.role == Leader {
+		m.notice(LostLeadership, "")
+	}
+	if m.role != Follower {
+		m.resetElection()
+	}
+	m.role, m.peers, m.handover = Follower, nil, false
+	if term > m.hard.Term {
+		m.hard = HardState{Term: term}
+		m.leader = ""
+		m.writeHard()
+	}
+}
+
+// follow records contact with the leader of the current term.
+func (m *machine) follow(leader model.ReplicaID) {
+	if m.role != Follower {
+		m.becomeFollower(m.hard.Term)
+	}
+	if m.leader != leader {
+		m.leader = leader
+		m.notice(FollowsLeader, leader)
+	}
+	m.leaderContact = m.now
+	m.resetElection()
+}
+
+// leased reports whether a working leader is known, in which case votes are
+// not given.
+func (m *machine) leased() bool {
+	return m.role == Leader || m.leader != "" && m.now.Sub(m.leaderContact) < m.cfg.ElectionMin
+}
+
+func (m *machine) upToDate(msg Message) bool {
+	last := m.log.LastTerm()
+	return msg.LogTerm > last || msg.LogTerm == last && msg.Index >= m.log.Last()
+}
+
+func (m *machine) onPreVote(msg Message) {
+	grant := msg.Term > m.hard.Term && m.upToDate(msg) && !m.leased()
+	reply := Message{Type: PreVoteReply, To: msg.From, Term: msg.Term, Reject: !grant}
+	if !grant {
+		reply.Term = m.hard.Term
+	}
+	m.send(reply, 0)
+}
+
+func (m *machine) onPreVoteReply(msg Message) {
+	if msg.Reject || m.role != PreCandidate || msg.Term != m.hard.Term+1 {
+		return
+	}
+	m.grant(msg.From)
+}
+
+func (m *machine) onVote(msg Message) {
+	grant := msg.Term == m.hard.Term && (m.hard.Vote == "" || m.hard.Vote == msg.From) &&
+		m.role == Follower && m.upToDate(msg)
+	if grant && m.hard.Vote == "" {
+		m.hard.Vote = msg.From
+		m.writeHard()
+	}
+	if grant {
+		m.resetElection()
+	}
+	m.send(Message{Type: VoteReply, To: msg.From, Term: m.hard.Term, Reject: !grant}, m.writes.termSeq)
+}
+
+func (m *machine) onVoteReply(msg Message) {
+	if msg.Reject || m.role != Candidate || msg.Term != m.hard.Term {
+		return
+	}
+	m.grant(msg.From)
+}
+
+func (m *machine) grant(from model.ReplicaID) {
+	if !slices.Contains(m.granted, from) {
+		m.granted = append(slices.Clone(m.granted), from)
+	}
+	m.tally()
+}
+
+// receive dispatches a message after settling whose term is newer.
+func (m *machine) receive(msg Message) {
+	if msg.To != m.cfg.ID {
+		return // meant for another incarnation at this address
+	}
+	if msg.Type == Vote && msg.Context != handoverContext && msg.Term > m.hard.Term && m.leased() {
+		return
+	}
+	preVote := msg.Type == PreVote || msg.Type == PreVoteReply && !msg.Reject
+	if msg.Term > m.hard.Term && !preVote {
+		m.becomeFollower(msg.Term)
+	}
+	switch msg.Type {
+	case PreVote:
+		m.onPreVote(msg)
+	case PreVoteReply:
+		m.onPreVoteReply(msg)
+	case Vote:
+		m.onVote(msg)
+	case VoteReply:
+		m.onVoteReply(msg)
+	case Append:
+		m.onAppend(msg)
+	case AppendReply:
+		m.onAppendReply(msg)
+	case TimeoutNow:
+		m.onTimeoutNow(msg)
+	case Refuse:
+		m.onRefuse(msg)
+	}
+}
+
+func (m *machine) onTimeoutNow(msg Message) {
+	if msg.Term == m.hard.Term && m.role == Follower && m.members().Voter(m.cfg.ID) {
+		m.handover = true
+		m.campaign(Candidate)
+	}
+}
+
+func (m *machine) onRefuse(msg Message) {
+	if msg.Term != m.hard.Term {
+		return
+	}
+	m.notice(RefusedByPeer, msg.From)
+	m.role, m.leader, m.halted = Follower, "", true
+	m.held = nil
+}
--- /dev/null
+++ b/replica/raft/inputs.go
@@ -0,0 +1,130 @@
+package raft
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// Inputs of Step.
+type (
+	// Tick lets deadlines pass.
+	Tick struct{}
+	// Flush ends a batch of inputs: a leader sends what has accumulated.
+	Flush struct{}
+	// Receive takes a message from another replica.
+	Receive struct{ Message Message }
+	// Propose appends commands on the leader.
+	Propose struct{ Commands []Command }
+	// Persisted reports that all writes up to Seq are durable.
+	Persisted struct{ Seq uint64 }
+	// StorageFailed reports that a write or sync failed.
+	StorageFailed struct{}
+	// Compact drops the log up to Index, which a durable snapshot covers.
+	Compact struct{ Index model.Index }
+	// SnapshotReceived takes a whole snapshot from the leader of Term.
+	SnapshotReceived struct {
+		From     model.ReplicaID
+		Term     model.Term
+		Snapshot Snapshot
+	}
+	// SnapshotSent reports the end of a transfer started by SendSnapshots.
+	SnapshotSent struct{ Peer model.ReplicaID }
+	// Resign hands leadership to the most advanced follower.
+	Resign struct{}
+	// Bootstrap writes the first membership of a new site on exactly one of its replicas.
+	Bootstrap struct{ Members Membership }
+	// Change asks for a change of one member.
+	Change struct {
+		Kind   ChangeKind
+		Member Member
+	}
+	// Join is the request of a replica that is not a member or has a new address.
+	Join struct{ Member Member }
+)
+
+// Command is a proposed command: its encoded form and its opaque value.
+type Command struct {
+	Data  []byte
+	Value any
+}
+
+// ChangeKind is a kind of membership change.
+type ChangeKind uint8
+
+// Kinds of membership changes.
+const (
+	AddLearner ChangeKind = iota + 1
+	Promote
+	Remove
+	Update // of address and domain
+)
+
+func (Tick) step(m *machine) { m.tick() }
+
+func (Flush) step(m *machine) {
+	if m.role == Leader {
+		m.replicate()
+	}
+}
+
+func (r Receive) step(m *machine) { m.receive(r.Message) }
+
+func (p Propose) step(m *machine) {
+	answer := Proposed{}
+	switch {
+	case m.role != Leader:
+		answer.Refusal = RefusedNotLeader
+	case m.log.Last()-m.commit+model.Index(len(p.Commands)) > m.cfg.MaxUncommitted:
+		answer.Refusal = RefusedBusy
+	default:
+		answer.First, answer.Term = m.log.Last()+1, m.hard.Term
+		entries := make([]Entry, len(p.Commands))
+		for i, c := range p.Commands {
+			entries[i] = Entry{Kind: KindCommand, Data: c.Data, Value: c.Value}
+		}
+		m.appendOwn(entries...)
+	}
+	m.out.Proposed = &answer
+}
+
+func (c Compact) step(m *machine) {
+	if c.Index > m.applied {
+		return
+	}
+	m.log = m.log.compact(c.Index)
+	base := 0
+	for i, config := range m.configs {
+		if config.index <= c.Index {
+			base = i
+		}
+	}
+	m.configs = append([]configAt(nil), m.configs[base:]...)
+}
+
+func (s SnapshotSent) step(m *machine) {
+	if p := m.peer(s.Peer); p != nil {
+		p.snapshot = false
+		p.probe(max(p.match, m.log.Base()) + 1)
+	}
+}
+
+func (b Bootstrap) step(m *machine) {
+	if m.log.Last() != 0 || len(m.members()) != 0 {
+		return
+	}
+	entry := Entry{Index: 1, Term: 0, Kind: KindMembership, Time: model.At(m.now), Value: b.Members}
+	m.log = m.log.append(entry)
+	m.clock = entry.Time
+	m.configs = append(m.configs, configAt{1, b.Members})
+	m.write(Write{Entries: []Entry{entry}})
+	m.electionAt = m.now
+}
+
+// Deadline returns when the next Tick is due.
+func (s State) Deadline() time.Time {
+	if s.role == Leader {
+		return s.heartbeatAt
+	}
+	return s.electionAt
+}
--- /dev/null
+++ b/replica/raft/leader.go
@@ -0,0 +1,268 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// peer is what a leader knows about another member.
+type peer struct {
+	id    model.ReplicaID
+	match model.Index // acknowledged as durable
+	next  model.Index // next entry to send
+	// probing is set until an acknowledgement shows where the logs agree; one
+	// message at a time is sent meanwhile.
+	probing  bool
+	probed   bool // the probe is in flight
+	snapshot bool // a snapshot is being sent
+	refused  bool // its log went back; it is not sent anything
+	// contact is the latest time of sending of a message that was answered.
+	contact time.Time
+	// matchAt is when match was last raised.
+	matchAt time.Time
+	commit  model.Index // last commit index sent
+}
+
+func (p *peer) probe(next model.Index) { p.next, p.probing, p.probed = next, true, false }
+
+func (m *machine) peer(id model.ReplicaID) *peer {
+	for i := range m.peers {
+		if m.peers[i].id == id {
+			return &m.peers[i]
+		}
+	}
+	return nil
+}
+
+func (m *machine) becomeLeader() {
+	m.role, m.leader, m.leaderSince, m.handover = Leader, m.cfg.ID, m.now, false
+	m.heartbeatAt = m.now
+	m.peers = nil
+	m.syncPeers()
+	for i := range m.peers {
+		m.peers[i].contact = m.campaignAt
+	}
+	m.notice(BecameLeader, "")
+	m.appendOwn(Entry{Kind: KindNoop})
+}
+
+// syncPeers makes the list of peers follow the membership.
+func (m *machine) syncPeers() {
+	old := m.peers
+	m.peers = nil
+	for _, member := range m.members() {
+		if member.ID == m.cfg.ID {
+			continue
+		}
+		i := slices.IndexFunc(old, func(p peer) bool { return p.id == member.ID })
+		if i >= 0 {
+			m.peers = append(m.peers, old[i])
+			continue
+		}
+		m.peers = append(m.peers, peer{id: member.ID, next: m.log.Last() + 1, probing: true, contact: m.now})
+	}
+}
+
+// appendOwn appends entries as leader; it numbers and stamps them.
+func (m *machine) appendOwn(entries ...Entry) {
+	m.clock = max(m.clock, model.At(m.now))
+	for i := range entries {
+		entries[i].Index = m.log.Last() + model.Index(i) + 1
+		entries[i].Term = m.hard.Term
+		entries[i].Time = m.clock
+	}
+	m.log = m.log.append(entries...)
+	for _, e := range entries {
+		m.track(e)
+	}
+	m.write(Write{Entries: entries})
+}
+
+func (m *machine) leaderTick() {
+	if m.now.Before(m.heartbeatAt) {
+		return
+	}
+	if m.now.Sub(m.quorumContact()) > m.cfg.ElectionMin {
+		m.notice(LostQuorum, "")
+		m.leader = ""
+		m.becomeFollower(m.hard.Term)
+		return
+	}
+	m.heartbeatAt = m.now.Add(m.cfg.Heartbeat)
+	for i := range m.peers {
+		p := &m.peers[i]
+		p.probed = false
+		m.heartbeat(p)
+	}
+	m.maintainMembers()
+}
+
+// heartbeat sends an Append without entries. During a snapshot it starts at
+// the front, which any log matches.
+func (m *machine) heartbeat(p *peer) {
+	if p.refused {
+		return
+	}
+	at := p.next - 1
+	if p.snapshot || at < m.log.Base() {
+		at = 0
+	}
+	m.sendAppend(p, at, nil)
+}
+
+func (m *machine) sendAppend(p *peer, at model.Index, entries []Entry) {
+	term, _ := m.log.Term(at)
+	p.commit = m.commit
+	m.send(Message{
+		Type: Append, To: p.id, Term: m.hard.Term, Index: at, LogTerm: term, Commit: m.commit,
+		Context: uint64(m.now.Sub(m.started)), Entries: entries,
+	}, 0)
+}
+
+// replicate sends each peer what it lacks.
+func (m *machine) replicate() {
+	for i := range m.peers {
+		p := &m.peers[i]
+		if p.refused || p.snapshot || p.probing && p.probed {
+			continue
+		}
+		if p.next <= m.log.Base() {
+			p.snapshot = true
+			m.out.SendSnapshots = append(m.out.SendSnapshots, p.id)
+			continue
+		}
+		m.replicateTo(p)
+	}
+}
+
+func (m *machine) replicateTo(p *peer) {
+	for p.next <= m.log.Last() && p.next <= p.match+m.cfg.MaxInflight || p.probing {
+		entries := m.log.Slice(p.next-1, m.log.Last(), m.cfg.MaxAppendBytes)
+		m.sendAppend(p, p.next-1, entries)
+		if p.probing {
+			p.probed = true
+			return
+		}
+		p.next += model.Index(len(entries))
+	}
+	if p.commit < m.commit {
+		m.sendAppend(p, p.next-1, nil)
+	}
+}
+
+func (m *machine) onAppendReply(msg Message) {
+	p := m.peer(msg.From)
+	if m.role != Leader || msg.Term != m.hard.Term || p == nil || p.refused {
+		return
+	}
+	sent := m.started.Add(time.Duration(msg.Context))
+	if sent.After(p.contact) {
+		p.contact = sent
+	}
+	if msg.Reject {
+		m.onReject(p, msg, sent)
+		return
+	}
+	p.probed = false
+	if msg.Index > p.match {
+		p.match, p.matchAt = msg.Index, m.now
+		m.advanceCommit()
+	}
+	if !p.snapshot && (p.probing || p.next <= p.match) && msg.Index == p.match {
+		p.next, p.probing = max(p.next, p.match+1), false
+	}
+}
+
+// onReject moves back to where the logs may agree. A follower that was asked
+// after it had acknowledged more than it now holds has lost durable entries:
+// counting it could lose committed ones, so it is refused.
+func (m *machine) onReject(p *peer, msg Message, sent time.Time) {
+	if msg.Hint < p.match && p.match > 0 && sent.After(p.matchAt) {
+		p.refused = true
+		m.notice(LogWentBack, p.id)
+		m.send(Message{Type: Refuse, To: p.id, Term: m.hard.Term}, 0)
+		return
+	}
+	if msg.Index <= p.match || p.snapshot || msg.Index >= p.next {
+		return // an old answer
+	}
+	p.probe(max(p.match, min(msg.Hint, msg.Index-1)) + 1)
+}
+
+// advanceCommit commits what a quorum holds. Only an entry of the own term is
+// committed by counting; those before it are committed with it.
+func (m *machine) advanceCommit() {
+	if m.role != Leader {
+		return
+	}
+	index := m.quorumMatch()
+	term, ok := m.log.Term(index)
+	if !ok || index <= m.commit || term != m.hard.Term && !m.rules.commitAnyTerm {
+		return
+	}
+	m.commitTo(index)
+	m.afterCommit()
+}
+
+// quorumMatch returns the highest index that a quorum of voters holds durably.
+func (m *machine) quorumMatch() model.Index {
+	var matches []model.Index
+	for _, member := range m.members() {
+		if !member.Voter {
+			continue
+		}
+		if member.ID == m.cfg.ID {
+			matches = append(matches, m.writes.durable)
+		} else if p := m.peer(member.ID); p != nil {
+			matches = append(matches, p.match)
+		}
+	}
+	if len(matches) == 0 {
+		return 0
+	}
+	slices.Sort(matches)
+	return matches[len(matches)-m.members().Quorum()]
+}
+
+// quorumContact returns the latest time for which a quorum of voters is known
+// to have followed this leader.
+func (m *machine) quorumContact() time.Time {
+	var contacts []time.Time
+	for _, member := range m.members() {
+		if !member.Voter {
+			continue
+		}
+		if member.ID == m.cfg.ID {
+			contacts = append(contacts, m.now)
+		} else if p := m.peer(member.ID); p != nil {
+			contacts = append(contacts, p.contact)
+		}
+	}
+	if len(contacts) == 0 {
+		return m.now
+	}
+	slices.SortFunc(contacts, time.Time.Compare)
+	return contacts[len(contacts)-m.members().Quorum()]
+}
+
+// step sends the follower that holds the most an order to start an election.
+func (Resign) step(m *machine) {
+	if m.role != Leader {
+		return
+	}
+	var best *peer
+	for i := range m.peers {
+		p := &m.peers[i]
+		if m.members().Voter(p.id) && !p.refused && (best == nil || p.match > best.match) {
+			best = p
+		}
+	}
+	if best != nil {
+		m.send(Message{Type: TimeoutNow, To: best.id, Term: m.hard.Term}, 0)
+	}
+	m.leader = ""
+	m.becomeFollower(m.hard.Term)
+	m.electionAt = m.now.Add(m.cfg.ElectionMax)
+}
--- /dev/null
+++ b/replica/raft/membership.go
@@ -0,0 +1,136 @@
+package raft
+
+import (
+	"slices"
+	"strings"
+
+	"lacewingturn.example/core/model"
+)
+
+// step asks for a change on behalf of an operator.
+func (c Change) step(m *machine) {
+	answer := Proposed{Refusal: RefusedNotLeader}
+	if m.role == Leader {
+		answer = m.change(c)
+	}
+	m.out.Proposed = &answer
+}
+
+// changeable reports whether a membership change may be appended: the one
+// before is committed, and so is an entry of the own term. Without the second
+// condition two leaders could act on memberships without a common quorum.
+func (m *machine) changeable() bool {
+	term, ok := m.log.Term(m.commit)
+	return m.role == Leader && ok && term == m.hard.Term && m.configs[len(m.configs)-1].index <= m.commit
+}
+
+func (m *machine) change(c Change) Proposed {
+	next, ok := m.members().with(c)
+	if !ok || !m.changeable() {
+		return Proposed{Refusal: RefusedChange}
+	}
+	m.appendOwn(Entry{Kind: KindMembership, Value: next})
+	m.syncPeers()
+	return Proposed{First: m.log.Last(), Term: m.hard.Term}
+}
+
+// with returns the membership after the change, which touches one member only.
+func (m Membership) with(c Change) (Membership, bool) {
+	next := slices.Clone(m)
+	i := slices.IndexFunc(m, func(o Member) bool { return o.ID == c.Member.ID })
+	switch c.Kind {
+	case AddLearner:
+		if i >= 0 || c.Member.ID == "" {
+			return m, false
+		}
+		c.Member.Voter = false
+		next = append(next, c.Member)
+		slices.SortFunc(next, func(a, b Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		return next, true
+	case Promote:
+		if i < 0 || m[i].Voter {
+			return m, false
+		}
+		next[i].Voter, next[i].Replaces = true, ""
+		return next, true
+	case Remove:
+		if i < 0 || m[i].Voter && m.Voters() == 1 {
+			return m, false
+		}
+		return slices.Delete(next, i, i+1), true
+	case Update:
+		if i < 0 || m[i].Address == c.Member.Address && m[i].Domain == c.Member.Domain {
+			return m, false
+		}
+		next[i].Address, next[i].Domain = c.Member.Address, c.Member.Domain
+		return next, true
+	}
+	return m, false
+}
+
+// afterCommit steps down once the removal of the leader itself is committed.
+func (m *machine) afterCommit() {
+	last := m.configs[len(m.configs)-1]
+	if last.index <= m.commit && !last.members.Voter(m.cfg.ID) {
+		Resign{}.step(m)
+	}
+}
+
+// unreachable reports whether a member has not answered for ReplaceAfter.
+func (m *machine) unreachable(id model.ReplicaID) bool {
+	p := m.peer(id)
+	return p != nil && m.now.Sub(p.contact) > m.cfg.ReplaceAfter
+}
+
+// caughtUp reports whether a learner holds all that is committed.
+func (m *machine) caughtUp(id model.ReplicaID) bool {
+	p := m.peer(id)
+	return p != nil && !p.refused && !p.probing && p.match >= m.commit && m.now.Sub(p.contact) < m.cfg.ElectionMin
+}
+
+// step admits a new incarnation of a member that cannot be reached any more,
+// or records a new address.
+func (j Join) step(m *machine) {
+	if !m.changeable() {
+		return
+	}
+	if _, ok := m.members().Get(j.Member.ID); ok {
+		m.change(Change{Kind: Update, Member: j.Member})
+		return
+	}
+	for _, old := range m.members() {
+		if Name(old.ID) != Name(j.Member.ID) || !m.unreachable(old.ID) {
+			continue
+		}
+		if !old.Voter {
+			m.change(Change{Kind: Remove, Member: old})
+			return
+		}
+		learner := j.Member
+		learner.Replaces = old.ID
+		m.change(Change{Kind: AddLearner, Member: learner})
+		return
+	}
+}
+
+// maintainMembers takes the next step of a replacement: a caught-up learner
+// takes the place of the lost incarnation, which is removed first so that the
+// lost one does not count towards a larger quorum.
+func (m *machine) maintainMembers() {
+	if !m.changeable() {
+		return
+	}
+	for _, learner := range m.members() {
+		if learner.Voter || learner.Replaces == "" || !m.caughtUp(learner.ID) {
+			continue
+		}
+		if old, ok := m.members().Get(learner.Replaces); ok {
+			if m.unreachable(old.ID) && m.members().Voters() > 1 {
+				m.change(Change{Kind: Remove, Member: old})
+			}
+			return
+		}
+		m.change(Change{Kind: Promote, Member: learner})
+		return
+	}
+}
--- /dev/null
+++ b/replica/raft/status.go
@@ -0,0 +1,57 @@
+package raft
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// Status is what other parts may know of a state.
+type Status struct {
+	ID            model.ReplicaID
+	Role          Role
+	Term          model.Term
+	Leader        model.ReplicaID // empty if unknown
+	LeaderSince   time.Time
+	LeaderContact time.Time
+	QuorumContact time.Time // on the leader
+	Commit        model.Index
+	Last          model.Index
+	Base          model.Index
+	Members       Membership
+	Failed        bool // the storage failed
+	Halted        bool // the log contradicts or went back
+}
+
+// Status returns the status at the given time.
+func (s State) Status(now time.Time) Status {
+	m := machine{State: s, now: now}
+	st := Status{
+		ID: s.cfg.ID, Role: s.role, Term: s.hard.Term, Leader: s.leader, LeaderContact: s.leaderContact,
+		Commit: s.commit, Last: s.log.Last(), Base: s.log.Base(), Members: m.members(), Failed: s.failed, Halted: s.halted,
+	}
+	if s.role == Leader {
+		st.LeaderSince = s.leaderSince
+		st.QuorumContact = m.quorumContact()
+		st.LeaderContact = st.QuorumContact
+	}
+	return st
+}
+
+// SnapshotAt describes a snapshot of the applied state for storage.
+func (s State) SnapshotAt(index model.Index, clock model.Timestamp) (Snapshot, bool) {
+	term, ok := s.log.Term(index)
+	if !ok {
+		return Snapshot{}, false
+	}
+	snap := Snapshot{Index: index, Term: term, Clock: clock}
+	for _, c := range s.configs {
+		if c.index <= index {
+			snap.Members = c.members
+		}
+	}
+	return snap, true
+}
+
+// Members returns the membership in effect, which is the last one in the log.
+func (s State) Members() Membership { return s.configs[len(s.configs)-1].members }
--- /dev/null
+++ b/replica/storage/fs.go
@@ -0,0 +1,150 @@
+package storage
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+)
+
+// ErrLocked is returned when another process uses the data folder.
+var ErrLocked = errors.New("the data folder is in use by another process")
+
+// FS is what the storage needs of a data folder. Names are plain file names.
+// Tests replace it to inject errors and to lose data that was not synced.
+type FS interface {
+	// Create makes an empty file for writing, replacing an older one.
+	Create(name string) (File, error)
+	// OpenAppend opens an existing file for writing at its end.
+	OpenAppend(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	List() ([]string, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	Truncate(name string, size int64) error
+	// SyncDir makes created, renamed and removed names durable.
+	SyncDir() error
+	Stamp(name string) (Stamp, error)
+	// Lock takes the folder for this process until the result is closed.
+	Lock(name string) (io.Closer, error)
+}
+
+// Stamp tells a file from its copies. The inode number alone is not enough: a
+// file system may give a restored file the number of the deleted one.
+type Stamp struct {
+	Inode uint64 `json:"inode"`
+	Born  int64  `json:"born"` // time of creation in Unix nanoseconds; 0 if not known
+}
+
+// File is an open file of a data folder.
+type File interface {
+	io.Writer
+	// Sync returns once everything written is durable.
+	Sync() error
+	Close() error
+}
+
+// Folder is a data folder on a local file system.
+type Folder struct{ path string }
+
+// OpenFolder returns the folder at path and creates it if it does not exist.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if err := syncPath(filepath.Dir(path)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Folder{path: path}, nil
+}
+
+func (f *Folder) at(name string) string { return filepath.Join(f.path, name) }
+
+// Create implements FS.
+func (f *Folder) Create(name string) (File, error) {
+	return wrapFile(os.OpenFile(f.at(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600))
+}
+
+// OpenAppend implements FS.
+func (f *Folder) OpenAppend(name string) (File, error) {
+	return wrapFile(os.OpenFile(f.at(name), os.O_WRONLY|os.O_APPEND, 0))
+}
+
+func wrapFile(file *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return file, nil
+}
+
+// ReadFile implements FS.
+func (f *Folder) ReadFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(f.at(name))
+	return data, trace.ConvertSystemError(err)
+}
+
+// List implements FS.
+func (f *Folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// Rename implements FS.
+func (f *Folder) Rename(from, to string) error {
+	return trace.ConvertSystemError(os.Rename(f.at(from), f.at(to)))
+}
+
+// Remove implements FS.
+func (f *Folder) Remove(name string) error { return trace.ConvertSystemError(os.Remove(f.at(name))) }
+
+// Truncate implements FS.
+func (f *Folder) Truncate(name string, size int64) error {
+	return trace.ConvertSystemError(os.Truncate(f.at(name), size))
+}
+
+// SyncDir implements FS.
+func (f *Folder) SyncDir() error { return syncPath(f.path) }
+
+// Stamp implements FS.
+func (f *Folder) Stamp(name string) (Stamp, error) {
+	var st unix.Statx_t
+	if err := unix.Statx(unix.AT_FDCWD, f.at(name), 0, unix.STATX_INO|unix.STATX_BTIME, &st); err != nil {
+		return Stamp{}, trace.ConvertSystemError(err)
+	}
+	return Stamp{Inode: st.Ino, Born: st.Btime.Sec*1e9 + int64(st.Btime.Nsec)}, nil
+}
+
+// Lock implements FS.
+func (f *Folder) Lock(name string) (io.Closer, error) {
+	file, err := os.OpenFile(f.at(name), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		file.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return nil, trace.Wrap(ErrLocked)
+		}
+		return nil, trace.ConvertSystemError(err)
+	}
+	return file, nil
+}
+
+func syncPath(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer dir.Close()
+	return trace.ConvertSystemError(dir.Sync())
+}
--- /dev/null
+++ b/replica/storage/record.go
@@ -0,0 +1,97 @@
+package storage
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+)
+
+// A record is a header of 12 bytes (magic, length, CRC32C of length and
+// payload; little endian) and the payload. One write of the log is one record,
+// so that a write torn by a crash can only be the last record of a file.
+const (
+	headerSize  = 12
+	recordMagic = 0x4c574c31 // "LWL1"
+	// MaxRecord is the longest payload in bytes.
+	MaxRecord = 1 << 30
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func recordSum(header, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(header[4:8], castagnoli), castagnoli, payload)
+}
+
+// appendRecord appends the record of payload to buf.
+func appendRecord(buf, payload []byte) ([]byte, error) {
+	if len(payload) > MaxRecord {
+		return nil, fmt.Errorf("storage: a record of %d bytes exceeds the limit of %d", len(payload), MaxRecord)
+	}
+	var header [headerSize]byte
+	binary.LittleEndian.PutUint32(header[:], recordMagic)
+	binary.LittleEndian.PutUint32(header[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(header[8:], recordSum(header[:], payload))
+	return append(append(buf, header[:]...), payload...), nil
+}
+
+// nextRecord returns the payload at the start of data and the length of its record.
+func nextRecord(data []byte) (payload []byte, size int, ok bool) {
+	if len(data) < headerSize || binary.LittleEndian.Uint32(data) != recordMagic {
+		return nil, 0, false
+	}
+	length := int64(binary.LittleEndian.Uint32(data[4:]))
+	if length > MaxRecord || length > int64(len(data)-headerSize) {
+		return nil, 0, false
+	}
+	size = headerSize + int(length)
+	payload = data[headerSize:size]
+	return payload, size, binary.LittleEndian.Uint32(data[8:]) == recordSum(data[:headerSize], payload)
+}
+
+// CorruptError reports damage that a crash cannot explain.
+type CorruptError struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("storage: %s is corrupt at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// readRecords splits a file into payloads. It returns the length of the valid
+// part. A bad record with a valid one behind it is corruption; without one it
+// is the torn last write, which was never acknowledged.
+func readRecords(file string, data []byte) (payloads [][]byte, valid int64, err error) {
+	at := 0
+	for at < len(data) {
+		payload, size, ok := nextRecord(data[at:])
+		if !ok {
+			if later, found := findRecord(data, at+1); found {
+				return payloads, int64(at), &CorruptError{file, int64(at), fmt.Sprintf("a valid record follows at offset %d", later)}
+			}
+			break
+		}
+		payloads = append(payloads, payload)
+		at += size
+	}
+	return payloads, int64(at), nil
+}
+
+// findRecord looks for a valid record at or after from.
+func findRecord(data []byte, from int) (int, bool) {
+	magic := binary.LittleEndian.AppendUint32(nil, recordMagic)
+	for from < len(data) {
+		i := bytes.Index(data[from:], magic)
+		if i < 0 {
+			return 0, false
+		}
+		if _, _, ok := nextRecord(data[from+i:]); ok {
+			return from + i, true
+		}
+		from += i + 1
+	}
+	return 0, false
+}
