Decide on waves, moves, loans and schedules from the observed state

Reconcile is pure and level-triggered. It asks the platform about a committed operation before it sends anything, takes back planned drains while faults leave a pool below its budget, and gives up a drain after its timeout instead of cutting work short.

--- a/core/command/fleet/operation.go
+++ b/core/command/fleet/operation.go
@@ -57,8 +57,8 @@
 }
 
 // endOperation records the end of the operation in progress; any other one has
-// ended before. A drain that succeeded is followed by an observation that the
-// instance is idle; a reboot by its verification.
+// ended before. After a drain the instance is drained unless a job still holds
+// a lease on it; after a reboot it is verified.
 func endOperation(s *model.State, c model.EndOperation) result.Result {
 	i, ok := s.Instances.Get(c.Instance)
 	if !ok || c.Operation == "" || i.Operation != c.Operation {
@@ -69,10 +69,8 @@
 	s.Instances = s.Instances.Set(i.ID, i)
 	switch {
 	case kind == model.OperationDrain && i.Phase == model.PhaseDraining && c.Succeeded:
-		if id, busy := leasedTo(s, i.ID); !busy {
+		if _, busy := leasedTo(s, i.ID); !busy {
 			enter(s, i, model.PhaseDrained)
-		} else {
-			return result.New(result.Unchanged, "job %s holds a lease on instance %s", id, i.ID)
 		}
 	case kind == model.OperationReboot && i.Phase == model.PhaseRebooting && c.Succeeded:
 		enter(s, i, model.PhaseVerifying)
--- /dev/null
+++ b/core/command/fleet/reconcile_test.go
@@ -0,0 +1,141 @@
+package fleet_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+func smallWorld(b model.Budget) *world {
+	return newWorld(testConfig(map[model.PoolName]int{"a": 6, "b": 6, "spare": 4}, b))
+}
+
+// Guards against a wave that stalls, reboots an instance twice or cuts work in flight.
+func TestWaveMaintainsEachInstanceOnce(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2, MaxPerRack: 1})
+	w.machines["a2"].busyUntil = w.now.Add(20 * time.Minute)
+	w.applied = func(_, _ model.State, c model.Command, _ result.Result) {
+		if op, ok := c.(model.BeginOperation); ok && op.Instance == "a2" {
+			assert.Assert(t, w.now >= w.machines["a2"].busyUntil, "work in flight was cut")
+		}
+	}
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.wave(t, "w").Phase == model.WaveDone })
+	assert.Equal(t, len(w.wave(t, "w").Done), 6)
+	reboots := 0
+	for _, p := range w.puts {
+		if p.OperationKind == model.OperationReboot {
+			reboots++
+		}
+	}
+	assert.Equal(t, reboots, 6)
+}
+
+// Guards against an instance that never comes back but counts as available, or
+// that blocks its wave.
+func TestInstanceThatNeverComesBack(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.instance("a3").Phase == model.PhaseRebooting })
+	w.machines["a3"].downUntil = never
+	start := w.now
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.instance("a3").Phase == model.PhaseFailed })
+	assert.Assert(t, w.now.Sub(start) <= 10*time.Minute+time.Second, "took %s", w.now.Sub(start))
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.wave(t, "w").Phase == model.WaveDone })
+	v := w.wave(t, "w")
+	assert.DeepEqual(t, v.Passed, []model.InstanceID{"a3"})
+	assert.Equal(t, len(v.Done), 5)
+	assert.Equal(t, v.Step, 1)
+}
+
+// Guards against a new leader that reboots again what the leader before began.
+func TestWaveResumesAfterLeaderChange(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	for w.now < 1_000_000+7_200_000 && w.wave(t, "w").Phase != model.WaveDone {
+		w.runUntil(w.now.Add(7*time.Second), forever)
+		w.changeLeader()
+	}
+	assert.Equal(t, w.wave(t, "w").Phase, model.WaveDone)
+	sent := map[model.OperationID]bool{}
+	for _, p := range w.puts {
+		assert.Assert(t, !sent[p.Operation], "operation %s was sent twice", p.Operation)
+		sent[p.Operation] = true
+	}
+	assert.Equal(t, len(sent), 12) // a drain and a reboot for each of 6
+}
+
+// Guards against planned drains that are kept while a fault leaves the pool
+// with less than its budget.
+func TestFaultTakesBackPlannedDrain(t *testing.T) {
+	w := smallWorld(model.Budget{MaxUnavailable: 1})
+	w.machines["a0"].busyUntil = never
+	w.do(model.DrainInstance{Instance: "b0"}) // an operator's own drain is left alone
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.do(model.TakeWaveStep{ID: "w", Instance: "a0"})
+	w.settle()
+	w.fail("a1", w.now.Add(30*time.Minute))
+	w.fail("b1", w.now.Add(30*time.Minute))
+	w.runUntil(w.now.Add(5*time.Minute), forever)
+	assert.Equal(t, w.instance("a0").Phase, model.PhaseActive)
+	assert.Assert(t, w.instance("b0").Phase != model.PhaseActive)
+	assert.Equal(t, len(w.wave(t, "w").Running), 0)
+}
+
+// Guards against a spare instance that is never lent, or never given back.
+func TestSparePoolLendsAndGetsBack(t *testing.T) {
+	c := testConfig(map[model.PoolName]int{"a": 6, "b": 6, "spare": 4}, model.Budget{MinAvailable: 5})
+	c.Pools[2].Budget = model.Budget{}
+	w := newWorld(c)
+	w.fail("a0", w.now.Add(5*time.Hour))
+	w.fail("a1", w.now.Add(5*time.Hour))
+	w.runUntil(w.now.Add(time.Hour), forever)
+	lent := model.InstanceID("")
+	for _, i := range w.s.Instances.Values() {
+		if i.Home == "spare" && i.Pool == "a" && i.Available() {
+			lent = i.ID
+		}
+	}
+	assert.Assert(t, lent != "")
+	w.runUntil(w.now.Add(6*time.Hour), forever)
+	assert.Equal(t, w.instance(lent).Pool, model.PoolName("spare"))
+	assert.Equal(t, w.s.Moves.Len(), 2)
+}
+
+// Guards against a move that is left half done by work that never ends or by
+// a change of leader.
+func TestInterruptedMoveIsCompletedOrUndone(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.machines["a0"].busyUntil = never
+	w.do(model.StartMove{ID: "stuck", Instance: "a0", From: "a", To: "b"})
+	w.do(model.StartMove{ID: "good", Instance: "a1", From: "a", To: "b"})
+	for range 100 {
+		w.runUntil(w.now.Add(11*time.Second), forever)
+		w.changeLeader()
+	}
+	stuck, _ := w.s.Moves.Get("stuck")
+	good, _ := w.s.Moves.Get("good")
+	assert.Equal(t, stuck.Phase, model.MoveUndone)
+	assert.Assert(t, strings.Contains(stuck.Reason, "did not end"), stuck.Reason)
+	assert.Equal(t, w.instance("a0").Pool, model.PoolName("a"))
+	assert.Equal(t, good.Phase, model.MoveDone)
+	assert.Equal(t, w.instance("a1").Pool, model.PoolName("b"))
+	assert.Assert(t, w.instance("a0").Available() && w.instance("a1").Available())
+}
+
+// Guards against an instance removed from the configuration that is cut off
+// while it works, or kept for ever.
+func TestRetiringInstanceIsDrainedFirst(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.machines["b5"].busyUntil = w.now.Add(time.Hour)
+	w.do(model.AcceptConfig{Base: 1, Config: testConfig(map[model.PoolName]int{"a": 6, "b": 5, "spare": 4}, model.Budget{MinAvailable: 2})})
+	w.runUntil(w.now.Add(59*time.Minute), forever)
+	assert.Assert(t, w.s.Instances.Has("b5"))
+	w.runUntil(w.now.Add(10*time.Minute), forever)
+	assert.Assert(t, !w.s.Instances.Has("b5"))
+}
--- /dev/null
+++ b/core/command/reconcile.go
@@ -0,0 +1,14 @@
+package command
+
+import (
+	"lacewingturn.example/core/command/fleet"
+	"lacewingturn.example/core/model"
+)
+
+// Reconcile compares the desired with the observed state and returns the next
+// commands and platform actions. It is level-triggered: it may be called at any
+// time and any number of times, by any leader, and the checks in Apply decide
+// which of the commands take effect.
+func Reconcile(s model.State, o model.Observations, now model.Timestamp) model.Decision {
+	return fleet.Reconcile(s, o, max(now, s.Clock))
+}
