--- /dev/null
+++ b/cmd/internal/instance/control.go
@@ -0,0 +1,86 @@
+package instance
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/server"
+	"lacewingturn.example/replica"
+	replicacommand "lacewingturn.example/replica/command"
+	"lacewingturn.example/replica/liveness"
+	replicaquery "lacewingturn.example/replica/query"
+)
+
+// controlModule keeps a replica of the control state.
+var controlModule = fx.Module("control",
+	fx.Provide(openReplica, newLiveness),
+	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
+	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
+	fx.Invoke(routeControl, runReplica),
+)
+
+func openReplica(s Settings, l *loop.Loop, log *zap.Logger, dial server.DialFunc) (*replicacommand.Replica, error) {
+	peers := make([]replicacommand.Peer, 0, len(s.Replicas))
+	for _, r := range s.Replicas {
+		peers = append(peers, replicacommand.Peer{Name: r.Name, Address: r.Address})
+	}
+	return replicacommand.Open(replicacommand.Settings{
+		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Dial: dial,
+	}, l)
+}
+
+func newLiveness(life *life, l *loop.Loop, r *replicacommand.Replica, log *zap.Logger) *liveness.Machine {
+	return liveness.New(life, l, r, log)
+}
+
+// commandService joins the two halves of the replica's command service.
+type commandService struct {
+	proposals replicacommand.Commands
+	renewals  *liveness.Machine
+}
+
+var _ replicav1connect.ReplicaCommandServiceHandler = commandService{}
+
+// Propose commits commands.
+func (c commandService) Propose(ctx context.Context, r *connect.Request[replicav1.ProposeRequest]) (*connect.Response[replicav1.ProposeResponse], error) {
+	return c.proposals.Propose(ctx, r)
+}
+
+// RenewEntry renews the membership of an entry instance.
+func (c commandService) RenewEntry(ctx context.Context, r *connect.Request[replicav1.RenewEntryRequest]) (*connect.Response[replicav1.RenewEntryResponse], error) {
+	return c.renewals.RenewEntry(ctx, r)
+}
+
+// routeControl serves the replica. The listener is opened before the replica
+// runs, because peers ask for its identity first.
+func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, r *replicacommand.Replica, m *liveness.Machine) error {
+	mux.Handle(r.Replication().Route())
+	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.Commands(), renewals: m}))
+	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(r)))
+	return serveInternal(lc, all, s, mux)
+}
+
+// runReplica gives up leadership first when the process stops, and closes the
+// data folder last.
+func runReplica(lc fx.Lifecycle, life *life, r *replicacommand.Replica) {
+	done := make(chan error, 1)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { done <- r.Run(life) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			if life.Err() == nil {
+				_ = r.Resign(ctx)
+			}
+			life.cancel()
+			return <-done
+		},
+	})
+}
--- /dev/null
+++ b/cmd/internal/instance/entry.go
@@ -0,0 +1,137 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/entry/follow"
+	entryinstance "lacewingturn.example/entry/instance"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/telemetry"
+	"lacewingturn.example/replica/client"
+)
+
+// entryModule serves callers and targets.
+var entryModule = fx.Module("entry",
+	fx.Provide(newControlClient, newEntry),
+	fx.Invoke(runEntry),
+)
+
+// nearFirst orders the replicas so that those of the own data centre come first.
+func nearFirst(s Settings) []string {
+	list := slices.Clone(s.Replicas)
+	slices.SortStableFunc(list, func(a, b Replica) int {
+		return boolRank(a.DataCenter != s.Domain.DataCenter) - boolRank(b.DataCenter != s.Domain.DataCenter)
+	})
+	out := make([]string, 0, len(list))
+	for _, r := range list {
+		out = append(out, r.Address)
+	}
+	return out
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func newControlClient(s Settings, c *http.Client) entry.Control { return client.New(nearFirst(s), c) }
+
+type entryParams struct {
+	fx.In
+
+	Settings Settings
+	Control  entry.Control
+	Loop     *loop.Loop
+	Log      *zap.Logger
+	Metrics  prometheus.Registerer
+	Tracing  telemetry.Tracing
+}
+
+func newEntry(p entryParams) (*entryinstance.Instance, error) {
+	return entryinstance.New(entryinstance.Settings{
+		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
+		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics,
+		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
+	})
+}
+
+type runParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Life      *life
+	Servers   *servers
+	Entry     *entryinstance.Instance
+	Control   entry.Control
+	Client    *http.Client
+	Log       *zap.Logger
+	Metrics   metricsHandler
+	Internal  internalMux
+}
+
+// runEntry starts the entry role. At a stop the hooks run in reverse: the
+// instance drains, then the public listener closes, then the control link
+// gives up the membership.
+func runEntry(p runParams) error {
+	link := newLink(p)
+	background, cancel := context.WithCancel(p.Life)
+	linkDone := make(chan struct{})
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { defer close(linkDone); link.Run(background) }()
+			go p.Entry.Run(p.Life)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			<-linkDone
+			event.ProcessStopped.Log(p.Log)
+			if !p.Settings.Has(RoleControl) {
+				p.Life.cancel()
+			}
+			return nil
+		},
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.Metrics)
+	mux.Handle("/", p.Entry.Traffic)
+	if err := serve(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, nil, stopAfterRequests); err != nil {
+		return err
+	}
+	if !p.Settings.Has(RoleControl) {
+		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal); err != nil {
+			return err
+		}
+	}
+	p.Lifecycle.Append(fx.StopHook(func(ctx context.Context) error {
+		if p.Life.Err() != nil {
+			return nil
+		}
+		return p.Entry.Stop(ctx)
+	}))
+	return nil
+}
+
+func newLink(p runParams) *follow.Link {
+	addresses := nearFirst(p.Settings)
+	urls := make([]string, 0, len(addresses))
+	for _, a := range addresses {
+		urls = append(urls, "http://"+a)
+	}
+	return follow.New(follow.Settings{
+		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
+		Replicas: urls, Client: p.Client, Control: p.Control, Log: p.Log, Port: p.Entry.Port,
+	})
+}
--- /dev/null
+++ b/cmd/internal/instance/process.go
@@ -0,0 +1,189 @@
+package instance
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	entryinstance "lacewingturn.example/entry/instance"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/telemetry"
+	replicacommand "lacewingturn.example/replica/command"
+	"lacewingturn.example/replica/liveness"
+)
+
+// Process is one running instance.
+type Process struct {
+	app      *fx.App
+	life     *life
+	servers  *servers
+	settings Settings
+
+	// Replica, Liveness and Entry are set for the roles that have them.
+	Replica  *replicacommand.Replica
+	Liveness *liveness.Machine
+	Entry    *entryinstance.Instance
+}
+
+// life is the context of the process: it ends when the process stops, after
+// the requests in flight have ended.
+type life struct {
+	context.Context
+	cancel context.CancelFunc
+}
+
+// servers collects the listeners of the process, so that they can be closed at once.
+type servers struct{ list []*server.Server }
+
+// New assembles a process; logs go to w.
+func New(s Settings, w io.Writer) (*Process, error) {
+	p := &Process{settings: s}
+	options := []fx.Option{
+		fx.Supply(s, fx.Annotate(w, fx.As(new(io.Writer)))),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.DrainTimeout),
+		processModule,
+		fx.Populate(&p.life, &p.servers),
+	}
+	if s.Has(RoleControl) {
+		options = append(options, controlModule, fx.Populate(&p.Replica, &p.Liveness))
+	}
+	if s.Has(RoleEntry) {
+		options = append(options, entryModule, fx.Populate(&p.Entry))
+	}
+	options = append(options, fx.Invoke(runLoop), fx.Invoke(announceStart))
+	p.app = fx.New(options...)
+	return p, trace.Wrap(p.app.Err())
+}
+
+// Start opens the listeners and starts the roles.
+func (p *Process) Start(ctx context.Context) error { return trace.Wrap(p.app.Start(ctx)) }
+
+// Stop is a graceful shutdown. It returns when no request is in flight.
+func (p *Process) Stop(ctx context.Context) error { return trace.Wrap(p.app.Stop(ctx)) }
+
+// Kill ends the process without any graceful step, as SIGKILL would, but for
+// files, which stay open until their goroutine has ended.
+func (p *Process) Kill(ctx context.Context) {
+	for _, s := range p.servers.list {
+		s.Kill()
+	}
+	p.life.cancel()
+	_ = p.app.Stop(ctx)
+}
+
+// Settings returns the settings that the process was assembled from.
+func (p *Process) Settings() Settings { return p.settings }
+
+var processModule = fx.Module("process",
+	fx.Provide(newLife, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, func() *servers { return &servers{} }),
+	fx.Provide(func(r *prometheus.Registry) prometheus.Registerer { return r }),
+	fx.Provide(func(r *prometheus.Registry) metricsHandler {
+		return metricsHandler{promhttp.HandlerFor(r, promhttp.HandlerOpts{})}
+	}),
+	fx.Provide(func(d server.DialFunc) *http.Client { return server.NewClient(d) }),
+)
+
+// metricsHandler serves GET /metrics.
+type metricsHandler struct{ http.Handler }
+
+// internalMux routes the requests of other processes of the system.
+type internalMux struct{ *http.ServeMux }
+
+func newInternalMux() internalMux { return internalMux{http.NewServeMux()} }
+
+func newLife() *life {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &life{Context: ctx, cancel: cancel}
+}
+
+func newLoop() *loop.Loop { return loop.New(loop.DefaultCapacity) }
+
+func newDialer(s Settings) (server.DialFunc, error) {
+	config, err := s.InternalTLS.Config()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return server.Dialer(config), nil
+}
+
+func newLogger(s Settings, w io.Writer) (*zap.Logger, error) {
+	log, err := telemetry.NewLogger(s.Log, w)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return log.With(zap.String("instance", s.Name)), nil
+}
+
+func newTracing(lc fx.Lifecycle, l *life, s Settings) (telemetry.Tracing, error) {
+	t, err := telemetry.NewTracing(l, s.TraceEndpoint, s.Name)
+	if err == nil {
+		lc.Append(fx.Hook{OnStop: t.Shutdown})
+	}
+	return t, trace.Wrap(err)
+}
+
+// runLoop starts the control loop once every machine has been added. Its hook
+// is appended after those of the roles, so it starts last; because the roles
+// need the loop while they stop, it ends with the life of the process instead.
+func runLoop(lc fx.Lifecycle, l *life, control *loop.Loop) {
+	lc.Append(fx.StartHook(func() { go control.Run(l) }))
+}
+
+func announceStart(lc fx.Lifecycle, s Settings, log *zap.Logger) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			event.ProcessStarted.Log(log, zap.Any("roles", s.Roles), zap.String("internal", s.InternalAddress), zap.String("public", s.PublicAddress))
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			event.ProcessStopping.Log(log)
+			return nil
+		},
+	})
+}
+
+// internalGrace is how long calls of other processes may take to end at a stop.
+// Streams between processes have no end of their own and are closed after it.
+const internalGrace = 500 * time.Millisecond
+
+// serveInternal serves the other processes of the system.
+func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux) error {
+	config, err := s.InternalTLS.Config()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return serve(lc, all, s.InternalAddress, mux, config, func(ctx context.Context, s *server.Server) error {
+		ctx, cancel := context.WithTimeout(ctx, internalGrace)
+		defer cancel()
+		return s.Stop(ctx)
+	})
+}
+
+// stopAfterRequests ends a listener after its requests in flight.
+func stopAfterRequests(ctx context.Context, s *server.Server) error { return s.Stop(ctx) }
+
+// serve opens a listener with the start of the process and ends it with its stop.
+func serve(lc fx.Lifecycle, all *servers, address string, handler http.Handler, config *tls.Config, stop func(context.Context, *server.Server) error) error {
+	s, err := server.Listen(address, handler, config)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	all.list = append(all.list, s)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { s.Start(); return nil },
+		OnStop:  func(ctx context.Context) error { return stop(ctx, s) },
+	})
+	return nil
+}
--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -1,4 +1,65 @@
-// Command lacewingturnd runs one instance of the system; its roles come from its settings.
+// Command lacewingturnd runs one instance of the system; its roles come from
+// its settings.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/cmd/internal/instance"
+)
+
+// startTimeout bounds the start of a process, recovery of its state included.
+const startTimeout = 2 * time.Minute
+
+type cli struct {
+	Run  runCommand  `cmd:"" default:"withargs" help:"Run one instance until SIGTERM or SIGINT."`
+	Dev  devCommand  `cmd:"" help:"Start a small site on loopback and leave it running."`
+	Demo demoCommand `cmd:"" help:"Run a small site through a recorded workload and check its stated outcomes."`
+}
+
+func main() {
+	var c cli
+	parsed := kong.Parse(&c,
+		kong.Name("lacewingturnd"),
+		kong.Description("An instance of lacewingturn, a fleet capacity and maintenance manager. Every setting is a flag or an environment variable."),
+		kong.UsageOnError(),
+	)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, trace.UserMessage(err))
+		os.Exit(1)
+	}
+}
+
+type runCommand struct{ flags }
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (r *runCommand) Run(ctx context.Context) error {
+	settings, err := r.check()
+	if err != nil {
+		return trace.Wrap(err, "wrong settings; nothing was started")
+	}
+	p, err := instance.New(settings, os.Stderr)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := p.Start(starting); err != nil {
+		return trace.Wrap(err)
+	}
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
+	defer cancel()
+	return trace.Wrap(p.Stop(stopping))
+}
--- /dev/null
+++ b/cmd/lacewingturnd/site.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/cmd/site"
+)
+
+type demoCommand struct {
+	Logs bool `help:"Write the logs of all instances to standard error."`
+}
+
+// Run plays the demo; it fails when a stated outcome does not hold.
+func (d *demoCommand) Run(ctx context.Context) error {
+	outcomes, err := site.RunDemo(ctx, os.Stdout, logWriter(d.Logs))
+	if err != nil {
+		outcomes.Write(os.Stdout)
+		return err
+	}
+	if !outcomes.Hold() {
+		return trace.Errorf("at least one stated outcome does not hold")
+	}
+	return nil
+}
+
+type devCommand struct {
+	Logs bool `help:"Write the logs of all instances to standard error."`
+}
+
+// Run starts a site, prints how to reach it, and stops it with ctx.
+func (d *devCommand) Run(ctx context.Context) error {
+	folder, remove, err := site.TemporaryFolder()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	s, err := site.StartDev(ctx, folder, logWriter(d.Logs))
+	if err != nil {
+		return err
+	}
+	for _, line := range s.Describe() {
+		fmt.Println(line)
+	}
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	return s.Stop(stopping)
+}
+
+func logWriter(enabled bool) io.Writer {
+	if enabled {
+		return os.Stderr
+	}
+	return io.Discard
+}
--- /dev/null
+++ b/cmd/site/calls.go
@@ -0,0 +1,151 @@
+package site
+
+import (
+	"bufio"
+	"context"
+	"embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/core/result"
+)
+
+//go:embed workload.jsonl
+var workloadFile embed.FS
+
+// call is one request of the recorded workload.
+type call struct {
+	AtMs   int64  `json:"at_ms"`
+	ID     string `json:"id"`
+	Caller string `json:"caller"`
+	// Service and Path select the work; Once marks a non-idempotent request.
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	RunMs   int    `json:"run_ms"`
+	Once    bool   `json:"once,omitempty"`
+	// Resend sends the same key again to another entry instance afterwards.
+	Resend bool `json:"resend,omitempty"`
+}
+
+// reply is what a caller got.
+type reply struct {
+	call    call
+	key     string
+	target  string
+	status  int
+	code    result.Code
+	outcome string
+	whole   bool // the body is the complete answer to this very request
+	resent  *reply
+	err     error
+}
+
+func readWorkload() ([]call, error) {
+	f, err := workloadFile.Open("workload.jsonl")
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer f.Close()
+	var out []call
+	scanner := bufio.NewScanner(f)
+	for n := 1; scanner.Scan(); n++ {
+		var c call
+		if err := json.Unmarshal(scanner.Bytes(), &c); err != nil {
+			return nil, trace.BadParameter("workload line %d: %v", n, err)
+		}
+		out = append(out, c)
+	}
+	return out, trace.Wrap(scanner.Err())
+}
+
+// caller sends requests to the entry instances in turn, as behind a balancer.
+type caller struct {
+	urls   []string
+	client *http.Client
+	newKey func() string
+}
+
+// play sends every call at its time and waits for all replies.
+func (c *caller) play(ctx context.Context, calls []call) []reply {
+	replies := make([]reply, len(calls))
+	begin := time.Now()
+	var all sync.WaitGroup
+	for i, next := range calls {
+		all.Go(func() {
+			if pause(ctx, time.Until(begin.Add(time.Duration(next.AtMs)*time.Millisecond))) != nil {
+				return
+			}
+			replies[i] = c.sendTwice(ctx, i, next)
+		})
+	}
+	all.Wait()
+	return replies
+}
+
+// sendTwice sends a call and, if asked, its resend to the next entry instance.
+func (c *caller) sendTwice(ctx context.Context, i int, next call) reply {
+	key := ""
+	if next.Once {
+		key = c.newKey()
+	}
+	r := c.send(ctx, c.urls[i%len(c.urls)], next, key)
+	if next.Resend {
+		again := c.send(ctx, c.urls[(i+1)%len(c.urls)], next, key)
+		r.resent = &again
+	}
+	return r
+}
+
+func (c *caller) send(ctx context.Context, base string, next call, key string) reply {
+	r := reply{call: next, key: key}
+	method := http.MethodGet
+	if next.Once {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+"/services/"+next.Service+next.Path, strings.NewReader(next.ID))
+	if err != nil {
+		r.err = err
+		return r
+	}
+	req.Header.Set("Lacewingturn-Caller", next.Caller)
+	req.Header.Set(HeaderRun, strconv.Itoa(next.RunMs))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		r.err = err
+		return r
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	r.err, r.status, r.outcome = err, resp.StatusCode, resp.Header.Get("Lacewingturn-Outcome")
+	if code, err := strconv.Atoi(resp.Header.Get("Lacewingturn-Result")); err == nil {
+		r.code = result.Code(code)
+	}
+	r.target, _, _ = strings.Cut(string(body), " ")
+	r.whole = resp.StatusCode == http.StatusOK && strings.HasSuffix(string(body), fmt.Sprintf("did %s %s %s", method, next.Path, next.ID))
+	return r
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/cmd/site/dev.go
@@ -0,0 +1,49 @@
+package site
+
+import (
+	"context"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// StartDev starts a site with the sample configuration in force and its
+// targets announced.
+func StartDev(ctx context.Context, folder string, log io.Writer) (*Site, error) {
+	s, err := New(ctx, folder, log)
+	if err != nil {
+		return nil, err
+	}
+	d := &Demo{site: s, control: s.ControlClient()}
+	config, err := sampleConfig(unchanged)
+	if err != nil {
+		return nil, err
+	}
+	r, err := d.propose(ctx, NewRequestID(), model.AcceptConfig{Config: config})
+	if err != nil {
+		return nil, err
+	}
+	if r.Code != result.Accepted {
+		return nil, trace.Wrap(r)
+	}
+	if !d.inForce(ctx, 1) {
+		return nil, trace.LimitExceeded("the configuration did not come into force within %s", stepTimeout)
+	}
+	return s, s.StartTargets(ctx, config)
+}
+
+// Describe says how to reach the site, with one example call.
+func (s *Site) Describe() []string {
+	entry := s.EntryURLs()[0]
+	return []string{
+		"entry instances (callers, targets):  " + strings.Join(s.EntryURLs(), " "),
+		"control replicas (operators):        " + strings.Join(s.OperatorAddresses(), " "),
+		"data folder:                         " + s.Folder,
+		"example call:                        curl -i -H 'Lacewingturn-Caller: counter-1' " + entry + "/services/quotes/price",
+		"stop with Ctrl-C",
+	}
+}
--- /dev/null
+++ b/cmd/site/site.go
@@ -0,0 +1,209 @@
+// Package site runs a whole site in one process on loopback: control replicas,
+// entry instances and stand-in targets. The commands dev and demo use it.
+package site
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/cmd/internal/instance"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/telemetry"
+)
+
+// Sizes of the site: one replica and one entry instance in each data centre.
+const (
+	dataCenters       = 3
+	targetsPerService = 2
+)
+
+// Site is a running site.
+type Site struct {
+	Folder   string
+	Controls []*instance.Process
+	Entries  []*instance.Process
+	Targets  []*Target
+	replicas []instance.Replica
+	log      io.Writer
+}
+
+// New starts control replicas and entry instances that keep their data below folder.
+func New(ctx context.Context, folder string, log io.Writer) (*Site, error) {
+	s := &Site{Folder: folder, log: log}
+	for i := range dataCenters {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		s.replicas = append(s.replicas, instance.Replica{Name: fmt.Sprintf("control-%d", i+1), Address: address, DataCenter: dataCenter(i)})
+	}
+	for i := range dataCenters {
+		if err := s.startControl(ctx, i); err != nil {
+			return s, err
+		}
+	}
+	for i := range dataCenters {
+		if err := s.startEntry(ctx, i); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func dataCenter(i int) string { return fmt.Sprintf("dc%d", i+1) }
+
+func domain(i int) model.Domain {
+	return model.Domain{Region: "region1", DataCenter: dataCenter(i), Rack: "control"}
+}
+
+// freeAddress returns a loopback address that was free a moment ago. Replicas
+// have to know each other's address before they start.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (s *Site) settings(name string, role instance.Role, i int) (instance.Settings, error) {
+	out := instance.Settings{
+		Name: name, Roles: []instance.Role{role}, Domain: domain(i), Replicas: s.replicas,
+		DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
+	}
+	var err error
+	if out.InternalAddress, err = freeAddress(); err != nil {
+		return out, err
+	}
+	if role == instance.RoleControl {
+		out.InternalAddress = s.replicas[i].Address
+		out.DataFolder = filepath.Join(s.Folder, name)
+		out.OperatorAddress, err = freeAddress()
+	} else {
+		out.PublicAddress, err = freeAddress()
+	}
+	return out, err
+}
+
+func (s *Site) startControl(ctx context.Context, i int) error {
+	settings, err := s.settings(s.replicas[i].Name, instance.RoleControl, i)
+	if err != nil {
+		return err
+	}
+	p, err := start(ctx, settings, s.log)
+	if err == nil {
+		s.Controls = append(s.Controls, p)
+	}
+	return err
+}
+
+func (s *Site) startEntry(ctx context.Context, i int) error {
+	settings, err := s.settings(fmt.Sprintf("entry-%d", i+1), instance.RoleEntry, i)
+	if err != nil {
+		return err
+	}
+	p, err := start(ctx, settings, s.log)
+	if err == nil {
+		s.Entries = append(s.Entries, p)
+	}
+	return err
+}
+
+func start(ctx context.Context, settings instance.Settings, log io.Writer) (*instance.Process, error) {
+	p, err := instance.New(settings, log)
+	if err != nil {
+		return nil, err
+	}
+	return p, p.Start(ctx)
+}
+
+// EntryURLs returns the base URLs of the entry instances, as a balancer knows them.
+func (s *Site) EntryURLs() []string {
+	out := make([]string, 0, len(s.Entries))
+	for _, e := range s.Entries {
+		out = append(out, "http://"+e.Settings().PublicAddress)
+	}
+	return out
+}
+
+// OperatorAddresses returns the addresses for operators.
+func (s *Site) OperatorAddresses() []string {
+	out := make([]string, 0, len(s.Controls))
+	for _, c := range s.Controls {
+		out = append(out, c.Settings().OperatorAddress)
+	}
+	return out
+}
+
+// Leader returns the control replica that leads, or nil.
+func (s *Site) Leader() *instance.Process {
+	for _, c := range s.Controls {
+		if c.Replica.View().IsLeader {
+			return c
+		}
+	}
+	return nil
+}
+
+// StartTargets starts stand-in targets for each service of the configuration
+// on instances of its pool, spread over the data centres.
+func (s *Site) StartTargets(ctx context.Context, c model.Config) error {
+	for _, service := range c.Services {
+		for _, spec := range spread(c, service.Pool) {
+			t := &Target{
+				ID:       model.TargetID(fmt.Sprintf("%s-%s", service.Name, spec.ID)),
+				Instance: spec.ID, Service: service.Name, Entries: s.EntryURLs,
+			}
+			if err := t.Start(ctx); err != nil {
+				return err
+			}
+			s.Targets = append(s.Targets, t)
+		}
+	}
+	return nil
+}
+
+// spread picks the first instance of the pool in each of the first data centres.
+func spread(c model.Config, pool model.PoolName) []model.InstanceSpec {
+	var out []model.InstanceSpec
+	used := map[string]bool{}
+	for _, i := range c.Instances {
+		if i.Pool == pool && !used[i.Domain.DataCenter] && len(out) < targetsPerService {
+			used[i.Domain.DataCenter] = true
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Stop shuts the site down gracefully: targets, entry instances, replicas.
+func (s *Site) Stop(ctx context.Context) error {
+	var errs []error
+	for _, t := range s.Targets {
+		errs = append(errs, t.Leave(ctx))
+	}
+	for _, e := range s.Entries {
+		errs = append(errs, e.Stop(ctx))
+	}
+	for _, c := range s.Controls {
+		errs = append(errs, c.Stop(ctx))
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// TemporaryFolder makes a data folder that the returned function removes.
+func TemporaryFolder() (string, func(), error) {
+	folder, err := os.MkdirTemp("", "lacewingturn-")
+	if err != nil {
+		return "", nil, trace.Wrap(err)
+	}
+	return folder, func() { _ = os.RemoveAll(folder) }, nil
+}
--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -38,6 +38,7 @@
 	client  *http.Client
 	running atomic.Int64
 	peak    atomic.Int64
+	served  atomic.Int64
 	turn    atomic.Int64
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -95,12 +96,16 @@
 	return out
 }
 
+// Served returns the number of requests that the target has taken.
+func (t *Target) Served() int { return int(t.served.Load()) }
+
 // Peak returns the largest number of requests that ran at the same time.
 func (t *Target) Peak() int { return int(t.peak.Load()) }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	now := t.running.Add(1)
 	defer t.running.Add(-1)
+	t.served.Add(1)
 	for old := t.peak.Load(); now > old && !t.peak.CompareAndSwap(old, now); old = t.peak.Load() {
 	}
 	body, err := io.ReadAll(r.Body)
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -21,7 +21,8 @@
 type Server struct {
 	listener net.Listener
 	http     *http.Server
-	done     chan error
+	done     chan struct{}
+	err      error // why serving ended; read after done
 }
 
 // Listen opens the listener, so that the address is known before serving. The
@@ -41,7 +42,7 @@
 	return &Server{
 		listener: listener,
 		http:     &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout},
-		done:     make(chan error, 1),
+		done:     make(chan struct{}),
 	}, nil
 }
 
@@ -50,7 +51,10 @@
 
 // Start serves on a goroutine of its own.
 func (s *Server) Start() {
-	go func() { s.done <- s.http.Serve(s.listener) }()
+	go func() {
+		defer close(s.done)
+		s.err = s.http.Serve(s.listener)
+	}()
 }
 
 // Stop ends the listener after the requests in flight. Streams that are still
@@ -60,8 +64,9 @@
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		err = s.http.Close()
 	}
-	if served := <-s.done; served != nil && !errors.Is(served, http.ErrServerClosed) {
-		return trace.Wrap(served)
+	<-s.done
+	if !errors.Is(s.err, http.ErrServerClosed) {
+		return trace.Wrap(s.err)
 	}
 	return trace.Wrap(err)
 }
