--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"connectrpc.com/connect"
 	"go.uber.org/fx"
@@ -22,7 +23,7 @@
 	fx.Provide(openReplica, newLiveness),
 	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
 	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
-	fx.Invoke(routeControl, runReplica),
+	fx.Invoke(routeControl, routeOperator, runReplica),
 )
 
 func openReplica(s Settings, l *loop.Loop, log *zap.Logger, dial server.DialFunc) (*replicacommand.Replica, error) {
@@ -59,11 +60,18 @@
 
 // routeControl serves the replica. The listener is opened before the replica
 // runs, because peers ask for its identity first.
-func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, r *replicacommand.Replica, m *liveness.Machine) error {
+func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, t *server.Traffic, r *replicacommand.Replica, m *liveness.Machine) error {
 	mux.Handle(r.Replication().Route())
 	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.Commands(), renewals: m}))
 	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(r)))
-	return serveInternal(lc, all, s, mux)
+	return serveInternal(lc, all, s, mux, t)
+}
+
+// routeOperator serves operators.
+func routeOperator(lc fx.Lifecycle, s Settings, all *servers, metrics metricsHandler) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics)
+	return servePublic(lc, all, s.OperatorAddress, mux, s.OperatorTLS)
 }
 
 // runReplica gives up leadership first when the process stops, and closes the
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -15,6 +15,7 @@
 	entryinstance "lacewingturn.example/entry/instance"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
 	"lacewingturn.example/replica/client"
 )
@@ -79,6 +80,7 @@
 	Log       *zap.Logger
 	Metrics   metricsHandler
 	Internal  internalMux
+	Traffic   *server.Traffic
 }
 
 // runEntry starts the entry role. At a stop the hooks run in reverse: the
@@ -107,11 +109,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle("/", p.Entry.Traffic)
-	if err := serve(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, nil, stopAfterRequests); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, server.TLSFiles{}); err != nil {
 		return err
 	}
 	if !p.Settings.Has(RoleControl) {
-		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal); err != nil {
+		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Traffic); err != nil {
 			return err
 		}
 	}
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net/http"
 	"time"
@@ -87,7 +86,7 @@
 func (p *Process) Settings() Settings { return p.settings }
 
 var processModule = fx.Module("process",
-	fx.Provide(newLife, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, func() *servers { return &servers{} }),
+	fx.Provide(newLife, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, server.NewTraffic, func() *servers { return &servers{} }),
 	fx.Provide(func(r *prometheus.Registry) prometheus.Registerer { return r }),
 	fx.Provide(func(r *prometheus.Registry) metricsHandler {
 		return metricsHandler{promhttp.HandlerFor(r, promhttp.HandlerOpts{})}
@@ -110,12 +109,12 @@
 
 func newLoop() *loop.Loop { return loop.New(loop.DefaultCapacity) }
 
-func newDialer(s Settings) (server.DialFunc, error) {
+func newDialer(s Settings, t *server.Traffic) (server.DialFunc, error) {
 	config, err := s.InternalTLS.Config()
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return server.Dialer(config), nil
+	return t.Dialer(server.Dialer(config)), nil
 }
 
 func newLogger(s Settings, w io.Writer) (*zap.Logger, error) {
@@ -159,31 +158,43 @@
 const internalGrace = 500 * time.Millisecond
 
 // serveInternal serves the other processes of the system.
-func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux) error {
+func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux, t *server.Traffic) error {
 	config, err := s.InternalTLS.Config()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return serve(lc, all, s.InternalAddress, mux, config, func(ctx context.Context, s *server.Server) error {
+	l, err := server.ListenCounted(s.InternalAddress, mux, config, t)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	all.serve(lc, l, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, internalGrace)
 		defer cancel()
-		return s.Stop(ctx)
+		return l.Stop(ctx)
 	})
+	return nil
 }
 
-// stopAfterRequests ends a listener after its requests in flight.
-func stopAfterRequests(ctx context.Context, s *server.Server) error { return s.Stop(ctx) }
-
-// serve opens a listener with the start of the process and ends it with its stop.
-func serve(lc fx.Lifecycle, all *servers, address string, handler http.Handler, config *tls.Config, stop func(context.Context, *server.Server) error) error {
-	s, err := server.Listen(address, handler, config)
+// servePublic serves callers, targets or operators. Its stop waits for the
+// requests in flight.
+func servePublic(lc fx.Lifecycle, all *servers, address string, handler http.Handler, files server.TLSFiles) error {
+	config, err := files.Config()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	l, err := server.Listen(address, handler, config)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	all.list = append(all.list, s)
+	all.serve(lc, l, l.Stop)
+	return nil
+}
+
+// serve starts the listener with the process and stops it with it.
+func (all *servers) serve(lc fx.Lifecycle, l *server.Server, stop func(context.Context) error) {
+	all.list = append(all.list, l)
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { s.Start(); return nil },
-		OnStop:  func(ctx context.Context) error { return stop(ctx, s) },
+		OnStart: func(context.Context) error { l.Start(); return nil },
+		OnStop:  stop,
 	})
-	return nil
 }
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -28,10 +28,18 @@
 // Listen opens the listener, so that the address is known before serving. The
 // TLS configuration may be nil.
 func Listen(address string, handler http.Handler, tlsConfig *tls.Config) (*Server, error) {
+	return ListenCounted(address, handler, tlsConfig, nil)
+}
+
+// ListenCounted is Listen with the bytes of all connections counted.
+func ListenCounted(address string, handler http.Handler, tlsConfig *tls.Config, traffic *Traffic) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", address)
 	}
+	if traffic != nil {
+		listener = countedListener{listener, traffic}
+	}
 	if tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
--- /dev/null
+++ b/node/server/traffic.go
@@ -0,0 +1,66 @@
+package server
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Traffic counts the bytes that a process exchanges with the other processes
+// of the system. The budget for it is 7 KB/s for each node.
+type Traffic struct{ sent, received atomic.Uint64 }
+
+// NewTraffic registers the counters.
+func NewTraffic(r prometheus.Registerer) *Traffic {
+	t := &Traffic{}
+	counter := func(name, help string, v *atomic.Uint64) {
+		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(v.Load()) }))
+	}
+	counter("lacewingturn_internal_sent_bytes_total", "Bytes sent to other processes of the system.", &t.sent)
+	counter("lacewingturn_internal_received_bytes_total", "Bytes received from other processes of the system.", &t.received)
+	return t
+}
+
+// Dialer counts the bytes of the connections that dial opens.
+func (t *Traffic) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: c, traffic: t}, nil
+	}
+}
+
+// countedListener counts the bytes of the connections that it accepts.
+type countedListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, traffic: l.traffic}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
