Add the command and query halves of the operator interface and its client

Operators reach any control replica: a follower passes a command on to the leader, and a query is taken from the leader if it answers. Watch replaces the in_force_everywhere flag of Submit, because only the leader knows it and because waiting is a query. Changes need a verified client certificate or loopback.

--- a/api/gen/lacewingturn/operator/v1/operatorv1connect/operator.connect.go
+++ b/api/gen/lacewingturn/operator/v1/operatorv1connect/operator.connect.go
@@ -42,6 +42,9 @@
 	// OperatorQueryServiceReadProcedure is the fully-qualified name of the OperatorQueryService's Read
 	// RPC.
 	OperatorQueryServiceReadProcedure = "/lacewingturn.operator.v1.OperatorQueryService/Read"
+	// OperatorQueryServiceWatchProcedure is the fully-qualified name of the OperatorQueryService's
+	// Watch RPC.
+	OperatorQueryServiceWatchProcedure = "/lacewingturn.operator.v1.OperatorQueryService/Watch"
 )
 
 // OperatorCommandServiceClient is a client for the lacewingturn.operator.v1.OperatorCommandService
@@ -121,6 +124,9 @@
 // service.
 type OperatorQueryServiceClient interface {
 	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
+	// Watch reports how many entry instances have a revision in force and ends
+	// when all have. Only the leader knows; another replica answers not_leader.
+	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.ServerStreamForClient[v1.WatchResponse], error)
 }
 
 // NewOperatorQueryServiceClient constructs a client for the
@@ -141,12 +147,19 @@
 			connect.WithSchema(operatorQueryServiceMethods.ByName("Read")),
 			connect.WithClientOptions(opts...),
 		),
+		watch: connect.NewClient[v1.WatchRequest, v1.WatchResponse](
+			httpClient,
+			baseURL+OperatorQueryServiceWatchProcedure,
+			connect.WithSchema(operatorQueryServiceMethods.ByName("Watch")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorQueryServiceClient implements OperatorQueryServiceClient.
 type operatorQueryServiceClient struct {
-	read *connect.Client[v1.ReadRequest, v1.ReadResponse]
+	read  *connect.Client[v1.ReadRequest, v1.ReadResponse]
+	watch *connect.Client[v1.WatchRequest, v1.WatchResponse]
 }
 
 // Read calls lacewingturn.operator.v1.OperatorQueryService.Read.
@@ -154,10 +167,18 @@
 	return c.read.CallUnary(ctx, req)
 }
 
+// Watch calls lacewingturn.operator.v1.OperatorQueryService.Watch.
+func (c *operatorQueryServiceClient) Watch(ctx context.Context, req *connect.Request[v1.WatchRequest]) (*connect.ServerStreamForClient[v1.WatchResponse], error) {
+	return c.watch.CallServerStream(ctx, req)
+}
+
 // OperatorQueryServiceHandler is an implementation of the
 // lacewingturn.operator.v1.OperatorQueryService service.
 type OperatorQueryServiceHandler interface {
 	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error)
+	// Watch reports how many entry instances have a revision in force and ends
+	// when all have. Only the leader knows; another replica answers not_leader.
+	Watch(context.Context, *connect.Request[v1.WatchRequest], *connect.ServerStream[v1.WatchResponse]) error
 }
 
 // NewOperatorQueryServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -173,10 +194,18 @@
 		connect.WithSchema(operatorQueryServiceMethods.ByName("Read")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorQueryServiceWatchHandler := connect.NewServerStreamHandler(
+		OperatorQueryServiceWatchProcedure,
+		svc.Watch,
+		connect.WithSchema(operatorQueryServiceMethods.ByName("Watch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lacewingturn.operator.v1.OperatorQueryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorQueryServiceReadProcedure:
 			operatorQueryServiceReadHandler.ServeHTTP(w, r)
+		case OperatorQueryServiceWatchProcedure:
+			operatorQueryServiceWatchHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -189,3 +218,7 @@
 func (UnimplementedOperatorQueryServiceHandler) Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.Response[v1.ReadResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.operator.v1.OperatorQueryService.Read is not implemented"))
 }
+
+func (UnimplementedOperatorQueryServiceHandler) Watch(context.Context, *connect.Request[v1.WatchRequest], *connect.ServerStream[v1.WatchResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.operator.v1.OperatorQueryService.Watch is not implemented"))
+}
--- /dev/null
+++ b/core/query/config.go
@@ -0,0 +1,82 @@
+package query
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// ConfigView is the body of the config query: the configuration of one revision.
+type ConfigView struct {
+	Revision   uint64        `json:"revision"`
+	InForce    bool          `json:"in_force"`
+	Base       uint64        `json:"base"` // the revision that it was made from
+	Actor      string        `json:"actor"`
+	AcceptedAt time.Time     `json:"accepted_at"`
+	Digest     string        `json:"digest"`
+	Config     *model.Config `json:"config"`
+}
+
+// Config returns the configuration of a revision; 0 means the one in force. It
+// reports false if the revision is not in the history. Before the first
+// acceptance the view in force has revision 0 and no configuration.
+func Config(s model.State, revision model.Revision) (ConfigView, bool) {
+	if revision == 0 {
+		revision = s.Revision
+	}
+	if revision == 0 {
+		return ConfigView{InForce: true}, true
+	}
+	r, ok := s.History.Get(revision)
+	if !ok {
+		return ConfigView{}, false
+	}
+	return ConfigView{
+		Revision: uint64(r.Revision), InForce: r.Revision == s.Revision, Base: uint64(r.Base), Actor: r.Actor,
+		AcceptedAt: timeOf(r.AcceptedAt), Digest: r.Digest, Config: r.Config,
+	}, true
+}
+
+// HistoryView is the body of the history query, the newest revision first.
+type HistoryView struct {
+	Revision  uint64         `json:"revision"` // in force
+	Revisions []HistoryEntry `json:"revisions"`
+}
+
+// HistoryEntry is one accepted configuration.
+type HistoryEntry struct {
+	Revision   uint64    `json:"revision"`
+	Base       uint64    `json:"base"`
+	Actor      string    `json:"actor"`
+	AcceptedAt time.Time `json:"accepted_at"`
+	RequestID  string    `json:"request_id"`
+	Digest     string    `json:"digest"`
+	// Changes are the differences from the revision before; empty for the oldest kept.
+	Changes []string `json:"changes"`
+}
+
+// History returns the accepted configurations that are kept.
+func History(s model.State) HistoryView {
+	v := HistoryView{Revision: uint64(s.Revision), Revisions: []HistoryEntry{}}
+	records := s.History.Values()
+	for i := len(records) - 1; i >= 0; i-- {
+		r := records[i]
+		e := HistoryEntry{
+			Revision: uint64(r.Revision), Base: uint64(r.Base), Actor: r.Actor, AcceptedAt: timeOf(r.AcceptedAt),
+			RequestID: string(r.RequestID), Digest: r.Digest, Changes: []string{},
+		}
+		if i > 0 {
+			e.Changes = append(e.Changes, DiffConfig(*records[i-1].Config, *r.Config)...)
+		}
+		v.Revisions = append(v.Revisions, e)
+	}
+	return v
+}
+
+// timeOf returns the UTC time of a stamp; the zero time for none.
+func timeOf(t model.Timestamp) time.Time {
+	if t == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(t)).UTC()
+}
--- /dev/null
+++ b/core/query/status.go
@@ -0,0 +1,189 @@
+package query
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingturn.example/core/budget"
+	"lacewingturn.example/core/model"
+)
+
+// Contact is what a replica knows outside of the replicated state.
+type Contact struct {
+	Replica model.ReplicaID
+	Term    model.Term
+	Leader  model.ReplicaID // empty if unknown
+	// Leads is set on the leader; only there Entries has content.
+	Leads bool
+	// LeaderSilence is the time since the last contact with a leader, or on the
+	// leader with a quorum.
+	LeaderSilence time.Duration
+	Entries       []EntryContact
+}
+
+// EntryContact is what the leader knows of one entry instance.
+type EntryContact struct {
+	ID       model.EntryID
+	Epoch    uint64
+	Revision model.Revision
+	// Renewed is false if the instance has not renewed since the leader was elected.
+	Renewed bool
+	Silence time.Duration // since the last renewal
+}
+
+// StatusView is the body of the status query.
+type StatusView struct {
+	Site     string         `json:"site"`
+	Replica  string         `json:"replica"`  // the replica that answers
+	Term     uint64         `json:"term"`     // of the replication
+	Index    uint64         `json:"index"`    // last applied log entry
+	Revision uint64         `json:"revision"` // configuration in force
+	Leader   string         `json:"leader"`   // empty if unknown
+	Leads    bool           `json:"leads"`    // the answering replica is the leader
+	SilentMs int64          `json:"silent_ms"`
+	Everyone bool           `json:"in_force_everywhere"` // known on the leader only
+	Entries  []EntryStatus  `json:"entries"`
+	Replicas []ReplicaState `json:"replicas"`
+	Counts   Counts         `json:"counts"`
+	// Warnings are conditions that an operator should look at, one sentence each.
+	Warnings []string `json:"warnings"`
+}
+
+// EntryStatus is one entry instance and the revision that it has in force.
+type EntryStatus struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Known      bool   `json:"known"` // renewed with the answering leader
+	Revision   uint64 `json:"revision"`
+	SilentMs   int64  `json:"silent_ms"`
+	InForce    bool   `json:"in_force"`
+}
+
+// ReplicaState is one control replica.
+type ReplicaState struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Voter      bool   `json:"voter"`
+}
+
+// Counts summarise the state.
+type Counts struct {
+	Instances   map[string]int `json:"instances"` // by phase
+	Quarantined int            `json:"quarantined"`
+	Targets     map[string]int `json:"targets"` // by phase
+	Waves       map[string]int `json:"waves"`   // by phase, without ended ones
+	Moves       int            `json:"moves"`   // that have not ended
+	Jobs        map[string]int `json:"jobs"`    // by phase
+	Claims      int            `json:"claims"`
+}
+
+// Status returns the status view.
+func Status(s model.State, c Contact) StatusView {
+	v := StatusView{
+		Replica: string(c.Replica), Term: uint64(c.Term), Index: uint64(s.Index), Revision: uint64(s.Revision),
+		Leader: string(c.Leader), Leads: c.Leads, SilentMs: c.LeaderSilence.Milliseconds(),
+		Everyone: c.Leads && len(Waiting(s, c, s.Revision)) == 0,
+		Entries:  entryStatus(s, c), Replicas: []ReplicaState{}, Counts: counts(s), Warnings: warnings(s, c),
+	}
+	if s.Config != nil {
+		v.Site = s.Config.Site
+	}
+	for _, r := range s.Replicas.All() {
+		v.Replicas = append(v.Replicas, ReplicaState{ID: string(r.ID), Address: r.Address, DataCentre: r.Domain.DataCenter, Voter: r.Voter})
+	}
+	return v
+}
+
+// Waiting names the entry instances that do not have the revision in force, as
+// the leader knows. One that is cut off waits until its membership has expired.
+func Waiting(s model.State, c Contact, revision model.Revision) []string {
+	waiting := []string{}
+	for _, e := range entryStatus(s, c) {
+		if !e.Known || e.Revision < uint64(revision) {
+			waiting = append(waiting, e.ID)
+		}
+	}
+	return waiting
+}
+
+func entryStatus(s model.State, c Contact) []EntryStatus {
+	contacts := map[model.EntryID]EntryContact{}
+	for _, e := range c.Entries {
+		contacts[e.ID] = e
+	}
+	out := []EntryStatus{}
+	for _, m := range s.Entries.All() {
+		e := EntryStatus{ID: string(m.ID), Address: m.Address, DataCentre: m.Domain.DataCenter}
+		if k, ok := contacts[m.ID]; ok && k.Renewed && k.Epoch == m.Epoch {
+			e.Known, e.Revision, e.SilentMs = true, uint64(k.Revision), k.Silence.Milliseconds()
+			e.InForce = k.Revision >= s.Revision
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func counts(s model.State) Counts {
+	c := Counts{Instances: map[string]int{}, Targets: map[string]int{}, Waves: map[string]int{}, Jobs: map[string]int{}, Claims: s.Claims.Len()}
+	for _, i := range s.Instances.All() {
+		c.Instances[i.Phase.String()]++
+		if i.Quarantined {
+			c.Quarantined++
+		}
+	}
+	for _, t := range s.Targets.All() {
+		c.Targets[t.Phase.String()]++
+	}
+	for _, w := range s.Waves.All() {
+		if !w.Phase.Ended() {
+			c.Waves[w.Phase.String()]++
+		}
+	}
+	for _, m := range s.Moves.All() {
+		if !m.Phase.Ended() {
+			c.Moves++
+		}
+	}
+	for _, j := range s.Jobs.All() {
+		c.Jobs[j.Phase.String()]++
+	}
+	return c
+}
+
+// silentLimit is the silence of a leader after which a replica's answer may be
+// out of date. It equals the longest election timeout.
+const silentLimit = 900 * time.Millisecond
+
+func warnings(s model.State, c Contact) []string {
+	out := []string{}
+	warn := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	if c.Leader == "" || c.LeaderSilence > silentLimit {
+		warn("replica %s has had no contact with a leader for %s; what follows may be out of date", c.Replica, c.LeaderSilence.Round(time.Millisecond))
+	}
+	if s.Config == nil {
+		warn("no configuration has been accepted yet")
+		return out
+	}
+	usage := budget.All(s)
+	for _, p := range s.Config.Pools {
+		if u := usage[p.Name]; u.Headroom() < 0 {
+			warn("pool %s has %d of %d instances available and must keep %d; planned work has stopped", p.Name, u.Available, u.Members, u.Least())
+		}
+	}
+	for _, w := range s.Waves.All() {
+		if w.Phase == model.WaveStopped {
+			warn("wave %s was stopped: %s", w.ID, w.Reason)
+		}
+	}
+	for _, i := range s.Instances.All() {
+		switch {
+		case i.Phase == model.PhaseLost || i.Phase == model.PhaseFailed:
+			warn("instance %s of pool %s is %s", i.ID, i.Pool, i.Phase)
+		case i.Quarantined:
+			warn("instance %s of pool %s is quarantined and gets no jobs", i.ID, i.Pool)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/operator/client/client_test.go
@@ -0,0 +1,224 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	corequery "lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/server"
+	"lacewingturn.example/operator/answers"
+	opcommand "lacewingturn.example/operator/command"
+	opquery "lacewingturn.example/operator/query"
+	"lacewingturn.example/replica"
+)
+
+// group is a control state without replication; its replicas share it.
+type group struct {
+	state   atomic.Pointer[model.State]
+	entries atomic.Pointer[[]replica.EntryLiveness]
+}
+
+func newGroup() *group {
+	g := &group{}
+	g.state.Store(&model.State{})
+	g.entries.Store(&[]replica.EntryLiveness{})
+	return g
+}
+
+func (g *group) Entries() []replica.EntryLiveness { return *g.entries.Load() }
+
+// member is one replica of a group.
+type member struct {
+	*group
+	leads bool
+}
+
+func (m member) View() *replica.View {
+	return &replica.View{ID: "c1/1", State: *m.state.Load(), IsLeader: m.leads, Leader: "c1/1"}
+}
+
+func (m member) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	if !m.leads {
+		return []result.Result{result.New(result.NotLeader, "not here")}, nil
+	}
+	for {
+		old := m.state.Load()
+		env := commands[0]
+		env.Time = model.At(time.Now())
+		next, r := command.Apply(*old, old.Index+1, 1, env)
+		if m.state.CompareAndSwap(old, &next) {
+			return []result.Result{r}, nil
+		}
+	}
+}
+
+// serve starts the operator interface of m and returns its address.
+func serve(t *testing.T, m member, forward opcommand.Proposer, wrap func(http.Handler) http.Handler) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(opcommand.New(m, forward, zap.NewNop()).Route())
+	mux.Handle(opquery.New(m, m, zap.NewNop()).Route())
+	s, err := server.Listen("127.0.0.1:0", wrap(mux), nil)
+	assert.NilError(t, err)
+	s.Start()
+	t.Cleanup(s.Kill)
+	return s.Address()
+}
+
+func plain(h http.Handler) http.Handler { return h }
+
+func newClient(t *testing.T, actor string, addresses ...string) *Client {
+	t.Helper()
+	c, err := New(Settings{Addresses: addresses, Actor: actor})
+	assert.NilError(t, err)
+	return c
+}
+
+func sample(t *testing.T) model.Config {
+	t.Helper()
+	data, err := answers.Sample("skoflikk")
+	assert.NilError(t, err)
+	a, problems := answers.Read(data)
+	assert.Equal(t, len(problems), 0)
+	return answers.Generate(a)
+}
+
+// Guards against two operators who both believe that their revision won, and
+// against a loser who is not told the winner and the difference.
+func TestTwoOperatorsRaceFromTheSameRevision(t *testing.T) {
+	address := serve(t, member{newGroup(), true}, nil, plain)
+	first, second := sample(t), sample(t)
+	second.Limits.SlotsPerTarget = 4
+	results := make(chan result.Result, 2)
+	for actor, config := range map[string]model.Config{"ann": first, "bob": second} {
+		go func() {
+			results <- newClient(t, actor, address).Submit(t.Context(), NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
+		}()
+	}
+	won, lost := <-results, <-results
+	if !won.Code.OK() {
+		won, lost = lost, won
+	}
+	assert.Equal(t, won.Code, result.Accepted)
+	assert.Equal(t, won.Revision, uint64(1))
+	assert.Equal(t, lost.Code, result.Conflicting)
+	assert.Equal(t, lost.Conflict.Revision, uint64(1))
+	var history corequery.HistoryView
+	_, err := newClient(t, "ann", address).Read(t.Context(), operatorv1.View_VIEW_HISTORY, "", &history)
+	assert.NilError(t, err)
+	assert.Equal(t, len(history.Revisions), 1)
+	assert.Equal(t, lost.Conflict.Actor, history.Revisions[0].Actor)
+	assert.Equal(t, len(lost.Conflict.Difference), 1)
+}
+
+// Guards against a change that is applied twice because its answer was lost.
+func TestResendGetsTheFirstResult(t *testing.T) {
+	var calls atomic.Int32
+	dropFirst := func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) > 1 {
+				next.ServeHTTP(w, r)
+				return
+			}
+			next.ServeHTTP(discard{}, r)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	g := newGroup()
+	c := newClient(t, "ann", serve(t, member{g, true}, nil, dropFirst))
+	id := NewRequestID()
+	r := c.Submit(t.Context(), id, model.AcceptConfig{Config: sample(t)})
+	assert.Equal(t, r.Code, result.Accepted, "%v", r)
+	assert.Assert(t, calls.Load() > 1)
+	assert.Equal(t, g.state.Load().Revision, model.Revision(1))
+	again := c.Submit(t.Context(), id, model.AcceptConfig{Config: sample(t)})
+	assert.DeepEqual(t, again, r)
+	other := c.Submit(t.Context(), id, model.RevertConfig{To: 1})
+	assert.Equal(t, other.Code, result.Exists)
+}
+
+// discard drops an answer.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+func (discard) WriteHeader(int)             {}
+
+// Guards against an operator who cannot change anything because the first
+// address in the list is unreachable or does not lead.
+func TestSubmitFindsTheLeader(t *testing.T) {
+	g := newGroup()
+	leader := member{g, true}
+	follower := serve(t, member{g, false}, nil, plain)
+	forwarding := serve(t, member{g, false}, leader, plain)
+	r := newClient(t, "ann", "127.0.0.1:1", follower, serve(t, leader, nil, plain)).Submit(t.Context(), NewRequestID(), model.AcceptConfig{Config: sample(t)})
+	assert.Equal(t, r.Code, result.Accepted, "%v", r)
+	r = newClient(t, "ann", forwarding).Submit(t.Context(), NewRequestID(), model.DrainInstance{Instance: "tickets-fjord-r1-1"})
+	assert.Equal(t, r.Code, result.Accepted, "%v", r)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	r = newClient(t, "ann", follower).Submit(ctx, NewRequestID(), model.DrainInstance{Instance: "quotes-fjord-r1-1"})
+	assert.Equal(t, r.Code, result.NotLeader, "nothing was sent to a leader: %v", r)
+}
+
+// Guards against a client that reports a command as not applied although its
+// answer was lost.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	lost := func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			next.ServeHTTP(discard{}, r)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	c := newClient(t, "ann", serve(t, member{newGroup(), true}, nil, lost))
+	r := c.Submit(ctx, NewRequestID(), model.AcceptConfig{Config: sample(t)})
+	assert.Equal(t, r.Code, result.Unknown, "%v", r)
+}
+
+// Guards against a configuration that is reported in force while an entry
+// instance still works by an older one, and against progress that stops at a
+// replica which does not lead.
+func TestWatchUntilInForceEverywhere(t *testing.T) {
+	g := newGroup()
+	leader := member{g, true}
+	join, _ := command.Apply(*g.state.Load(), 1, 1, model.Envelope{Command: model.JoinEntry{ID: "e1", Address: "127.0.0.1:2"}})
+	g.state.Store(&join)
+	c := newClient(t, "ann", serve(t, member{g, false}, nil, plain), serve(t, leader, nil, plain))
+	r := c.Submit(t.Context(), NewRequestID(), model.AcceptConfig{Config: sample(t)})
+	assert.Equal(t, r.Code, result.Accepted, "%v", r)
+	g.entries.Store(&[]replica.EntryLiveness{{ID: "e1", Epoch: 1, Revision: 0, RenewedAt: time.Now()}})
+	var waits [][]string
+	err := c.Watch(t.Context(), 1, func(p Progress) {
+		waits = append(waits, p.Waiting)
+		g.entries.Store(&[]replica.EntryLiveness{{ID: "e1", Epoch: 1, Revision: 1, RenewedAt: time.Now()}})
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, waits, [][]string{{"e1"}, nil})
+
+	var status corequery.StatusView
+	answer, err := c.Read(t.Context(), operatorv1.View_VIEW_STATUS, "", &status)
+	assert.NilError(t, err)
+	assert.Assert(t, answer.Leads && status.Everyone && status.Entries[0].InForce)
+}
+
+// Guards against a view that hides why it cannot be shown.
+func TestReadReportsWhatTheReplicaSaid(t *testing.T) {
+	c := newClient(t, "ann", "127.0.0.1:1", serve(t, member{newGroup(), true}, nil, plain))
+	var v corequery.ConfigView
+	_, err := c.Read(t.Context(), operatorv1.View_VIEW_CONFIG, "7", &v)
+	assert.Equal(t, err.(result.Result).Code, result.NotFound)
+	_, err = newClient(t, "ann", "127.0.0.1:1").Read(t.Context(), operatorv1.View_VIEW_CONFIG, "", &v)
+	assert.Equal(t, err.(result.Result).Code, result.NoQuorum)
+}
--- /dev/null
+++ b/operator/command/handler.go
@@ -0,0 +1,131 @@
+// Package command is the half of the operator interface that changes the
+// control state. Every command carries a request ID, so that an operator who
+// lost the answer can resend it.
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/api/codec"
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/api/gen/lacewingturn/operator/v1/operatorv1connect"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/replica"
+)
+
+// MaxMessage is the longest accepted request in bytes. A configuration of
+// 10 000 instances, the most that answers may declare, takes about 2 MB.
+const MaxMessage = 8 << 20
+
+// DefaultTimeout bounds a command whose sender gave no deadline. A failover
+// takes 2 s, so that it fits with room for the resend.
+const DefaultTimeout = 10 * time.Second
+
+// Proposer commits commands through the leader. The Propose method of
+// entry.Control has the same contract.
+type Proposer interface {
+	Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error)
+}
+
+// Handler serves the OperatorCommandService on one control replica.
+type Handler struct {
+	local   replica.Replica
+	forward Proposer
+	log     *zap.Logger
+}
+
+var _ operatorv1connect.OperatorCommandServiceHandler = (*Handler)(nil)
+
+// New returns the handler of a replica. forward reaches the leader over the
+// network between the processes; without it, a follower answers not-leader.
+func New(local replica.Replica, forward Proposer, log *zap.Logger) *Handler {
+	return &Handler{local: local, forward: forward, log: log}
+}
+
+// Route returns the path and the handler to register on the operators' listener.
+func (h *Handler) Route(options ...connect.HandlerOption) (string, http.Handler) {
+	options = append([]connect.HandlerOption{connect.WithReadMaxBytes(MaxMessage)}, options...)
+	path, handler := operatorv1connect.NewOperatorCommandServiceHandler(h, options...)
+	return path, identify(handler)
+}
+
+// Submit decides one command and answers with its result.
+func (h *Handler) Submit(ctx context.Context, req *connect.Request[operatorv1.SubmitRequest]) (*connect.Response[operatorv1.SubmitResponse], error) {
+	r := h.submit(ctx, req.Msg.Envelope)
+	data, err := codec.EncodeResult(r)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&operatorv1.SubmitResponse{Result: data}), nil
+}
+
+func (h *Handler) submit(ctx context.Context, data []byte) result.Result {
+	id := identityOf(ctx)
+	if !id.trusted {
+		event.OperatorForbidden.Log(h.log, zap.String("address", id.address))
+		return result.New(result.Forbidden, "changes from %s need a client certificate of the operator authority", id.address)
+	}
+	env, err := codec.DecodeEnvelope(data)
+	if err != nil {
+		return result.New(result.InvalidInput, "%v", err)
+	}
+	if env.RequestID == "" {
+		return result.New(result.InvalidInput, "an operator's command needs a request ID")
+	}
+	if r := checkAllowed(env.Command); !r.Code.OK() {
+		return r
+	}
+	env.Actor, env.Time = id.actor(env.Actor), 0
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
+		defer cancel()
+	}
+	r := h.propose(ctx, env)
+	h.report(env, r)
+	return r
+}
+
+// propose commits the command here if this replica leads, else through the
+// leader. Going to the leader after a local refusal is safe: nothing was
+// appended, and the request ID guards the rest.
+func (h *Handler) propose(ctx context.Context, env model.Envelope) result.Result {
+	if h.local.View().IsLeader {
+		r := one(h.local.Propose(ctx, []model.Envelope{env}))
+		if r.Code != result.NotLeader && r.Code != result.NoQuorum {
+			return r
+		}
+	}
+	if h.forward == nil {
+		return result.New(result.NotLeader, "the leader is %q at %q", h.local.View().Leader, h.local.View().LeaderAddress)
+	}
+	return one(h.forward.Propose(ctx, []model.Envelope{env}))
+}
+
+// one returns the only result. An error leaves open whether the command was appended.
+func one(results []result.Result, err error) result.Result {
+	if err != nil {
+		return result.New(result.Unknown, "%v", err)
+	}
+	if len(results) != 1 {
+		return result.New(result.Unknown, "%d results for one command", len(results))
+	}
+	return results[0]
+}
+
+func (h *Handler) report(env model.Envelope, r result.Result) {
+	e := event.OperatorChange
+	if r.Code == result.Unknown || r.Code == result.NoQuorum || r.Code == result.NotLeader {
+		e = event.OperatorUndecided
+	}
+	e.Log(h.log, zap.String("actor", env.Actor), zap.String("command", fmt.Sprintf("%T", env.Command)),
+		zap.String("request", string(env.RequestID)), zap.Int("code", int(r.Code)), zap.String("detail", r.Detail))
+}
--- /dev/null
+++ b/operator/query/handler.go
@@ -0,0 +1,90 @@
+// Package query is the half of the operator interface that reads the control
+// state. It changes nothing; the views are built by core/query.
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/api/gen/lacewingturn/operator/v1/operatorv1connect"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/replica"
+)
+
+// Handler serves the OperatorQueryService on one control replica.
+type Handler struct {
+	replica  replica.Replica
+	liveness replica.Liveness
+	log      *zap.Logger
+}
+
+var _ operatorv1connect.OperatorQueryServiceHandler = (*Handler)(nil)
+
+// New returns the handler of a replica.
+func New(r replica.Replica, l replica.Liveness, log *zap.Logger) *Handler {
+	return &Handler{replica: r, liveness: l, log: log}
+}
+
+// Route returns the path and the handler to register on the operators' listener.
+func (h *Handler) Route(options ...connect.HandlerOption) (string, http.Handler) {
+	return operatorv1connect.NewOperatorQueryServiceHandler(h, options...)
+}
+
+// Read answers with one view of the state of this replica.
+func (h *Handler) Read(_ context.Context, req *connect.Request[operatorv1.ReadRequest]) (*connect.Response[operatorv1.ReadResponse], error) {
+	build, ok := views[req.Msg.View]
+	if !ok {
+		return nil, connect.NewError(connect.CodeInvalidArgument, result.New(result.InvalidInput, "there is no view %s", req.Msg.View))
+	}
+	v := h.replica.View()
+	view, r := build(source{state: v.State, contact: h.contact(v, time.Now())}, req.Msg.Subject)
+	if !r.Code.OK() {
+		return nil, connect.NewError(connectCode(r), r)
+	}
+	body, err := json.Marshal(view)
+	if err != nil {
+		event.OperatorQueryFailed.Log(h.log, zap.Stringer("view", req.Msg.View), zap.Error(err))
+		return nil, connect.NewError(connect.CodeInternal, result.New(result.Internal, "%v", err))
+	}
+	return connect.NewResponse(&operatorv1.ReadResponse{
+		Index: uint64(v.State.Index), Revision: uint64(v.State.Revision), Body: body, Leads: v.IsLeader,
+	}), nil
+}
+
+// contact converts times to ages, because the views are built without a clock.
+func (h *Handler) contact(v *replica.View, now time.Time) query.Contact {
+	c := query.Contact{Replica: v.ID, Term: v.Term, Leader: v.Leader, Leads: v.IsLeader, LeaderSilence: now.Sub(v.LeaderContact)}
+	if v.LeaderContact.IsZero() {
+		c.LeaderSilence = 0
+	}
+	for _, e := range h.liveness.Entries() {
+		k := query.EntryContact{ID: e.ID, Epoch: e.Epoch, Revision: e.Revision, Renewed: !e.RenewedAt.IsZero()}
+		if k.Renewed {
+			k.Silence = now.Sub(e.RenewedAt)
+		}
+		c.Entries = append(c.Entries, k)
+	}
+	return c
+}
+
+func connectCode(r result.Result) connect.Code {
+	if r.Code == result.NotFound {
+		return connect.CodeNotFound
+	}
+	return connect.CodeInvalidArgument
+}
+
+// source is what a view is built from.
+type source struct {
+	state   model.State
+	contact query.Contact
+}
--- /dev/null
+++ b/operator/query/watch.go
@@ -0,0 +1,51 @@
+package query
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+)
+
+// WatchInterval is how often a stream looks at the renewals, which give no
+// signal of their own. Entry instances renew every 500 ms, so that half of it
+// adds little to the time that the operator sees.
+const WatchInterval = 250 * time.Millisecond
+
+// Watch reports which entry instances do not have a revision in force, each time
+// that this changes, and ends when there are none.
+func (h *Handler) Watch(ctx context.Context, req *connect.Request[operatorv1.WatchRequest], out *connect.ServerStream[operatorv1.WatchResponse]) error {
+	timer := time.NewTicker(WatchInterval)
+	defer timer.Stop()
+	var last *operatorv1.WatchResponse
+	for {
+		v := h.replica.View()
+		msg := h.progress(v.State, model.Revision(req.Msg.Revision), h.contact(v, time.Now()))
+		if last == nil || msg.Members != last.Members || msg.NotLeader != last.NotLeader || !slices.Equal(msg.Waiting, last.Waiting) {
+			if err := out.Send(msg); err != nil {
+				return err
+			}
+			last = msg
+		}
+		if msg.NotLeader || len(msg.Waiting) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (h *Handler) progress(s model.State, revision model.Revision, c query.Contact) *operatorv1.WatchResponse {
+	if !c.Leads || s.Revision < revision {
+		return &operatorv1.WatchResponse{NotLeader: true}
+	}
+	return &operatorv1.WatchResponse{Members: uint32(s.Entries.Len()), Waiting: query.Waiting(s, c, revision)}
+}
