--- a/api/gen/lacewingturn/entry/v1/entryv1connect/entry.connect.go
+++ b/api/gen/lacewingturn/entry/v1/entryv1connect/entry.connect.go
@@ -37,6 +37,9 @@
 	// EntryCommandServiceSyncCreditsProcedure is the fully-qualified name of the EntryCommandService's
 	// SyncCredits RPC.
 	EntryCommandServiceSyncCreditsProcedure = "/lacewingturn.entry.v1.EntryCommandService/SyncCredits"
+	// EntryCommandServiceHandOverProcedure is the fully-qualified name of the EntryCommandService's
+	// HandOver RPC.
+	EntryCommandServiceHandOverProcedure = "/lacewingturn.entry.v1.EntryCommandService/HandOver"
 	// EntryCommandServiceForwardAnnouncementsProcedure is the fully-qualified name of the
 	// EntryCommandService's ForwardAnnouncements RPC.
 	EntryCommandServiceForwardAnnouncementsProcedure = "/lacewingturn.entry.v1.EntryCommandService/ForwardAnnouncements"
@@ -44,7 +47,11 @@
 
 // EntryCommandServiceClient is a client for the lacewingturn.entry.v1.EntryCommandService service.
 type EntryCommandServiceClient interface {
+	// SyncCredits reports use and demand of a holder and returns its credits.
 	SyncCredits(context.Context, *connect.Request[v1.SyncCreditsRequest]) (*connect.Response[v1.SyncCreditsResponse], error)
+	// HandOver tells the next owner of targets what the sender has granted.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// ForwardAnnouncements passes heartbeats of targets on to their owner.
 	ForwardAnnouncements(context.Context, *connect.Request[v1.ForwardAnnouncementsRequest]) (*connect.Response[v1.ForwardAnnouncementsResponse], error)
 }
 
@@ -65,6 +72,12 @@
 			connect.WithSchema(entryCommandServiceMethods.ByName("SyncCredits")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[v1.HandOverRequest, v1.HandOverResponse](
+			httpClient,
+			baseURL+EntryCommandServiceHandOverProcedure,
+			connect.WithSchema(entryCommandServiceMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 		forwardAnnouncements: connect.NewClient[v1.ForwardAnnouncementsRequest, v1.ForwardAnnouncementsResponse](
 			httpClient,
 			baseURL+EntryCommandServiceForwardAnnouncementsProcedure,
@@ -77,6 +90,7 @@
 // entryCommandServiceClient implements EntryCommandServiceClient.
 type entryCommandServiceClient struct {
 	syncCredits          *connect.Client[v1.SyncCreditsRequest, v1.SyncCreditsResponse]
+	handOver             *connect.Client[v1.HandOverRequest, v1.HandOverResponse]
 	forwardAnnouncements *connect.Client[v1.ForwardAnnouncementsRequest, v1.ForwardAnnouncementsResponse]
 }
 
@@ -85,6 +99,11 @@
 	return c.syncCredits.CallUnary(ctx, req)
 }
 
+// HandOver calls lacewingturn.entry.v1.EntryCommandService.HandOver.
+func (c *entryCommandServiceClient) HandOver(ctx context.Context, req *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return c.handOver.CallUnary(ctx, req)
+}
+
 // ForwardAnnouncements calls lacewingturn.entry.v1.EntryCommandService.ForwardAnnouncements.
 func (c *entryCommandServiceClient) ForwardAnnouncements(ctx context.Context, req *connect.Request[v1.ForwardAnnouncementsRequest]) (*connect.Response[v1.ForwardAnnouncementsResponse], error) {
 	return c.forwardAnnouncements.CallUnary(ctx, req)
@@ -93,7 +112,11 @@
 // EntryCommandServiceHandler is an implementation of the lacewingturn.entry.v1.EntryCommandService
 // service.
 type EntryCommandServiceHandler interface {
+	// SyncCredits reports use and demand of a holder and returns its credits.
 	SyncCredits(context.Context, *connect.Request[v1.SyncCreditsRequest]) (*connect.Response[v1.SyncCreditsResponse], error)
+	// HandOver tells the next owner of targets what the sender has granted.
+	HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error)
+	// ForwardAnnouncements passes heartbeats of targets on to their owner.
 	ForwardAnnouncements(context.Context, *connect.Request[v1.ForwardAnnouncementsRequest]) (*connect.Response[v1.ForwardAnnouncementsResponse], error)
 }
 
@@ -110,6 +133,12 @@
 		connect.WithSchema(entryCommandServiceMethods.ByName("SyncCredits")),
 		connect.WithHandlerOptions(opts...),
 	)
+	entryCommandServiceHandOverHandler := connect.NewUnaryHandler(
+		EntryCommandServiceHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(entryCommandServiceMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	entryCommandServiceForwardAnnouncementsHandler := connect.NewUnaryHandler(
 		EntryCommandServiceForwardAnnouncementsProcedure,
 		svc.ForwardAnnouncements,
@@ -120,6 +149,8 @@
 		switch r.URL.Path {
 		case EntryCommandServiceSyncCreditsProcedure:
 			entryCommandServiceSyncCreditsHandler.ServeHTTP(w, r)
+		case EntryCommandServiceHandOverProcedure:
+			entryCommandServiceHandOverHandler.ServeHTTP(w, r)
 		case EntryCommandServiceForwardAnnouncementsProcedure:
 			entryCommandServiceForwardAnnouncementsHandler.ServeHTTP(w, r)
 		default:
@@ -135,6 +166,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.entry.v1.EntryCommandService.SyncCredits is not implemented"))
 }
 
+func (UnimplementedEntryCommandServiceHandler) HandOver(context.Context, *connect.Request[v1.HandOverRequest]) (*connect.Response[v1.HandOverResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.entry.v1.EntryCommandService.HandOver is not implemented"))
+}
+
 func (UnimplementedEntryCommandServiceHandler) ForwardAnnouncements(context.Context, *connect.Request[v1.ForwardAnnouncementsRequest]) (*connect.Response[v1.ForwardAnnouncementsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.entry.v1.EntryCommandService.ForwardAnnouncements is not implemented"))
 }
