Serve operators; let a resend wait for the outcome of the request that runs

Cause: a resend that reached another entry instance before the first outcome was committed was answered key-in-progress.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -10,8 +10,11 @@
 
 	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/entry"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
+	operatorcommand "lacewingturn.example/operator/command"
+	operatorquery "lacewingturn.example/operator/query"
 	"lacewingturn.example/replica"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/liveness"
@@ -67,11 +70,26 @@
 	return serveInternal(lc, all, s, mux, t)
 }
 
-// routeOperator serves operators.
-func routeOperator(lc fx.Lifecycle, s Settings, all *servers, metrics metricsHandler) error {
+type operatorParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Servers   *servers
+	Metrics   metricsHandler
+	Replica   replica.Replica
+	Liveness  replica.Liveness
+	Control   entry.Control
+	Log       *zap.Logger
+}
+
+// routeOperator serves operators: commands and queries by separate handlers.
+func routeOperator(p operatorParams) error {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", metrics)
-	return servePublic(lc, all, s.OperatorAddress, mux, s.OperatorTLS)
+	mux.Handle("GET /metrics", p.Metrics)
+	mux.Handle(operatorcommand.New(p.Replica, p.Control, p.Log).Route())
+	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Log).Route())
+	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, p.Settings.OperatorTLS)
 }
 
 // runReplica gives up leadership first when the process stops, and closes the
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -22,7 +22,7 @@
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newControlClient, newEntry),
+	fx.Provide(newEntry),
 	fx.Invoke(runEntry),
 )
 
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -9,15 +9,13 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
 	"lacewingturn.example/cmd/internal/instance"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
-	"lacewingturn.example/node/server"
 	"lacewingturn.example/operator/answers"
-	"lacewingturn.example/replica/client"
+	"lacewingturn.example/operator/client"
 )
 
 // stepTimeout bounds one step of the demo; a step that takes longer has failed.
@@ -31,7 +29,7 @@
 	site     *Site
 	out      io.Writer
 	outcomes Outcomes
-	control  *client.Client
+	operator *client.Client
 	config   model.Config
 	caller   *caller
 }
@@ -48,8 +46,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Demo{site: s, out: out, control: s.ControlClient()}
-	d.caller = &caller{urls: s.EntryURLs(), client: &http.Client{Timeout: stepTimeout}, newKey: func() string { return string(NewRequestID()) }}
+	d := &Demo{site: s, out: out}
+	if d.operator, err = s.Operator(); err != nil {
+		return nil, err
+	}
+	d.caller = &caller{urls: s.EntryURLs(), client: &http.Client{Timeout: stepTimeout}, newKey: func() string { return string(client.NewRequestID()) }}
 	for _, step := range []struct {
 		title string
 		run   func(context.Context) error
@@ -72,18 +73,11 @@
 	return d.outcomes, nil
 }
 
-// ControlClient returns a client of the site's control replicas.
-func (s *Site) ControlClient() *client.Client {
-	addresses := make([]string, 0, len(s.replicas))
-	for _, r := range s.replicas {
-		addresses = append(addresses, r.Address)
-	}
-	return client.New(addresses, server.NewClient(server.Dialer(nil)))
+// Operator returns a client of the site's operator interface.
+func (s *Site) Operator() (*client.Client, error) {
+	return client.New(client.Settings{Addresses: s.OperatorAddresses(), Actor: "demo"})
 }
 
-// NewRequestID returns a new UUIDv7.
-func NewRequestID() model.RequestID { return model.RequestID(uuid.Must(uuid.NewV7()).String()) }
-
 // sampleConfig generates the configuration of the sample after a revision of its text.
 func sampleConfig(revise func(string) string) (model.Config, error) {
 	data, err := answers.Sample(SampleSite)
@@ -99,15 +93,11 @@
 
 func unchanged(s string) string { return s }
 
-// propose commits one operator command and returns its result.
-func (d *Demo) propose(ctx context.Context, id model.RequestID, c model.Command) (result.Result, error) {
+// submit commits one operator command.
+func (d *Demo) submit(ctx context.Context, id model.RequestID, c model.Command) result.Result {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	results, err := d.control.Propose(ctx, []model.Envelope{{RequestID: id, Actor: "demo", Command: c}})
-	if err != nil {
-		return result.Result{}, trace.Wrap(err)
-	}
-	return results[0], nil
+	return d.operator.Submit(ctx, id, c)
 }
 
 func (d *Demo) acceptSample(ctx context.Context) error {
@@ -116,17 +106,11 @@
 		return err
 	}
 	d.config = config
-	r, err := d.propose(ctx, NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
-	if err != nil {
-		return err
-	}
+	r := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
 	held := d.inForce(ctx, model.Revision(r.Revision))
 	d.outcomes.add(r.Code == result.Accepted && held, "the generated configuration is accepted and in force on every entry instance",
 		"%s, revision %d, in force on %d of %d", r.Code, r.Revision, d.countInForce(model.Revision(r.Revision)), len(d.site.Entries))
-	loser, err := d.propose(ctx, NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
-	if err != nil {
-		return err
-	}
+	loser := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
 	d.outcomes.add(loser.Code == result.Conflicting, "a second operator with the same revision number loses and learns of the winner", "%s", loser.Error())
 	return nil
 }
@@ -278,9 +262,9 @@
 		return err
 	}
 	var r result.Result
-	replies, err := d.during(ctx, func() (err error) {
-		r, err = d.propose(ctx, NewRequestID(), model.AcceptConfig{Base: 1, Config: revised})
-		return err
+	replies, err := d.during(ctx, func() error {
+		r = d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: 1, Config: revised})
+		return nil
 	})
 	if err != nil {
 		return err
@@ -300,10 +284,8 @@
 	leaving := d.site.Targets[0]
 	var r result.Result
 	var served int
-	replies, err := d.during(ctx, func() (err error) {
-		if r, err = d.propose(ctx, NewRequestID(), model.DrainInstance{Instance: leaving.Instance, HeldBy: "demo"}); err != nil {
-			return err
-		}
+	replies, err := d.during(ctx, func() error {
+		r = d.submit(ctx, client.NewRequestID(), model.DrainInstance{Instance: leaving.Instance})
 		if err := leaving.Leave(ctx); err != nil {
 			return err
 		}
@@ -331,10 +313,7 @@
 		if i.Pool != pool || i.ID == drained.Instance {
 			continue
 		}
-		r, err := d.propose(ctx, NewRequestID(), model.DrainInstance{Instance: i.ID, HeldBy: "demo"})
-		if err != nil {
-			return err
-		}
+		r := d.submit(ctx, client.NewRequestID(), model.DrainInstance{Instance: i.ID})
 		if last = r; r.Code.OK() {
 			taken++
 		}
@@ -351,11 +330,8 @@
 
 // loseLeader ends the leader without notice and goes on with the other replicas.
 func (d *Demo) loseLeader(ctx context.Context) error {
-	id := NewRequestID()
-	before, err := d.propose(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
-	if err != nil {
-		return err
-	}
+	id := client.NewRequestID()
+	before := d.submit(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
 	leader := d.site.Leader()
 	if leader == nil {
 		return trace.NotFound("no control replica leads")
@@ -370,16 +346,10 @@
 	d.site.Controls = slices.DeleteFunc(d.site.Controls, func(p *instance.Process) bool { return p == leader })
 	whole, first := countWhole(replies)
 	d.outcomes.add(whole == len(replies), "requests go on while the leader is lost", "%d of %d whole%s", whole, len(replies), first)
-	again, err := d.propose(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
-	if err != nil {
-		return err
-	}
+	again := d.submit(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
 	d.outcomes.add(again.Code == before.Code && again.Revision == before.Revision, "a resent command gets its first result from the new leader",
 		"first %s revision %d, again %s revision %d", before.Code, before.Revision, again.Code, again.Revision)
-	r, err := d.propose(ctx, NewRequestID(), model.AcceptConfig{Base: 3, Config: d.config})
-	if err != nil {
-		return err
-	}
+	r := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: 3, Config: d.config})
 	held := d.inForce(ctx, 4)
 	d.outcomes.add(r.Code == result.Accepted && held, "a change accepted by the new leader is in force on every entry instance",
 		"%s, revision %d, in force on %d of %d", r.Code, r.Revision, d.countInForce(4), len(d.site.Entries))
--- a/cmd/site/dev.go
+++ b/cmd/site/dev.go
@@ -9,6 +9,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
 )
 
 // StartDev starts a site with the sample configuration in force and its
@@ -18,15 +19,15 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Demo{site: s, control: s.ControlClient()}
-	config, err := sampleConfig(unchanged)
-	if err != nil {
+	d := &Demo{site: s}
+	if d.operator, err = s.Operator(); err != nil {
 		return nil, err
 	}
-	r, err := d.propose(ctx, NewRequestID(), model.AcceptConfig{Config: config})
+	config, err := sampleConfig(unchanged)
 	if err != nil {
 		return nil, err
 	}
+	r := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Config: config})
 	if r.Code != result.Accepted {
 		return nil, trace.Wrap(r)
 	}
--- a/entry/command/once.go
+++ b/entry/command/once.go
@@ -21,7 +21,7 @@
 	request := model.ClaimRequest{
 		Key: c.key, Caller: c.caller, Fingerprint: c.fingerprint(), Entry: g.id, EntryEpoch: v.Epoch, Attempt: rand.Text(),
 	}
-	r := g.claim(c, request)
+	r := g.claimOrWait(ctx, c, request)
 	if r.Code != result.Accepted {
 		return answerClaim(r)
 	}
@@ -30,6 +30,17 @@
 	return a
 }
 
+// claimOrWait claims the key. While another request with the key runs it asks
+// again until the deadline, so that a resend that overtakes the record of the
+// first outcome still gets it.
+func (g *Gateway) claimOrWait(ctx context.Context, c *call, request model.ClaimRequest) result.Result {
+	r := g.claim(c, request)
+	for n := 1; r.Code == result.KeyInProgress && backoff(ctx, n); n++ {
+		r = g.claim(c, request)
+	}
+	return r
+}
+
 // claim proposes the claim until its result is certain. If that is not so in
 // time, the request is not sent, and the claim is settled as not run in case it
 // was committed: a claim and its settlement under the same attempt are proposed
