--- /dev/null
+++ b/cmd/internal/capacity/processes_test.go
@@ -0,0 +1,249 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// settle is how long processes run before they are measured, and window how
+// long they are measured.
+const (
+	settle = 5 * time.Second
+	window = 10 * time.Second
+)
+
+// ticksPerSecond is the unit of processor time in /proc on Linux.
+const ticksPerSecond = 100
+
+// process is one lacewingturnd with the address of its metrics.
+type process struct {
+	cmd     *exec.Cmd
+	metrics string
+}
+
+type group struct {
+	b         *testing.B
+	binary    string
+	controls  []process
+	entries   []process
+	operators []string
+}
+
+// BenchmarkControlCost starts real processes, announces one target for each
+// worker, and measures what they spend while no caller sends anything.
+func BenchmarkControlCost(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "lacewingturnd")
+	if out, err := exec.Command("go", "build", "-o", binary, "lacewingturn.example/cmd/lacewingturnd").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	for _, p := range []struct{ workers, entries int }{{50, 4}, {50, 12}, {360, 12}, {720, 12}} {
+		b.Run(fmt.Sprintf("workers=%d/entries=%d", p.workers, p.entries), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, binary, p.workers, p.entries)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, binary string, workers, entries int) {
+	g := &group{b: b, binary: binary}
+	defer g.stop()
+	g.start(entries)
+	size := Target
+	size.Workers = workers
+	if workers == Today.Workers {
+		size.Pools, size.Services, size.Teams = Today.Pools, Today.Services, Today.Teams
+	}
+	g.accept(size.Config())
+	ctx, cancel := context.WithCancel(b.Context())
+	var targets sync.WaitGroup
+	for i := range workers {
+		targets.Go(func() { g.announce(ctx, i, size) })
+	}
+	time.Sleep(settle)
+	before := g.readAll()
+	time.Sleep(window)
+	g.report(before, g.readAll())
+	cancel()
+	targets.Wait()
+}
+
+func freePort(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (g *group) start(entries int) {
+	folder := g.b.TempDir()
+	var replicas []string
+	for i := range 3 {
+		replicas = append(replicas, fmt.Sprintf("c%d@dc%d=%s", i, i, freePort(g.b)))
+	}
+	list := "--replicas=" + strings.Join(replicas, ",")
+	for i, r := range replicas {
+		_, address, _ := strings.Cut(r, "=")
+		operator := freePort(g.b)
+		g.operators = append(g.operators, operator)
+		g.controls = append(g.controls, g.run(operator, list, fmt.Sprintf("--name=c%d", i), "--roles=control", fmt.Sprintf("--data-center=dc%d", i),
+			"--internal-address="+address, "--operator-address="+operator, "--data-folder="+filepath.Join(folder, strconv.Itoa(i))))
+	}
+	for i := range entries {
+		public := freePort(g.b)
+		g.entries = append(g.entries, g.run(public, list, fmt.Sprintf("--name=e%d", i), "--roles=entry", fmt.Sprintf("--data-center=dc%d", i%3),
+			"--internal-address="+freePort(g.b), "--public-address="+public))
+	}
+}
+
+func (g *group) run(metrics string, args ...string) process {
+	cmd := exec.Command(g.binary, append([]string{"run", "--region=r1", "--log-level=error"}, args...)...)
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		g.b.Fatal(err)
+	}
+	return process{cmd: cmd, metrics: metrics}
+}
+
+func (g *group) stop() {
+	for _, p := range append(g.controls, g.entries...) {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	}
+}
+
+func (g *group) accept(c model.Config) {
+	operator, err := client.New(client.Settings{Addresses: g.operators, Actor: "capacity"})
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(g.b.Context(), 30*time.Second)
+	defer cancel()
+	if r := operator.Submit(ctx, client.NewRequestID(), model.AcceptConfig{Config: c}); r.Code != result.Accepted {
+		g.b.Fatal(r.Error())
+	}
+}
+
+// announce joins a target and then sends heartbeats at the pace it is asked for.
+func (g *group) announce(ctx context.Context, i int, size Size) {
+	t := target(i, size.Services, 1)
+	join := map[string]any{"instance": t.Instance, "service": t.Service, "address": t.Address, "generation": 1, "slots": 8, "connections": 64}
+	pace := time.Second
+	joined := false
+	for n := 1; ctx.Err() == nil; n++ {
+		what, body := "heartbeat", map[string]any{"generation": 1, "sequence": n, "running": []string{}}
+		if !joined {
+			what, body = "join", join
+		}
+		if asked, ok := g.post(ctx, fmt.Sprintf("http://%s/targets/%s/%s", g.entries[(i+n)%len(g.entries)].metrics, t.ID, what), body); ok {
+			joined, pace = true, asked
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pace):
+		}
+	}
+}
+
+var poster = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func (g *group) post(ctx context.Context, url string, body any) (time.Duration, bool) {
+	data, _ := json.Marshal(body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, false
+	}
+	resp, err := poster.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		HeartbeatMs int64 `json:"heartbeat_ms"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil || resp.StatusCode != http.StatusOK || answer.HeartbeatMs <= 0 {
+		return 0, false
+	}
+	return time.Duration(answer.HeartbeatMs) * time.Millisecond, true
+}
+
+// reading is the use of one process so far.
+type reading struct {
+	cpu     time.Duration
+	rss     float64 // bytes
+	traffic float64 // bytes sent and received
+	at      time.Time
+}
+
+func (g *group) readAll() []reading {
+	var out []reading
+	for _, p := range append(g.controls, g.entries...) {
+		out = append(out, g.read(p))
+	}
+	return out
+}
+
+func (g *group) read(p process) reading {
+	r := reading{at: time.Now()}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	pages, _ := strconv.Atoi(fields[21])
+	r.cpu = time.Duration(user+system) * time.Second / ticksPerSecond
+	r.rss = float64(pages * os.Getpagesize())
+	resp, err := http.Get("http://" + p.metrics + "/metrics")
+	if err != nil {
+		g.b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if name, value, ok := strings.Cut(lines.Text(), " "); ok && strings.HasPrefix(name, "lacewingturn_internal_") {
+			v, _ := strconv.ParseFloat(value, 64)
+			r.traffic += v
+		}
+	}
+	return r
+}
+
+// report states the highest use among the processes of each role.
+func (g *group) report(before, after []reading) {
+	for i, role := range []string{"control", "entry"} {
+		from, to := 0, len(g.controls)
+		if i == 1 {
+			from, to = to, len(after)
+		}
+		var cpu, rss, traffic float64
+		for n := from; n < to; n++ {
+			seconds := after[n].at.Sub(before[n].at).Seconds()
+			cpu = max(cpu, 100*(after[n].cpu-before[n].cpu).Seconds()/seconds)
+			rss = max(rss, after[n].rss/(1<<20))
+			traffic = max(traffic, (after[n].traffic-before[n].traffic)/seconds/1000)
+		}
+		g.b.ReportMetric(cpu, role+"-core-%")
+		g.b.ReportMetric(rss, role+"-MB")
+		g.b.ReportMetric(traffic, role+"-KB/s")
+	}
+}
