Use slot credits, the queue policy and target health in dispatch

The machine asks for credits by demand, answers its own reports at once and those of other entry instances over connect, passes heartbeats on to the owner of a target, and hands targets over when a new member owns them. Requests that need a claim are admitted before it is committed, so that overload costs no log entry. A graceful shutdown ends when every outcome is recorded and every credit that the instance granted has ended, so that its membership may be given up at once.

--- a/core/command/credit/holder.go
+++ b/core/command/credit/holder.go
@@ -106,55 +106,68 @@
 	return p
 }
 
-// Usable returns how many further requests may be started on a target now.
-func (h *Holder) Usable(now time.Time, key Key) int {
-	t := h.targets[key]
-	if t == nil || !now.Before(t.until) {
+// Account is one target as its holder sees it. It stays valid while the target
+// is announced.
+type Account = held
+
+// Account returns the account of a target, or nil if it is not announced.
+func (h *Holder) Account(key Key) *Account { return h.targets[key] }
+
+// Usable returns how many further requests may be started on the target now.
+func (t *held) Usable(now time.Time) int {
+	if !now.Before(t.until) {
 		return 0
 	}
 	return max(t.granted-t.inUse, 0)
 }
 
-// Use takes a slot that Usable has shown.
-func (h *Holder) Use(key Key) {
-	if t := h.targets[key]; t != nil {
-		t.inUse++
-		t.peak = max(t.peak, t.inUse)
+// Granted returns the credit that is valid now.
+func (t *held) Granted(now time.Time) int {
+	if !now.Before(t.until) {
+		return 0
 	}
+	return t.granted
+}
+
+// Until returns when the credit ends.
+func (t *held) Until() time.Time { return t.until }
+
+// InUse returns the slots in use, including those of abandoned requests.
+func (t *held) InUse() int { return t.inUse }
+
+// Use takes a slot that Usable has shown.
+func (t *held) Use() {
+	t.inUse++
+	t.peak = max(t.peak, t.inUse)
 }
 
 // Free gives a slot back after the target has ended the request.
-func (h *Holder) Free(key Key) {
-	if t := h.targets[key]; t != nil && t.inUse > 0 {
+func (t *held) Free() {
+	if t.inUse > 0 {
 		t.inUse--
 	}
 }
 
 // Abandon keeps a slot counted because the target may still run the request.
 // It is freed once a heartbeat shows that the target does not.
-func (h *Holder) Abandon(now time.Time, key Key, slot string) {
-	if t := h.targets[key]; t != nil {
-		if t.abandoned == nil {
-			t.abandoned = map[string]time.Time{}
-		}
-		t.abandoned[slot] = now
+func (t *held) Abandon(now time.Time, slot string) {
+	if t.abandoned == nil {
+		t.abandoned = map[string]time.Time{}
 	}
+	t.abandoned[slot] = now
 }
 
-// Want sets the demand: need further requests wait for any of the targets.
-// It is spread over the targets from position first on, less what is usable.
-func (h *Holder) Want(now time.Time, keys []Key, slots, need, first int) {
-	for _, key := range keys {
-		if t := h.targets[key]; t != nil {
-			t.wanted = 0
-			need -= h.Usable(now, key)
-		}
+// Want sets the demand for need further slots of the targets given, spread over
+// them from position first on.
+func Want(accounts []*Account, slots, need, first int) {
+	for _, t := range accounts {
+		t.wanted = 0
 	}
 	for spread := true; spread && need > 0; {
 		spread = false
-		for i := range keys {
-			t := h.targets[keys[(i+first)%len(keys)]]
-			if t == nil || need <= 0 || t.inUse+t.wanted >= slots {
+		for i := range accounts {
+			t := accounts[(i+first)%len(accounts)]
+			if need <= 0 || t.inUse+t.wanted >= slots {
 				continue
 			}
 			t.wanted++
--- a/core/command/credit/owner.go
+++ b/core/command/credit/owner.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// Quit ends the lease of an owner that shuts down, and returns when the last
+// credit that it granted ends.
+func (o *Owner) Quit(now time.Time) time.Time {
+	end := now
+	for _, t := range o.targets {
+		for _, h := range t.holders {
+			end = latest(end, h.until)
+		}
+	}
+	o.lease = now
+	return end
+}
+
+// Silent returns the targets that have sent no heartbeat for longer than bound.
+func (o *Owner) Silent(now time.Time, bound time.Duration) []Key {
+	var out []Key
+	for key, t := range o.targets {
+		if now.Sub(latest(t.since, t.beatAt)) > bound {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
 // Beat takes the heartbeat of a target.
 func (o *Owner) Beat(now time.Time, b Heartbeat) {
 	t := o.targets[b.Key]
--- a/core/command/credit/site_test.go
+++ b/core/command/credit/site_test.go
@@ -169,21 +169,23 @@
 		s.follow(e)
 	}
 	var keys []Key
+	var accounts []*Account
 	for i := range 12 {
 		for g := range 3 {
-			if k := (Key{model.TargetID(fmt.Sprintf("t%d", i)), uint64(g)}); s.targets[k] != nil && s.view.Slots[k] > 0 {
+			if k := (Key{model.TargetID(fmt.Sprintf("t%d", i)), uint64(g)}); s.targets[k] != nil && e.holder.Account(k) != nil {
 				keys = append(keys, k)
+				accounts = append(accounts, e.holder.Account(k))
 			}
 		}
 	}
 	need := s.rnd.Intn(s.demand + 1)
 	for _, k := range keys {
-		for need > 0 && e.holder.Usable(s.now, k) > 0 {
+		for need > 0 && e.holder.Account(k).Usable(s.now) > 0 {
 			s.dispatch(e, k)
 			need--
 		}
 	}
-	e.holder.Want(s.now, keys, 8, need, s.rnd.Intn(100))
+	Want(accounts, 8, need, s.rnd.Intn(100))
 	for _, r := range e.holder.Reports(s.now) {
 		s.send(e, r)
 	}
@@ -240,7 +242,8 @@
 
 // dispatch sends a request that may be given up on before it ends.
 func (s *site) dispatch(e *entryLife, k Key) {
-	e.holder.Use(k)
+	account := e.holder.Account(k)
+	account.Use()
 	e.serial++
 	slot := fmt.Sprintf("%s.%d.%d", e.self.Entry, e.self.Epoch, e.serial)
 	b, self := s.targets[k], e.self
@@ -254,7 +257,7 @@
 	}
 	abandon := s.faults && s.rnd.Intn(30) == 0
 	if abandon {
-		s.posts = append(s.posts, post{s.now.Add(100 * time.Millisecond), func() { e.holder.Abandon(s.now, k, slot) }})
+		s.posts = append(s.posts, post{s.now.Add(100 * time.Millisecond), func() { account.Abandon(s.now, slot) }})
 	}
 	s.posts = append(s.posts, post{arrive, func() {
 		b.running[slot] = self
@@ -262,7 +265,7 @@
 		s.posts = append(s.posts, post{s.now.Add(run), func() {
 			delete(b.running, slot)
 			if !abandon {
-				s.posts = append(s.posts, post{s.now.Add(10 * time.Millisecond), func() { e.holder.Free(k) }})
+				s.posts = append(s.posts, post{s.now.Add(10 * time.Millisecond), func() { account.Free() }})
 			}
 		}})
 	}})
--- a/entry/command/announcements.go
+++ b/entry/command/announcements.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/credit"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry/command/announce"
@@ -85,7 +86,8 @@
 		g.announced(w, bad)
 		return
 	}
-	if !g.port.TrySend(heartbeat{target: id, Heartbeat: h}) {
+	beat := credit.Heartbeat{Key: credit.Key{Target: id, Generation: h.Generation}, Sequence: h.Sequence, Running: slotsByMember(h.Running)}
+	if !g.port.TrySend(heartbeat{Heartbeat: beat}) {
 		g.announced(w, result.New(result.Overloaded, "the mailbox is full"))
 		return
 	}
--- a/entry/command/claims.go
+++ b/entry/command/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -29,6 +28,7 @@
 	until    time.Time
 	maybe    bool // an earlier proposal may have been committed
 	reply    chan claimReply
+	ended    func() // called when the task has ended; may be nil
 }
 
 // claimReply is the result of the last command. If certain is false, the
@@ -46,7 +46,6 @@
 	metrics *Metrics
 	tasks   chan *claimTask
 	done    chan struct{}
-	open    sync.WaitGroup // tasks that have not ended
 }
 
 func newClaimer(id model.EntryID, c entry.Control, m *Metrics) *claimer {
@@ -56,7 +55,6 @@
 // submit hands a task to the claimer. It waits if the queue is full; the number
 // of senders is bounded by the requests in flight.
 func (c *claimer) submit(t *claimTask) {
-	c.open.Add(1)
 	select {
 	case c.tasks <- t:
 	case <-c.done:
@@ -68,7 +66,9 @@
 	if t.reply != nil {
 		t.reply <- r
 	}
-	c.open.Done()
+	if t.ended != nil {
+		t.ended()
+	}
 }
 
 // run proposes until ctx ends.
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -24,6 +24,7 @@
 // goroutines of requests; they read the published view and send messages to
 // the machine.
 type Gateway struct {
+	ctx     context.Context // ends with the instance
 	id      model.EntryID
 	log     *zap.Logger
 	metrics *Metrics
@@ -101,7 +102,12 @@
 	if g.port.Send(context.WithoutCancel(ctx), cancellation{a.id}) != nil {
 		return a.id, decision{code: result.Stopping, detail: "the instance has stopped"}
 	}
-	d := <-a.reply
+	var d decision
+	select {
+	case d = <-a.reply:
+	case <-g.ctx.Done():
+		return a.id, decision{code: result.Stopping, detail: "the instance has stopped"}
+	}
 	switch {
 	case d.code == result.OK:
 		g.finish(a.id, sample{kind: sampleUnsent})
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -5,64 +5,73 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/credit"
+	"lacewingturn.example/core/command/dispatch"
+	"lacewingturn.example/core/command/health"
 	"lacewingturn.example/core/model"
 	corequery "lacewingturn.example/core/query"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/entry/query"
-	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 )
 
+// houseEvery is the time between housekeeping ticks: lost targets, work that
+// waits on a stale instance, and the figures in the published view.
+const houseEvery = time.Second
+
+// effects is what the machine causes outside. Its methods return at once;
+// answers come back as messages.
+type effects interface {
+	report(address string, r credit.Report)
+	handOver(address string, list []credit.Handover)
+	forward(address string, list []credit.Heartbeat)
+	check(d destination)
+	replace(d destination)
+	propose(c model.Command)
+	retain(targets map[model.TargetID]destination, members int)
+}
+
 // Machine is the control state of an entry instance: the traffic view, the
-// queues, the requests in flight and the slots in use. Its methods are called
+// queues, the requests in flight and the slot credits. Its methods are called
 // by the control loop only.
 type Machine struct {
 	id      model.EntryID
 	log     *zap.Logger
 	metrics *Metrics
 	source  *query.Source
+	effects effects
+	policy  dispatch.Policy
 
-	traffic    corequery.Traffic
-	services   map[model.ServiceName]*service
-	targets    map[model.TargetID]*target
-	requests   map[uint64]*request
-	contact    time.Time
-	leaseUntil time.Time
-	epoch      uint64
-
-	budget   retryBudget
-	drained  chan struct{} // not nil once a shutdown has begun
-	stopping bool          // readiness is withdrawn; still serving
-	dirty    bool          // the published view is out of date
-}
-
-// service is one service of the configuration in force and its queue.
-type service struct {
-	model.Service
-	queue   queue
-	targets []*target // ready ones
-	next    int       // rotates the first target considered
-}
-
-// target is one announced target as seen from this instance.
-type target struct {
-	model.Target
-	inUse int
-}
+	traffic  corequery.Traffic
+	services map[model.ServiceName]*service
+	targets  map[model.TargetID]*target
+	requests map[uint64]*request
+	contact  time.Time
 
-// request is queued, or in flight to a target.
-type request struct {
-	arrival
-	queuedAt time.Time
-	sentAt   time.Time
-	target   *target // nil while queued
+	self       credit.Member
+	leaseUntil time.Time
+	lease      entry.LeaseRenewed // newest; in force once the view is new enough
+	owner      *credit.Owner
+	holder     *credit.Holder
+	forwards   map[credit.Member][]credit.Heartbeat
+
+	openClaims int // admitted requests whose outcome is not recorded yet
+	budget     retryBudget
+	drained    chan time.Time // not nil once a shutdown has begun
+	stopping   bool           // readiness is withdrawn
+	quit       bool           // ownership has ended for good
+	dirty      bool           // the published view is out of date
+	replan     bool           // the demand of some service changed
+	rearm      bool           // nextReport is out of date
+	nextReport time.Time
+	nextHouse  time.Time
 }
 
-func newMachine(id model.EntryID, log *zap.Logger, m *Metrics, s *query.Source) *Machine {
+func newMachine(s Settings, e effects) *Machine {
 	return &Machine{
-		id: id, log: log, metrics: m, source: s,
-		services: map[model.ServiceName]*service{}, targets: map[model.TargetID]*target{},
-		requests: map[uint64]*request{}, dirty: true,
+		id: s.ID, log: s.Log, metrics: s.Metrics, source: s.Source, effects: e, policy: s.Policy,
+		services: map[model.ServiceName]*service{}, targets: map[model.TargetID]*target{}, requests: map[uint64]*request{},
+		owner: credit.NewOwner(), holder: credit.NewHolder(), forwards: map[credit.Member][]credit.Heartbeat{}, dirty: true,
 	}
 }
 
@@ -71,138 +80,108 @@
 	switch msg := msg.(type) {
 	case arrival:
 		m.arrive(now, msg)
+	case admission:
+		m.admitClaim(now, msg)
+	case claimClosed:
+		m.openClaims--
+		m.endDrain(now)
 	case cancellation:
-		m.cancel(msg.id)
+		m.cancel(now, msg.id)
 	case completion:
 		m.complete(now, msg)
+	case checked:
+		m.takeCheck(now, msg)
 	case entry.TrafficChanged:
 		m.changeTraffic(now, msg.View)
 	case entry.LeaseRenewed:
-		m.renew(msg)
+		m.lease = msg
+		m.renew(now)
 	case entry.ControlContact:
 		m.contact, m.dirty = msg.At, true
 	case withdraw:
 		m.stopping, m.dirty = true, true
 	case drain:
 		m.drained, m.stopping, m.dirty = msg.done, true, true
-		m.endDrain()
+		m.endDrain(now)
+	default:
+		m.handlePeer(now, msg)
 	}
 }
 
 // Tick implements loop.Machine.
-func (m *Machine) Tick(time.Time) {}
+func (m *Machine) Tick(now time.Time) {
+	for _, s := range m.services {
+		if !s.again.IsZero() && !s.again.After(now) {
+			m.dispatch(now, s)
+		}
+	}
+	if !now.Before(m.nextHouse) {
+		m.nextHouse = now.Add(houseEvery)
+		m.keepHouse(now)
+	}
+}
 
 // Deadline implements loop.Machine.
-func (m *Machine) Deadline() time.Time { return time.Time{} }
-
-// Flush implements loop.Machine.
-func (m *Machine) Flush(time.Time) {
-	m.metrics.inFlight.Set(float64(len(m.requests)))
-	if m.dirty {
-		m.dirty = false
-		m.source.Publish(m.view())
+func (m *Machine) Deadline() time.Time {
+	at := earliest(m.nextHouse, m.nextReport)
+	for _, s := range m.services {
+		at = earliest(at, earliest(s.again, s.replanAt))
 	}
+	return at
 }
 
-// renew takes a lease only once the view is as new as the lease demands, so
-// that the owner of a target never acts on older members.
-func (m *Machine) renew(r entry.LeaseRenewed) {
-	if m.traffic.Index < r.Index {
-		return
-	}
-	if r.Epoch != m.epoch {
-		m.epoch, m.leaseUntil = r.Epoch, time.Time{}
-	}
-	if r.Until.After(m.leaseUntil) {
-		m.leaseUntil = r.Until
+// earliest returns the earlier of two times, of which zero means never.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	m.dirty = true
+	return a
 }
 
-func (m *Machine) view() *query.View {
-	v := &query.View{
-		Traffic: m.traffic, Services: make(map[model.ServiceName]model.Service, len(m.services)),
-		Contact: m.contact, LeaseUntil: m.leaseUntil, Epoch: m.epoch, Stopping: m.stopping,
-		Queued: make(map[model.ServiceName]int, len(m.services)),
-	}
-	for name, s := range m.services {
-		v.Services[name], v.Queued[name] = s.Service, s.queue.Len()
+// Flush implements loop.Machine.
+func (m *Machine) Flush(now time.Time) {
+	if m.nextHouse.IsZero() {
+		m.nextHouse = now.Add(houseEvery)
 	}
-	for id := range m.traffic.Targets.All() {
-		if t, ok := m.targets[id]; ok {
-			v.Targets = append(v.Targets, t.status())
-		}
+	m.plan(now)
+	m.sync(now)
+	for to, list := range m.forwards {
+		m.effects.forward(m.address(to), list)
+		delete(m.forwards, to)
 	}
-	return v
-}
-
-func (t *target) status() query.Target {
-	return query.Target{
-		ID: t.ID, Service: t.Service, Address: t.Address, Generation: t.Generation,
-		Phase: t.Phase.String(), InUse: t.inUse,
+	m.metrics.inFlight.Set(float64(len(m.requests)))
+	if m.dirty {
+		m.dirty = false
+		m.source.Publish(m.view(now))
 	}
 }
 
-// changeTraffic replaces the traffic view and what is derived from it.
-func (m *Machine) changeTraffic(now time.Time, v corequery.Traffic) {
-	if v.Revision != m.traffic.Revision {
-		event.ConfigInForce.Log(m.log, zap.Uint64("revision", uint64(v.Revision)))
+// keepHouse does what needs no exact time.
+func (m *Machine) keepHouse(now time.Time) {
+	m.dirty = true
+	m.announceLost(now)
+	held, used := 0, 0
+	for _, t := range m.targets {
+		held, used = held+t.account.Granted(now), used+t.account.InUse()
 	}
-	m.traffic, m.dirty = v, true
-	m.changeServices()
-	m.changeTargets()
+	m.metrics.slots.WithLabelValues("held").Set(float64(held))
+	m.metrics.slots.WithLabelValues("used").Set(float64(used))
 	for _, s := range m.services {
+		if m.stale(now) && s.free(now) == 0 {
+			m.refuseQueued(now, s, refusalStale)
+		}
 		m.dispatch(now, s)
 	}
 }
 
-// changeServices keeps the queues of services that stay and refuses what
-// waits for services that are gone.
-func (m *Machine) changeServices() {
-	next := make(map[model.ServiceName]*service)
-	if c := m.traffic.Config; c != nil {
-		m.budget.share = c.Limits.RetryShare
-		for _, spec := range c.Services {
-			s := m.services[spec.Name]
-			if s == nil {
-				s = &service{queue: newFairQueue(queueLimit(spec))}
-			}
-			s.Service = spec
-			next[spec.Name] = s
-		}
-	}
-	for name, s := range m.services {
-		if next[name] == nil {
-			m.refuseAll(s)
-		}
-	}
-	m.services = next
-}
+// stale reports whether the instance has lost touch with the control state.
+func (m *Machine) stale(now time.Time) bool { return now.Sub(m.contact) > entry.StaleAfter }
 
-// changeTargets follows joins, restarts and departures. A target of a newer
-// generation is a new target; requests in flight to the old one end by themselves.
-func (m *Machine) changeTargets() {
-	next := make(map[model.TargetID]*target, m.traffic.Targets.Len())
-	for _, s := range m.services {
-		s.targets = nil
+// stateOf names the health of a target.
+func stateOf(t *health.Target, now time.Time) string {
+	state, reason := t.State(now)
+	if reason == "" {
+		return state.String()
 	}
-	for id, spec := range m.traffic.Targets.All() {
-		t := m.targets[id]
-		if t == nil || t.Generation != spec.Generation {
-			t = &target{}
-		}
-		t.Target = spec
-		next[id] = t
-		if s := m.services[spec.Service]; s != nil && m.eligible(s, spec) {
-			s.targets = append(s.targets, t)
-		}
-	}
-	m.targets = next
-}
-
-// eligible reports whether a target may get new work: it is ready and its
-// instance is in service in the pool of the service.
-func (m *Machine) eligible(s *service, t model.Target) bool {
-	i, ok := m.traffic.Instances.Get(t.Instance)
-	return ok && t.Phase == model.TargetReady && i.Available() && i.Pool == s.Pool
+	return state.String() + ": " + string(reason)
 }
--- a/entry/command/messages.go
+++ b/entry/command/messages.go
@@ -7,9 +7,9 @@
 import (
 	"time"
 
+	"lacewingturn.example/core/command/credit"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
-	"lacewingturn.example/entry/command/announce"
 )
 
 // Messages from traffic goroutines to the machine.
@@ -25,6 +25,16 @@
 		avoid    model.TargetID // target that failed before; used only if no other has room
 		reply    chan decision
 	}
+	// admission asks whether a request that needs a claim would be queued, so
+	// that no claim is committed for one that would be refused. If the decision
+	// on reply, which has room for it, is OK, a claimClosed follows later.
+	admission struct {
+		service model.ServiceName
+		caller  model.CallerID
+		reply   chan decision
+	}
+	// claimClosed ends an admission: the outcome of the claim is recorded.
+	claimClosed struct{}
 	// cancellation withdraws an arrival. If it is still queued, a decision
 	// with code CallerGone follows; otherwise the decision was made already.
 	cancellation struct{ id uint64 }
@@ -33,16 +43,21 @@
 		id     uint64
 		sample sample
 	}
-	// heartbeat of a target, from the target itself or forwarded.
+	// heartbeat of a target; forwarded is set if another entry instance sent it.
 	heartbeat struct {
-		target model.TargetID
-		announce.Heartbeat
+		credit.Heartbeat
+		forwarded bool
+	}
+	// checked is the result of a check on a new connection.
+	checked struct {
+		target   destination
+		answered bool
 	}
 	// withdraw ends the readiness of the instance; it still serves.
 	withdraw struct{}
-	// drain refuses new requests; done is closed when no request is
-	// queued or in flight.
-	drain struct{ done chan struct{} }
+	// drain refuses new requests. When no request is queued or in flight, done,
+	// which has room for it, gets the time when the last credit granted ends.
+	drain struct{ done chan time.Time }
 )
 
 // decision answers an arrival: a target, or a refusal with its code.
@@ -78,3 +93,8 @@
 	sampleCancelled                       // the caller went away; says nothing about the target
 	sampleUnsent                          // never sent, for reasons on this side
 )
+
+// abandoned reports whether the target may still run the request.
+func (k sampleKind) abandoned() bool {
+	return k == sampleSilent || k == sampleTruncated || k == sampleCancelled
+}
--- a/entry/command/new.go
+++ b/entry/command/new.go
@@ -1,9 +1,15 @@
 package command
 
 import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/dispatch"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/entry/query"
@@ -19,15 +25,29 @@
 	Tracer  trace.Tracer
 	Source  *query.Source
 	Loop    *loop.Loop
+	Policy  dispatch.Policy // of the queues; dispatch.Default if empty
+	// PeerClient and PeerScheme (http or https) lead to other entry instances.
+	PeerClient *http.Client
+	PeerScheme string
 }
 
-// New adds a machine to the loop and returns the gateway to it.
-func New(s Settings) (*Machine, *Gateway) {
+// New adds a machine to the loop and returns the gateway to it and the server
+// for other entry instances. Effects of the machine end with ctx.
+func New(ctx context.Context, s Settings) (*Gateway, *PeerServer, error) {
+	if s.Policy == "" {
+		s.Policy = dispatch.Default
+	}
+	if !slices.Contains(dispatch.Policies(), s.Policy) {
+		return nil, nil, fmt.Errorf("command: there is no queue policy %q; known are %v", s.Policy, dispatch.Policies())
+	}
 	p := &pool{}
-	m := newMachine(s.ID, s.Log, s.Metrics, s.Source)
+	claims := newClaimer(s.ID, s.Control, s.Metrics)
+	o := &outside{ctx: ctx, client: s.PeerClient, scheme: s.PeerScheme, pool: p, claims: claims}
+	o.port = s.Loop.Add(newMachine(s, o))
 	g := &Gateway{
-		id: s.ID, log: s.Log, metrics: s.Metrics, tracer: s.Tracer, source: s.Source,
-		port: s.Loop.Add(m), pool: p, claims: newClaimer(s.ID, s.Control, s.Metrics),
+		ctx: ctx,
+		id:  s.ID, log: s.Log, metrics: s.Metrics, tracer: s.Tracer, source: s.Source,
+		port: o.port, pool: p, claims: claims,
 	}
-	return m, g
+	return g, &PeerServer{port: o.port, metrics: s.Metrics}, nil
 }
--- a/entry/command/once.go
+++ b/entry/command/once.go
@@ -18,11 +18,17 @@
 	if time.Since(v.Contact) > entry.StaleAfter || v.Epoch == 0 {
 		return refusal(result.New(result.EntryStale, "no contact to the control state for more than %s", entry.StaleAfter), overloadRetry)
 	}
+	if d := g.admit(c); d.code != result.OK {
+		return refusal(result.Result{Code: d.code, Detail: d.detail}, d.retryAfter)
+	}
 	request := model.ClaimRequest{
 		Key: c.key, Caller: c.caller, Fingerprint: c.fingerprint(), Entry: g.id, EntryEpoch: v.Epoch, Attempt: rand.Text(),
 	}
-	r := g.claim(c, request)
+	r, settling := g.claim(c, request)
 	if r.Code != result.Accepted {
+		if !settling {
+			g.closeClaim()
+		}
 		return answerClaim(r)
 	}
 	a := g.run(ctx, c)
@@ -30,11 +36,28 @@
 	return a
 }
 
+// admit asks the machine whether the request would be queued.
+func (g *Gateway) admit(c *call) decision {
+	reply := make(chan decision, 1)
+	if !g.port.TrySend(admission{service: c.service.Name, caller: c.caller, reply: reply}) {
+		return decision{code: result.Overloaded, detail: errMailboxFull.Error(), retryAfter: overloadRetry}
+	}
+	select {
+	case d := <-reply:
+		return d
+	case <-g.ctx.Done():
+		return decision{code: result.Stopping, detail: "the instance has stopped"}
+	}
+}
+
+func (g *Gateway) closeClaim() { _ = g.port.Send(context.Background(), claimClosed{}) }
+
 // claim proposes the claim until its result is certain. If that is not so in
 // time, the request is not sent, and the claim is settled as not run in case it
 // was committed: a claim and its settlement under the same attempt are proposed
-// together, so that a late copy of the claim finds the attempt settled.
-func (g *Gateway) claim(c *call, request model.ClaimRequest) result.Result {
+// together, so that a late copy of the claim finds the attempt settled. The
+// second result reports whether that is still going on.
+func (g *Gateway) claim(c *call, request model.ClaimRequest) (result.Result, bool) {
 	until := time.Now().Add(claimPatience)
 	if c.deadline.Before(until) {
 		until = c.deadline
@@ -43,12 +66,13 @@
 	g.claims.submit(t)
 	reply := g.claims.await(t)
 	if reply.certain {
-		return reply.result
+		return reply.result, false
 	}
 	g.claims.submit(&claimTask{
 		commands: []model.Command{request, settlement(request, model.ClaimNotRun)}, until: time.Now().Add(settleKeep), maybe: true,
+		ended: g.closeClaim,
 	})
-	return result.New(result.NoQuorum, "the claim could not be committed; nothing was sent")
+	return result.New(result.NoQuorum, "the claim could not be committed; nothing was sent"), true
 }
 
 // answerClaim answers a request whose claim was not granted.
@@ -89,5 +113,5 @@
 			s.Body, s.BodyOmitted = nil, true
 		}
 	}
-	g.claims.submit(&claimTask{commands: []model.Command{s}, until: time.Now().Add(settleKeep)})
+	g.claims.submit(&claimTask{commands: []model.Command{s}, until: time.Now().Add(settleKeep), ended: g.closeClaim})
 }
--- a/entry/command/pool.go
+++ b/entry/command/pool.go
@@ -20,7 +20,7 @@
 	maxConnections  = 64
 	activeReserve   = 16
 	leastMembers    = 12
-	dialTimeout     = time.Second
+	dialTimeout     = 600 * time.Millisecond // below credit.Settle
 	idleConnTimeout = 60 * time.Second
 )
 
@@ -54,7 +54,7 @@
 }
 
 func (p *pool) lane(d destination) *lane {
-	k := laneKey{d.id, d.generation, d.address}
+	k := keyOf(d)
 	if l, ok := p.lanes.Load(k); ok {
 		return l.(*lane)
 	}
--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -12,6 +12,8 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/api/gen/lacewingturn/entry/v1/entryv1connect"
+	"lacewingturn.example/core/command/dispatch"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/entry/command"
@@ -36,22 +38,30 @@
 	Metrics    prometheus.Registerer
 	Tracer     trace.Tracer
 	Withdrawal time.Duration // DefaultWithdrawal if 0
+	// Policy of the queues; dispatch.Default if empty.
+	Policy dispatch.Policy
+	// PeerClient and PeerScheme lead to other entry instances; a plain client
+	// and http if not set.
+	PeerClient *http.Client
+	PeerScheme string
 }
 
 // Instance is an entry instance.
 type Instance struct {
-	// Machine is the control state.
-	Machine *command.Machine
 	// Port leads to the machine; the control link posts its messages there.
 	Port loop.Port
 	// Traffic serves callers, targets and queries.
 	Traffic http.Handler
+	// PeerPath and Peers serve other entry instances.
+	PeerPath string
+	Peers    http.Handler
 	// Source gives the published view.
 	Source *query.Source
 
 	gateway    *command.Gateway
 	log        *zap.Logger
 	withdrawal time.Duration
+	cancel     context.CancelFunc // ends what Run leaves behind
 }
 
 // New checks the settings and builds an instance.
@@ -62,23 +72,40 @@
 	if s.Withdrawal == 0 {
 		s.Withdrawal = DefaultWithdrawal
 	}
+	if s.PeerClient == nil {
+		s.PeerClient = &http.Client{}
+	}
+	if s.PeerScheme == "" {
+		s.PeerScheme = "http"
+	}
 	source := &query.Source{}
-	m, g := command.New(command.Settings{
+	ctx, cancel := context.WithCancel(context.Background())
+	g, peers, err := command.New(ctx, command.Settings{
 		ID: s.ID, Control: s.Control, Log: s.Log, Metrics: command.NewMetrics(s.Metrics), Tracer: s.Tracer, Source: source, Loop: s.Loop,
+		Policy: s.Policy, PeerClient: s.PeerClient, PeerScheme: s.PeerScheme,
 	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	query.Register(router, source)
 	g.RegisterTargets(router)
 	g.Register(router)
-	return &Instance{Machine: m, Port: g.Port(), Traffic: router, Source: source, gateway: g, log: s.Log, withdrawal: s.Withdrawal}, nil
+	i := &Instance{Port: g.Port(), Traffic: router, Source: source, gateway: g, log: s.Log, withdrawal: s.Withdrawal, cancel: cancel}
+	i.PeerPath, i.Peers = entryv1connect.NewEntryCommandServiceHandler(peers)
+	return i, nil
 }
 
 // Run does the background work of the instance until ctx ends.
-func (i *Instance) Run(ctx context.Context) { i.gateway.Run(ctx) }
+func (i *Instance) Run(ctx context.Context) {
+	defer i.cancel()
+	i.gateway.Run(ctx)
+}
 
 // Stop is a graceful shutdown: readiness is withdrawn first, then new requests
 // are refused, and it returns when no request is in flight and every outcome
-// is recorded. The caller closes the listeners after that, then ends Run, the
+// is recorded, and no credit that it granted is valid. The caller closes the listeners after that, then ends Run, the
 // control link and the loop.
 func (i *Instance) Stop(ctx context.Context) error {
 	event.EntryDraining.Log(i.log)
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -126,7 +126,11 @@
 		ID: id, Control: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
 	})
 	assert.NilError(t, err)
-	s := &site{Instance: i, control: control, server: httptest.NewServer(i.Traffic), metrics: reg}
+	s := &site{Instance: i, control: control, metrics: reg}
+	handler := http.NewServeMux()
+	handler.Handle("/", i.Traffic)
+	handler.Handle(i.PeerPath, i.Peers)
+	s.server = httptest.NewServer(handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { l.Run(ctx) })
