--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -3,6 +3,9 @@
 package config
 
 import (
+	"fmt"
+	"strings"
+
 	"lacewingturn.example/core/command/fleet"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
@@ -36,7 +39,7 @@
 		return conflict(s, c)
 	}
 	if problems := Validate(c); len(problems) > 0 {
-		return result.New(result.ConfigInvalid, "%s", problems[0])
+		return result.New(result.ConfigInvalid, "%s", describe(problems))
 	}
 	if r := fleet.Reconfigure(s, c); !r.Code.OK() {
 		return r
@@ -44,12 +47,32 @@
 	s.Revision++
 	s.Config = &c
 	s.History = s.History.Set(s.Revision, model.ConfigRecord{
-		Revision: s.Revision, Base: base, Actor: env.Actor, RequestID: env.RequestID, AcceptedAt: env.Time, Config: &c,
+		Revision: s.Revision, Base: base, Actor: env.Actor, RequestID: env.RequestID, AcceptedAt: env.Time,
+		Digest: query.Digest(c), Config: &c,
 	})
 	trimHistory(s)
 	return result.Result{Code: result.Accepted, Revision: uint64(s.Revision)}
 }
 
+// maxDescribed is the number of problems that a refusal lists. The result is kept
+// for resends, so that its size is bounded.
+const maxDescribed = 20
+
+func describe(problems []Problem) string {
+	var lines []string
+	for i, p := range problems {
+		if i == maxDescribed {
+			lines = append(lines, fmt.Sprintf("and %d more", len(problems)-maxDescribed))
+			break
+		}
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "; ")
+}
+
+// maxDifference is the number of differences that a conflict lists, for the same reason.
+const maxDifference = 100
+
 // conflict names the accepted change that won and what differs from it.
 func conflict(s *model.State, c model.Config) result.Result {
 	winner, _ := s.History.Get(s.Revision)
@@ -57,6 +80,9 @@
 	r.Conflict = &result.Conflict{Revision: uint64(s.Revision), Actor: winner.Actor}
 	if s.Config != nil {
 		r.Conflict.Difference = query.DiffConfig(*s.Config, c)
+		if n := len(r.Conflict.Difference); n > maxDifference {
+			r.Conflict.Difference = append(r.Conflict.Difference[:maxDifference:maxDifference], fmt.Sprintf("and %d more", n-maxDifference))
+		}
 	}
 	return r
 }
--- a/core/command/config/validate.go
+++ b/core/command/config/validate.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"slices"
+	"strings"
+	"time"
 
 	"lacewingturn.example/core/model"
 )
@@ -25,6 +28,7 @@
 	v.checkLimits(c.Limits)
 	v.checkWeights(c.Weights)
 	v.checkTeams(c.Teams)
+	v.checkWaves(c.Waves)
 	return v.problems
 }
 
@@ -37,11 +41,46 @@
 	v.problems = append(v.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
+// maxNameLength bounds names, which appear in URLs, headers and log lines.
+const maxNameLength = 200
+
+// MaxTimeout bounds the default deadline of a request. Longer work is a job.
+const MaxTimeout = time.Hour
+
+// checkName requires names that need no escaping in a URL path.
+func (v *validator) checkName(path, name string) {
+	if name == "" || len(name) > maxNameLength {
+		v.add(path, "a name needs 1 to %d characters, %q has %d", maxNameLength, name, len(name))
+		return
+	}
+	for _, r := range name {
+		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_", r) {
+			v.add(path, "the character %q of %q is not allowed; use letters, digits, '.', '-' and '_'", r, name)
+			return
+		}
+	}
+	if name == "." || name == ".." {
+		v.add(path, "%q is not a name", name)
+	}
+}
+
+// checkPaths refuses paths that could never match and contradictions.
+func (v *validator) checkPaths(path string, s model.Service) {
+	for _, p := range slices.Concat(s.Idempotent, s.NonIdempotent) {
+		if !strings.HasPrefix(p, "/") {
+			v.add(path, "the path %q must start with /", p)
+		}
+	}
+	for _, p := range s.NonIdempotent {
+		if slices.Contains(s.Idempotent, p) {
+			v.add(path, "the path %q is both idempotent and not", p)
+		}
+	}
+}
+
 func (v *validator) checkPools(c model.Config) {
 	for _, p := range c.Pools {
-		if p.Name == "" {
-			v.add("pools", "a pool needs a name")
-		}
+		v.checkName("pools", string(p.Name))
 		if _, dup := v.pools[p.Name]; dup {
 			v.add("pools."+string(p.Name), "the name is used twice")
 		}
@@ -53,9 +92,7 @@
 	seen := map[model.InstanceID]bool{}
 	for _, i := range c.Instances {
 		path := "instances." + string(i.ID)
-		if i.ID == "" {
-			v.add("instances", "an instance needs an ID")
-		}
+		v.checkName("instances", string(i.ID))
 		if seen[i.ID] {
 			v.add(path, "the ID is used twice")
 		}
@@ -80,6 +117,10 @@
 	}
 }
 
+// shareSlack absorbs the rounding of shares, as the budgets themselves do, so that
+// 0.1 of 30 is 3.
+const shareSlack = 1e-9
+
 // checkBudget refuses budgets that no maintenance could ever respect.
 func (v *validator) checkBudget(path string, p model.Pool, members int) {
 	b := p.Budget
@@ -90,11 +131,11 @@
 		v.add(path, "shares must be between 0 and 1")
 		return
 	}
-	least := max(b.MinAvailable, int(math.Ceil(b.MinAvailableShare*float64(members))))
+	least := max(b.MinAvailable, int(math.Ceil(b.MinAvailableShare*float64(members)-shareSlack)))
 	if members > 0 && least >= members {
 		v.add(path, "%d of %d instances must stay available, so none can be maintained; lower the budget or add an instance", least, members)
 	}
-	if b.MaxUnavailableShare > 0 && members > 0 && int(b.MaxUnavailableShare*float64(members)) == 0 {
+	if b.MaxUnavailableShare > 0 && members > 0 && int(b.MaxUnavailableShare*float64(members)+shareSlack) == 0 {
 		v.add(path, "a share of %.3g of %d instances allows none to be unavailable", b.MaxUnavailableShare, members)
 	}
 }
@@ -105,9 +146,7 @@
 	seen := map[model.ServiceName]bool{}
 	for _, s := range c.Services {
 		path := "services." + string(s.Name)
-		if s.Name == "" {
-			v.add("services", "a service needs a name")
-		}
+		v.checkName("services", string(s.Name))
 		if seen[s.Name] {
 			v.add(path, "the name is used twice")
 		}
@@ -115,9 +154,10 @@
 		if _, ok := v.pools[s.Pool]; !ok {
 			v.add(path+".pool", "there is no pool %q", s.Pool)
 		}
-		if s.Timeout <= 0 {
-			v.add(path+".timeout", "must be positive")
+		if s.Timeout <= 0 || s.Timeout > MaxTimeout {
+			v.add(path+".timeout", "must be above 0 and at most %s", MaxTimeout)
 		}
+		v.checkPaths(path, s)
 		if s.QueueLimit <= 0 {
 			v.add(path+".queue_limit", "must be positive")
 		}
@@ -151,9 +191,20 @@
 func (v *validator) checkTeams(teams []model.Team) {
 	seen := map[model.TeamName]bool{}
 	for _, t := range teams {
-		if t.Name == "" || seen[t.Name] {
-			v.add("teams", "names must be present and used once: %q", t.Name)
+		v.checkName("teams", string(t.Name))
+		if seen[t.Name] {
+			v.add("teams."+string(t.Name), "the name is used twice")
 		}
 		seen[t.Name] = true
+		if t.Quota.MilliCPU < 0 || t.Quota.MemoryMB < 0 || t.Quota.Accelerators < 0 {
+			v.add("teams."+string(t.Name)+".quota", "must not be negative")
+		}
+	}
+}
+
+// checkWaves allows zero, for which a default applies.
+func (v *validator) checkWaves(w model.WavePolicy) {
+	if min(w.Every, w.Soak, w.RebootTimeout, w.DrainTimeout) < 0 || w.MaxStep < 0 {
+		v.add("waves", "durations and the step must not be negative")
 	}
 }
--- a/core/model/config.go
+++ b/core/model/config.go
@@ -102,6 +102,6 @@
 	Actor      string
 	RequestID  RequestID
 	AcceptedAt Timestamp
-	Digest     string // hex SHA-256 of the encoded configuration
+	Digest     string // hex SHA-256 of the configuration as JSON, see query.Digest
 	Config     *Config
 }
--- a/core/query/config.go
+++ b/core/query/config.go
@@ -1,6 +1,9 @@
 package query
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -15,6 +18,30 @@
 	AcceptedAt time.Time     `json:"accepted_at"`
 	Digest     string        `json:"digest"`
 	Config     *model.Config `json:"config"`
+	// Lines are the values of Config for people, each with its answer.
+	Lines []Line `json:"lines"`
+	// Instances are the pools that instances are in now. A move changes them
+	// without a new revision.
+	Instances []InstancePlace `json:"instances"`
+}
+
+// InstancePlace is where an instance is now.
+type InstancePlace struct {
+	ID    string `json:"id"`
+	Pool  string `json:"pool"`
+	Home  string `json:"home"` // the pool that lent it; empty if it is not lent
+	Phase string `json:"phase"`
+}
+
+// Digest is the hex SHA-256 of a configuration as JSON. The JSON form has a
+// fixed order and exact numbers, so that equal digests mean equal configurations.
+func Digest(c model.Config) string {
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // a configuration holds only types that JSON can express, and no NaN passes validation
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
 }
 
 // Config returns the configuration of a revision; 0 means the one in force. It
@@ -25,16 +52,21 @@
 		revision = s.Revision
 	}
 	if revision == 0 {
-		return ConfigView{InForce: true}, true
+		return ConfigView{InForce: true, Lines: []Line{}, Instances: []InstancePlace{}}, true
 	}
 	r, ok := s.History.Get(revision)
 	if !ok {
 		return ConfigView{}, false
 	}
-	return ConfigView{
+	v := ConfigView{
 		Revision: uint64(r.Revision), InForce: r.Revision == s.Revision, Base: uint64(r.Base), Actor: r.Actor,
 		AcceptedAt: timeOf(r.AcceptedAt), Digest: r.Digest, Config: r.Config,
-	}, true
+		Lines: Lines(*r.Config), Instances: []InstancePlace{},
+	}
+	for _, i := range s.Instances.All() {
+		v.Instances = append(v.Instances, InstancePlace{ID: string(i.ID), Pool: string(i.Pool), Home: string(i.Home), Phase: i.Phase.String()})
+	}
+	return v, true
 }
 
 // HistoryView is the body of the history query, the newest revision first.
--- a/operator/answers/generate.go
+++ b/operator/answers/generate.go
@@ -78,8 +78,7 @@
 				Domain:   model.Domain{Region: g.regionOf(inst.DataCentre), DataCenter: inst.DataCentre, Rack: inst.Rack},
 				Capacity: g.capacityOf(p.Size),
 			})
-			g.source("instances."+inst.ID, fmt.Sprintf("%s.instances[%d]", answer, inst.place))
-			g.source("instances."+inst.ID+".capacity", "instance_sizes["+p.Size+"]")
+			g.source("instances."+inst.ID, fmt.Sprintf("%s.instances[%d] and instance_sizes[%s]", answer, inst.place, p.Size))
 		}
 	}
 }
