--- a/core/command/config/config_test.go
+++ b/core/command/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +108,17 @@
 	assert.Equal(t, s.Revision, model.Revision(0))
 	assert.Equal(t, s.Instances.Len(), 0)
 }
+
+// Guards against a share that is refused because of the rounding of a product:
+// 1/49 of 49 is 0.9999999999999999 in floating point.
+func TestSharesAreRoundedAsByTheBudget(t *testing.T) {
+	c := valid()
+	c.Instances = nil
+	for i := range 49 {
+		c.Instances = append(c.Instances, model.InstanceSpec{
+			ID: model.InstanceID(fmt.Sprint("i", i)), Pool: "p", Domain: valid().Instances[0].Domain, Capacity: valid().Instances[0].Capacity,
+		})
+	}
+	c.Pools[0].Budget = model.Budget{MaxUnavailableShare: 1.0 / 49}
+	assert.Equal(t, len(config.Validate(c)), 0, "%v", config.Validate(c))
+}
--- a/core/command/config/validate.go
+++ b/core/command/config/validate.go
@@ -118,7 +118,7 @@
 }
 
 // shareSlack absorbs the rounding of shares, as the budgets themselves do, so that
-// 0.1 of 30 is 3.
+// 1/49 of 49 is 1 and not 0.
 const shareSlack = 1e-9
 
 // checkBudget refuses budgets that no maintenance could ever respect.
