Add the operators' command line

Commands and queries are separate packages. Settings are text until they are checked, so that all wrong ones are reported at once with flag, variable and reason. Tables are printed from the JSON of a view, so that a view needs no code of its own here.

go test -race ./cmd/lacewingturn passes, with a first configuration, a revision, a conflict and a revert through the interface.

--- /dev/null
+++ b/cmd/lacewingturn/command/config.go
@@ -0,0 +1,141 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/cmd/lacewingturn/session"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// digestShown is the number of digits of a digest that plan prints. Twelve hex
+// digits tell the revisions of a site apart.
+const digestShown = 12
+
+// Plan compares answers with what is in force.
+type Plan struct{ Answers }
+
+// Run implements the command.
+func (c Plan) Run(s *session.Session) error {
+	config, err := c.read(s)
+	if err != nil {
+		return err
+	}
+	var current query.ConfigView
+	if _, err := s.Read(operatorv1.View_VIEW_CONFIG, "", &current); err != nil {
+		return err
+	}
+	plan := query.Plan(current, config)
+	if err := s.Print(plan); err != nil {
+		return err
+	}
+	if len(plan.Changes) > 0 && !s.Settings.JSON {
+		fmt.Fprintf(s.Out, "\nto put it in force: lacewingturn accept %s --base %d --digest %s\n", c.File, plan.Base, plan.Digest[:digestShown])
+	}
+	return nil
+}
+
+// Waiting is the option of the commands that change the configuration.
+type Waiting struct {
+	Wait bool `help:"Wait until every live entry instance has the revision in force."`
+}
+
+// await shows progress until the revision is in force everywhere.
+func (w Waiting) await(s *session.Session, r result.Result) error {
+	if !w.Wait {
+		return nil
+	}
+	c, err := s.Client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.Context, s.Settings.WaitTimeout)
+	defer cancel()
+	err = c.Watch(ctx, model.Revision(r.Revision), func(p client.Progress) {
+		text := fmt.Sprintf("revision %d in force on %d of %d entry instances", r.Revision, p.Members-len(p.Waiting), p.Members)
+		if len(p.Waiting) > 0 {
+			text += fmt.Sprintf(", waiting for %v", p.Waiting)
+		}
+		fmt.Fprintln(s.Err, text)
+	})
+	return err
+}
+
+// Accept puts answers in force.
+type Accept struct {
+	Answers
+	Base   string `required:"" help:"Revision that the plan was made from, as plan prints it."`
+	Digest string `help:"Digest that plan printed, or its start; refuses answers that changed since."`
+	Request
+	Waiting
+}
+
+// Run implements the command.
+func (c Accept) Run(s *session.Session) error {
+	base, err := revision("base", c.Base)
+	if err != nil {
+		return err
+	}
+	config, err := c.read(s)
+	if err != nil {
+		return err
+	}
+	if digest := query.Digest(config); len(c.Digest) > len(digest) || digest[:len(c.Digest)] != c.Digest {
+		return result.New(result.Conflicting, "the answers changed since the plan: their digest is %s", digest)
+	}
+	r, err := s.Submit(c.RequestID, model.AcceptConfig{Base: base, Config: config})
+	if err != nil {
+		return err
+	}
+	return c.await(s, r)
+}
+
+// Revert puts an earlier revision in force.
+type Revert struct {
+	To   string `arg:"" help:"Revision to go back to, as history shows it."`
+	Base string `help:"Revision that must be in force; the current one if left out."`
+	Request
+	Waiting
+}
+
+// Run implements the command.
+func (c Revert) Run(s *session.Session) error {
+	to, err := revision("to", c.To)
+	if err != nil {
+		return err
+	}
+	base, err := c.base(s)
+	if err != nil {
+		return err
+	}
+	r, err := s.Submit(c.RequestID, model.RevertConfig{Base: base, To: to})
+	if err != nil {
+		return err
+	}
+	return c.await(s, r)
+}
+
+func (c Revert) base(s *session.Session) (model.Revision, error) {
+	if c.Base != "" {
+		return revision("base", c.Base)
+	}
+	if c.RequestID != "" {
+		return 0, result.New(result.InvalidInput, "--request-id needs the --base of the first attempt, because a resend must be the same command")
+	}
+	var v query.HistoryView
+	_, err := s.Read(operatorv1.View_VIEW_HISTORY, "", &v)
+	return model.Revision(v.Revision), err
+}
+
+func revision(name, text string) (model.Revision, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, result.New(result.InvalidInput, "%s: %q is not a revision", name, text)
+	}
+	return model.Revision(n), nil
+}
--- /dev/null
+++ b/cmd/lacewingturn/command/wave.go
@@ -0,0 +1,73 @@
+package command
+
+import (
+	"time"
+
+	"lacewingturn.example/cmd/lacewingturn/session"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// Wave groups the commands on maintenance waves.
+type Wave struct {
+	Start  WaveStart  `cmd:"" help:"Start a maintenance wave over all instances of the pools."`
+	Pause  WavePause  `cmd:"" help:"Pause a wave; instances that it holds are returned or finished."`
+	Resume WaveResume `cmd:"" help:"Resume a paused or stopped wave."`
+	Cancel WaveCancel `cmd:"" help:"End a wave; it starts nothing more."`
+}
+
+// WaveStart starts a wave.
+type WaveStart struct {
+	Pools  []string `arg:"" help:"Names of the pools."`
+	ID     string   `help:"ID of the wave; drawn if left out."`
+	Before string   `help:"Leave out instances maintained after this time, such as 2026-12-01T00:00:00Z."`
+	Request
+}
+
+// Run implements the command.
+func (c WaveStart) Run(s *session.Session) error {
+	if c.RequestID != "" && c.ID == "" {
+		return result.New(result.InvalidInput, "--request-id needs the --id of the first attempt, because a resend must be the same command")
+	}
+	wave := model.StartWave{ID: model.WaveID(drawn("wave", c.ID))}
+	for _, p := range c.Pools {
+		wave.Pools = append(wave.Pools, model.PoolName(p))
+	}
+	if c.Before != "" {
+		t, err := time.Parse(time.RFC3339, c.Before)
+		if err != nil {
+			return result.New(result.InvalidInput, "--before = %q: is not a time such as 2026-12-01T00:00:00Z", c.Before)
+		}
+		wave.MaintainedBefore = model.At(t)
+	}
+	return c.submit(s, wave)
+}
+
+// WaveTarget is the wave that a command is about.
+type WaveTarget struct {
+	Wave   string `arg:"" help:"ID of the wave."`
+	Reason string `help:"Reason that the queries show."`
+	Request
+}
+
+func (c WaveTarget) set(s *session.Session, phase model.WavePhase) error {
+	return c.submit(s, model.SetWavePhase{ID: model.WaveID(c.Wave), Phase: phase, Reason: c.Reason})
+}
+
+// WavePause pauses a wave.
+type WavePause struct{ WaveTarget }
+
+// Run implements the command.
+func (c WavePause) Run(s *session.Session) error { return c.set(s, model.WavePaused) }
+
+// WaveResume resumes a wave.
+type WaveResume struct{ WaveTarget }
+
+// Run implements the command.
+func (c WaveResume) Run(s *session.Session) error { return c.set(s, model.WaveRunning) }
+
+// WaveCancel cancels a wave.
+type WaveCancel struct{ WaveTarget }
+
+// Run implements the command.
+func (c WaveCancel) Run(s *session.Session) error { return c.set(s, model.WaveCancelled) }
--- /dev/null
+++ b/cmd/lacewingturn/main_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/server"
+	opcommand "lacewingturn.example/operator/command"
+	opquery "lacewingturn.example/operator/query"
+	"lacewingturn.example/replica"
+)
+
+// single is a leader whose commands are applied at once.
+type single struct{ state atomic.Pointer[model.State] }
+
+func (s *single) View() *replica.View {
+	return &replica.View{ID: "c1/1", Leader: "c1/1", IsLeader: true, State: *s.state.Load()}
+}
+
+func (s *single) Entries() []replica.EntryLiveness { return nil }
+
+func (s *single) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	old, env := s.state.Load(), commands[0]
+	env.Time = model.At(time.Now())
+	next, r := command.Apply(*old, old.Index+1, 1, env)
+	s.state.Store(&next)
+	return []result.Result{r}, nil
+}
+
+// serve starts the operator interface and makes it the default of the settings.
+func serve(t *testing.T) *single {
+	t.Helper()
+	s := &single{}
+	s.state.Store(&model.State{})
+	mux := http.NewServeMux()
+	mux.Handle(opcommand.New(s, nil, zap.NewNop()).Route())
+	mux.Handle(opquery.New(s, s, zap.NewNop()).Route())
+	srv, err := server.Listen("127.0.0.1:0", mux, nil)
+	assert.NilError(t, err)
+	srv.Start()
+	t.Cleanup(srv.Kill)
+	t.Setenv("LACEWINGTURN_CONTROL", srv.Address())
+	return s
+}
+
+func execute(t *testing.T, args ...string) (status int, out, errOut string) {
+	t.Helper()
+	var o, e bytes.Buffer
+	status = run(t.Context(), args, strings.NewReader(""), &o, &e)
+	return status, o.String(), e.String()
+}
+
+// Guards against settings errors that are reported one at a time, or without
+// the flag, the variable and the reason.
+func TestWrongSettingsAreReportedTogether(t *testing.T) {
+	t.Setenv("LACEWINGTURN_TIMEOUT", "soon")
+	status, _, errOut := execute(t, "status", "--control", "host:1", "--output", "xml", "--cert", "/nowhere/cert.pem", "--wait-timeout", "9h")
+	assert.Equal(t, status, result.InvalidInput.Info().Exit)
+	for _, want := range []string{
+		`--control (LACEWINGTURN_CONTROL) = "host:1": "host" is not an IP number`,
+		`--output (LACEWINGTURN_OUTPUT) = "xml": must be one of table, json`,
+		`--timeout (LACEWINGTURN_TIMEOUT) = "soon": is not a duration`,
+		`--wait-timeout (LACEWINGTURN_WAIT_TIMEOUT) = "9h": must be between`,
+		`--cert (LACEWINGTURN_CERT) = "/nowhere/cert.pem": cannot be read`,
+	} {
+		assert.Assert(t, strings.Contains(errOut, want), "missing %s in\n%s", want, errOut)
+	}
+}
+
+// Guards against a path from nothing to a running configuration, and back, that
+// is broken anywhere between the command line and the control state.
+func TestFirstConfigurationReviseAndRevert(t *testing.T) {
+	site := serve(t)
+	file := filepath.Join(t.TempDir(), "answers.yaml")
+	ok := func(args ...string) string {
+		t.Helper()
+		status, out, errOut := execute(t, args...)
+		assert.Equal(t, status, 0, "%v\n%s%s", args, out, errOut)
+		return out
+	}
+	ok("init", file, "--sample", "karaoke")
+	ok("check", file)
+	assert.Equal(t, ok("generate", file), ok("generate", file))
+	plan := ok("plan", file)
+	assert.Assert(t, strings.Contains(plan, "accept "+file+" --base 0 --digest "), plan)
+	assert.Assert(t, strings.Contains(ok("accept", file, "--base", "0", "--wait"), "accepted (revision 1)"))
+
+	data, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(file, bytes.Replace(data, []byte("max_step: 2"), []byte("max_step: 1"), 1), 0o600))
+	assert.Assert(t, strings.Contains(ok("plan", file), "waves.MaxStep: 2 -> 1"))
+	ok("accept", file, "--base", "1")
+	status, _, errOut := execute(t, "accept", file, "--base", "1")
+	assert.Equal(t, status, result.Conflicting.Info().Exit)
+	assert.Assert(t, strings.Contains(errOut, "revision 2 by"), errOut)
+	assert.Assert(t, strings.Contains(ok("revert", "1"), "revision 3"))
+	assert.Equal(t, site.state.Load().Config.Waves.MaxStep, 2)
+	history := ok("history")
+	assert.Assert(t, strings.Contains(history, "waves.MaxStep: 1 -> 2"), history)
+
+	ok("drain", "lyrics-east-r1-1")
+	status, _, _ = execute(t, "drain", "no-such-instance")
+	assert.Equal(t, status, result.NotFound.Info().Exit)
+	assert.Equal(t, site.state.Load().Instances.Len(), 48)
+	ok("return", "lyrics-east-r1-1")
+	ok("move", "spare-east-r3-1", "--to", "lyrics")
+	ok("wave", "start", "tracks", "--id", "w1")
+	ok("wave", "pause", "w1", "--reason", "lunch")
+	ok("wave", "resume", "w1")
+	ok("wave", "cancel", "w1")
+	ok("job", "submit", "--pool", "lyrics", "--team", "rights", "--processors", "0.5", "--id", "j1")
+	ok("status")
+	ok("targets")
+	assert.Assert(t, strings.Contains(ok("config"), "pools[lyrics].budget.min_available"))
+}
+
+// Guards against a script that cannot tell results apart, or that cannot parse them.
+func TestOutputForScripts(t *testing.T) {
+	serve(t)
+	bad := filepath.Join(t.TempDir(), "answers.yaml")
+	assert.NilError(t, os.WriteFile(bad, []byte("site: x\ncolour: red\n"), 0o600))
+	status, _, errOut := execute(t, "check", bad)
+	assert.Equal(t, status, result.ConfigInvalid.Info().Exit)
+	assert.Assert(t, strings.Contains(errOut, bad+`:2:1: colour: unknown key "colour"`), errOut)
+	status, out, _ := execute(t, "check", bad, "--output", "json")
+	assert.Equal(t, status, result.ConfigInvalid.Info().Exit)
+	assert.Assert(t, strings.Contains(out, `"column": 1`), out)
+
+	status, out, _ = execute(t, "revert", "9", "--base", "0", "--output", "json")
+	assert.Equal(t, status, result.NotFound.Info().Exit)
+	assert.Assert(t, strings.Contains(out, `"name": "not-found"`) && strings.Contains(out, `"outcome": "not-run"`), out)
+	status, _, _ = execute(t, "job", "submit", "--pool", "p", "--team", "t", "--processors", "many", "--memory", "-1")
+	assert.Equal(t, status, result.InvalidInput.Info().Exit)
+	status, _, _ = execute(t, "no-such-command")
+	assert.Equal(t, status, result.InvalidInput.Info().Exit)
+	status, out, _ = execute(t, "--help")
+	assert.Equal(t, status, 0)
+	assert.Assert(t, strings.Contains(out, "explain"))
+	t.Setenv("LACEWINGTURN_CONTROL", "127.0.0.1:1")
+	status, _, _ = execute(t, "status", "--timeout", "1s")
+	assert.Equal(t, status, result.NoQuorum.Info().Exit)
+}
+
+// Guards against a resend that becomes another command, because a part of it was
+// drawn anew.
+func TestResendNeedsTheSameCommand(t *testing.T) {
+	id := "01970000-0000-7000-8000-000000000000"
+	for _, args := range [][]string{{"move", "i", "--to", "p"}, {"wave", "start", "p"}, {"revert", "1"}, {"job", "submit", "--pool", "p", "--team", "t"}} {
+		status, _, errOut := execute(t, append(args, "--request-id", id)...)
+		assert.Equal(t, status, result.InvalidInput.Info().Exit, "%v", args)
+		assert.Assert(t, strings.Contains(errOut, "of the first attempt"), errOut)
+	}
+}
+
+// Guards against shell completion that offers nothing.
+func TestCompletion(t *testing.T) {
+	t.Setenv("COMP_LINE", "lacewingturn wave ")
+	status, out, _ := execute(t)
+	assert.Equal(t, status, 0)
+	assert.Assert(t, strings.Contains(out, "pause") && strings.Contains(out, "resume"), out)
+}
