Check the fleet's rules in any order of faults and operators

The property test draws operators, waves, moves, losses of instances, racks and data centres, late and repeated commands, platform faults and leader changes. After every step its own count of budgets, holders and reboots is compared, and at the end every move must have ended.

--- /dev/null
+++ b/core/command/fleet/property_test.go
@@ -0,0 +1,368 @@
+package fleet_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// checker judges every step by rules that are written apart from the code under test.
+type checker struct {
+	reboots map[string]int // by wave and instance
+	begun   map[model.OperationID]bool
+	failed  error
+}
+
+func (c *checker) report(format string, args ...any) {
+	if c.failed == nil {
+		c.failed = fmt.Errorf(format, args...)
+	}
+}
+
+func (c *checker) step(before, after model.State, cmd model.Command, r result.Result) {
+	if !r.Code.OK() {
+		return
+	}
+	if planned(cmd) {
+		was := shortfalls(before)
+		for where, n := range shortfalls(after) {
+			if n > max(0, was[where]) {
+				c.report("%T%+v took %s from %d to %d below its budget", cmd, cmd, where, was[where], n)
+			}
+		}
+	}
+	if r.Code == result.Accepted {
+		c.once(before, cmd)
+	}
+	if _, ok := cmd.(model.RemoveInstance); !ok && after.Instances.Len() < before.Instances.Len() {
+		c.report("%T%+v lost an instance", cmd, cmd)
+	}
+	c.structure(after)
+}
+
+// once checks that nothing takes effect a second time.
+func (c *checker) once(before model.State, cmd model.Command) {
+	switch cmd := cmd.(type) {
+	case model.SetInstancePhase:
+		if i, _ := before.Instances.Get(cmd.Instance); i.Generation != cmd.Generation {
+			c.report("%+v took effect on generation %d", cmd, i.Generation)
+		}
+	case model.BeginOperation:
+		if c.begun[cmd.Operation] {
+			c.report("operation %s was begun twice", cmd.Operation)
+		}
+		c.begun[cmd.Operation] = true
+		i, _ := before.Instances.Get(cmd.Instance)
+		key := i.HeldBy + " " + string(cmd.Instance)
+		if cmd.Kind == model.OperationReboot {
+			c.reboots[key]++
+		}
+		if c.reboots[key] > 1 {
+			c.report("%s was rebooted twice", key)
+		}
+	}
+}
+
+func planned(cmd model.Command) bool {
+	switch cmd := cmd.(type) {
+	case model.SetInstancePhase:
+		return cmd.To != model.PhaseLost && cmd.To != model.PhaseFailed
+	case model.EndOperation:
+		return cmd.Succeeded
+	case model.AcceptConfig:
+		return false
+	}
+	return true
+}
+
+// shortfalls says for each pool, and each limited rack and data centre of it,
+// how many instances are missing; negative numbers are left out.
+func shortfalls(s model.State) map[string]int {
+	out := map[string]int{}
+	for _, p := range s.Config.Pools {
+		members, available, places := 0, 0, map[string]int{}
+		for _, i := range s.Instances.All() {
+			if i.Pool != p.Name || i.Phase == model.PhaseArriving {
+				continue
+			}
+			members++
+			if i.Phase == model.PhaseActive {
+				available++
+				continue
+			}
+			places["rack "+i.Domain.Rack]++
+			places["center "+i.Domain.DataCenter]++
+		}
+		b, name, gone := p.Budget, string(p.Name), members-available
+		short := max(b.MinAvailable-available, int(math.Ceil(b.MinAvailableShare*float64(members)-1e-9))-available)
+		if b.MaxUnavailable > 0 {
+			short = max(short, gone-b.MaxUnavailable)
+		}
+		if b.MaxUnavailableShare > 0 {
+			short = max(short, gone-int(b.MaxUnavailableShare*float64(members)+1e-9))
+		}
+		out[name] = max(0, short)
+		for place, n := range places {
+			limit := b.MaxPerRack
+			if place[0] == 'c' {
+				limit = b.MaxPerDataCenter
+			}
+			if limit > 0 {
+				out[name+" "+place] = max(0, n-limit)
+			}
+		}
+	}
+	return out
+}
+
+// structure checks that each instance is in one pool and held by at most one
+// wave or move, which agree with it.
+func (c *checker) structure(s model.State) {
+	held := map[model.InstanceID]string{}
+	claim := func(id model.InstanceID, holder string) {
+		if held[id] != "" {
+			c.report("instance %s is held by %s and %s", id, held[id], holder)
+		}
+		held[id] = holder
+	}
+	for _, w := range s.Waves.All() {
+		for _, id := range w.Running {
+			claim(id, model.WaveHolder(w.ID))
+		}
+	}
+	for _, m := range s.Moves.All() {
+		if !m.Phase.Ended() {
+			claim(m.Instance, model.MoveHolder(m.ID))
+		}
+	}
+	for _, i := range s.Instances.All() {
+		if !slices.ContainsFunc(s.Config.Pools, func(p model.Pool) bool { return p.Name == i.Pool }) {
+			c.report("instance %s is in no pool", i.ID)
+		}
+		_, wave := i.HeldByWave()
+		_, move := i.HeldByMove()
+		if (wave || move) != (held[i.ID] != "") || ((wave || move) && held[i.ID] != i.HeldBy) {
+			c.report("instance %s is %s, held by %q, listed by %q", i.ID, i.Phase, i.HeldBy, held[i.ID])
+		}
+	}
+}
+
+// rule breaks a rule on purpose after a command; it reports whether it did.
+type rule func(*world, model.Command, result.Result) bool
+
+// exercise runs operators, faults, leader changes and platform faults in any
+// order, and returns the first rule that was broken.
+func exercise(t *rapid.T, breakRule rule) error {
+	e := &exerciser{t: t, c: &checker{reboots: map[string]int{}, begun: map[model.OperationID]bool{}}, past: []model.Command{model.Noop{}}, budgets: []model.Budget{
+		{MinAvailable: 4}, {MaxUnavailable: 2, MaxPerRack: 1}, {MinAvailableShare: 0.6}, {MaxUnavailableShare: 0.4, MaxPerDataCenter: 1},
+	}}
+	e.w = newWorld(e.config())
+	e.w.applied = func(before, after model.State, c model.Command, r result.Result) {
+		if breakRule != nil && breakRule(e.w, c, r) {
+			after, r.Code = e.w.s, result.Accepted
+		}
+		e.c.step(before, after, c, r)
+		e.past = append(e.past, c)
+	}
+	for range rapid.IntRange(5, 40).Draw(t, "steps") {
+		e.act(rapid.IntRange(0, 15).Draw(t, "act"))
+		if e.c.failed != nil {
+			return e.c.failed
+		}
+	}
+	e.recover()
+	return e.c.failed
+}
+
+type exerciser struct {
+	t       *rapid.T
+	w       *world
+	c       *checker
+	budgets []model.Budget
+	past    []model.Command
+	late    model.Decision // decided by a leader before
+	ids     int
+}
+
+func (e *exerciser) config() model.Config {
+	c := testConfig(map[model.PoolName]int{"a": 6, "b": 6, "spare": 4}, rapid.SampledFrom(e.budgets).Draw(e.t, "budget"))
+	c.Pools[2].Budget = model.Budget{MinAvailable: 1}
+	return c
+}
+
+func (e *exerciser) n(label string, limit int) int {
+	return rapid.IntRange(0, limit-1).Draw(e.t, label)
+}
+
+func (e *exerciser) any() model.Instance {
+	all := e.w.s.Instances.Values()
+	return all[e.n("instance", len(all))]
+}
+
+func (e *exerciser) pool() model.PoolName {
+	return []model.PoolName{"a", "b", "spare"}[e.n("pool", 3)]
+}
+
+func (e *exerciser) act(kind int) {
+	w, i := e.w, e.any()
+	e.ids++
+	switch kind {
+	case 0, 1, 2:
+		w.runUntil(w.now.Add(time.Duration(e.n("seconds", 900))*time.Second), forever)
+	case 3:
+		w.do(model.DrainInstance{Instance: i.ID})
+	case 4:
+		w.do(model.ReturnInstance{Instance: i.ID, HeldBy: i.HeldBy})
+	case 5:
+		w.do(model.StartMove{ID: model.MoveID(fmt.Sprint("m", e.ids)), Instance: i.ID, From: i.Pool, To: e.pool(), Lend: e.ids%2 == 0})
+	case 6:
+		id, _ := i.HeldByMove()
+		w.do(model.UndoMove{ID: id, Reason: "operator"})
+	case 7, 8:
+		w.do(model.StartWave{ID: model.WaveID(fmt.Sprint("w", e.ids)), Pools: []model.PoolName{e.pool()}})
+	case 9:
+		for _, v := range w.s.Waves.Values() {
+			w.do(model.SetWavePhase{ID: v.ID, Phase: model.WavePhase(1 + e.n("wave phase", 4))})
+		}
+	case 10:
+		e.breakDown(i)
+	case 11:
+		w.changeLeader()
+	case 12:
+		c := e.past[e.n("past", len(e.past))]
+		if op, ok := c.(model.EndOperation); ok && e.ids%2 == 0 {
+			op.Succeeded = !op.Succeeded
+			c = op
+		}
+		if _, ok := c.(model.AcceptConfig); !ok {
+			w.do(c)
+		}
+	case 13:
+		took, fails := time.Duration(e.n("platform seconds", 900))*time.Second, e.n("platform fails", 4) == 0
+		w.duration = func(model.PlatformAction) time.Duration { return took }
+		w.fails = func(model.PlatformAction) bool { return fails }
+	case 14:
+		w.do(model.AcceptConfig{Base: w.s.Revision, Config: e.config()})
+	case 15:
+		for _, c := range e.late.Commands {
+			w.do(c)
+		}
+		for _, a := range e.late.Actions {
+			if a.Kind == model.ActionStartOperation {
+				w.put(a)
+			}
+		}
+		e.late = command.Reconcile(w.s, w.observe(), w.now)
+	}
+}
+
+// breakDown takes an instance, its rack or its data centre out, or gives it work.
+func (e *exerciser) breakDown(hit model.Instance) {
+	scope := e.n("scope", 5)
+	until := e.w.now.Add(time.Duration(e.n("down seconds", 3000)) * time.Second)
+	if e.n("for ever", 4) == 0 {
+		until = never
+	}
+	for _, i := range e.w.s.Instances.Values() {
+		same := i.ID == hit.ID || (scope == 1 && i.Domain == hit.Domain) || (scope == 2 && i.Domain.DataCenter == hit.Domain.DataCenter)
+		switch {
+		case same && scope == 4:
+			e.w.machines[i.ID].busyUntil = until
+		case same:
+			e.w.fail(i.ID, until)
+		}
+	}
+}
+
+// recover ends all faults and waves; every move must then come to an end and
+// every instance return, except those that an operator holds.
+func (e *exerciser) recover() {
+	w := e.w
+	for _, v := range w.s.Waves.Values() {
+		w.do(model.SetWavePhase{ID: v.ID, Phase: model.WaveCancelled})
+	}
+	for _, m := range w.machines {
+		m.downUntil, m.busyUntil = 0, 0
+	}
+	w.fails = func(model.PlatformAction) bool { return false }
+	w.runUntil(w.now.Add(3*time.Hour), forever)
+	for _, i := range w.s.Instances.Values() {
+		if i.Phase != model.PhaseActive && i.HeldBy != model.HolderOperator {
+			e.c.report("instance %s is still %s, held by %q, operation %q", i.ID, i.Phase, i.HeldBy, i.Operation)
+		}
+	}
+}
+
+// Guards against planned work that breaks a budget, an instance in two pools or
+// with two holders, a repeated reboot, and planned work that never ends.
+func TestRulesHoldInAnyOrder(t *testing.T) {
+	fixSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		if err := exercise(t, nil); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a property test that would not notice a broken rule.
+func TestBrokenRulesAreFound(t *testing.T) {
+	rules := map[string]rule{
+		"a drain that ignores the budget": func(w *world, c model.Command, r result.Result) bool {
+			d, ok := c.(model.DrainInstance)
+			broken := ok && (r.Code == result.BudgetExceeded || r.Code == result.DomainLimit)
+			if broken {
+				w.set(d.Instance, func(i *model.Instance) { i.Phase, i.HeldBy = model.PhaseDraining, model.HolderOperator })
+			}
+			return broken
+		},
+		"a second reboot": func(w *world, c model.Command, r result.Result) bool {
+			p, ok := c.(model.SetInstancePhase)
+			broken := ok && r.Code == result.Accepted && p.From == model.PhaseVerifying && p.To == model.PhaseSoaking
+			if broken {
+				w.set(p.Instance, func(i *model.Instance) { i.Phase = model.PhaseDrained })
+			}
+			return broken
+		},
+		"a move of a held instance": func(w *world, c model.Command, r result.Result) bool {
+			m, ok := c.(model.StartMove)
+			broken := ok && r.Code == result.WrongPhase
+			if broken {
+				w.s.Moves = w.s.Moves.Set(m.ID, model.Move{ID: m.ID, Instance: m.Instance, From: m.From, To: m.To, Phase: model.MoveDraining})
+			}
+			return broken
+		},
+	}
+	const seeds = 60
+	hits := func(r rule) int {
+		found, n := rapid.Custom(func(t *rapid.T) error { return exercise(t, r) }), 0
+		for seed := range seeds {
+			if found.Example(seed) != nil {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, hits(nil), 0)
+	for name, r := range rules {
+		n := hits(r)
+		assert.Assert(t, n > 0, "%s was not found in %d runs", name, seeds)
+		t.Logf("%s: found in %d of %d runs", name, n, seeds)
+	}
+}
+
+// fixSeed makes runs repeatable unless the command line asks for another seed.
+func fixSeed(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		assert.NilError(t, flag.Set("rapid.seed", "20261204"))
+	}
+}
--- a/core/command/fleet/reconcile_test.go
+++ b/core/command/fleet/reconcile_test.go
@@ -139,3 +139,18 @@
 	w.runUntil(w.now.Add(10*time.Minute), forever)
 	assert.Assert(t, !w.s.Instances.Has("b5"))
 }
+
+// Guards against a paused wave that keeps instances out of service, and one
+// that cuts off a reboot.
+func TestPausedWaveGivesBackWhatIsNotRebooting(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.machines["a1"].busyUntil = never
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.do(model.TakeWaveStep{ID: "w", Instance: "a1"})
+	w.runUntil(w.now.Add(time.Hour), func() bool { return w.instance("a0").Phase == model.PhaseRebooting })
+	w.do(model.SetWavePhase{ID: "w", Phase: model.WavePaused, Reason: "operator"})
+	w.runUntil(w.now.Add(10*time.Minute), forever)
+	assert.Assert(t, w.instance("a0").Available() && w.instance("a1").Available())
+	assert.DeepEqual(t, w.wave(t, "w").Done, []model.InstanceID{"a0"})
+	assert.Equal(t, len(w.wave(t, "w").Pending), 5)
+}
--- a/core/command/fleet/world_test.go
+++ b/core/command/fleet/world_test.go
@@ -198,3 +198,10 @@
 	i, _ := w.s.Instances.Get(id)
 	return i
 }
+
+// set edits an instance behind the back of the commands.
+func (w *world) set(id model.InstanceID, edit func(*model.Instance)) {
+	i := w.instance(id)
+	edit(&i)
+	w.s.Instances = w.s.Instances.Set(id, i)
+}
