--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -53,6 +53,7 @@
 
 	Settings Settings
 	Control  entry.Control
+	Client   *http.Client
 	Loop     *loop.Loop
 	Log      *zap.Logger
 	Metrics  prometheus.Registerer
@@ -62,7 +63,7 @@
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics,
+		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
@@ -88,6 +89,7 @@
 // gives up the membership.
 func runEntry(p runParams) error {
 	link := newLink(p)
+	p.Internal.Handle(p.Entry.PeerPath, p.Entry.Peers)
 	background, cancel := context.WithCancel(p.Life)
 	linkDone := make(chan struct{})
 	p.Lifecycle.Append(fx.Hook{
--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -184,18 +185,22 @@
 	return out
 }
 
-// Stop shuts the site down gracefully: targets, entry instances, replicas.
+// Stop shuts the site down gracefully: targets, entry instances, replicas. The
+// processes of one kind stop at the same time.
 func (s *Site) Stop(ctx context.Context) error {
-	var errs []error
-	for _, t := range s.Targets {
-		errs = append(errs, t.Leave(ctx))
-	}
-	for _, e := range s.Entries {
-		errs = append(errs, e.Stop(ctx))
-	}
-	for _, c := range s.Controls {
-		errs = append(errs, c.Stop(ctx))
+	targets := stopAll(s.Targets, func(t *Target) error { return t.Leave(ctx) })
+	entries := stopAll(s.Entries, func(p *instance.Process) error { return p.Stop(ctx) })
+	controls := stopAll(s.Controls, func(p *instance.Process) error { return p.Stop(ctx) })
+	return trace.NewAggregate(targets, entries, controls)
+}
+
+func stopAll[T any](list []T, stop func(T) error) error {
+	errs := make([]error, len(list))
+	var all sync.WaitGroup
+	for i, v := range list {
+		all.Go(func() { errs[i] = stop(v) })
 	}
+	all.Wait()
 	return trace.NewAggregate(errs...)
 }
 
