--- a/cmd/lacewingturn/query/query.go
+++ b/cmd/lacewingturn/query/query.go
@@ -19,6 +19,8 @@
 	Config  Config  `cmd:"" group:"Queries" help:"Show a configuration, each value with the answer that it came from."`
 	History History `cmd:"" group:"Queries" help:"Show the accepted configurations."`
 	Explain Explain `cmd:"" group:"Queries" help:"Explain why a job waits, an instance does not drain or a wave does not go on."`
+	Replay  Replay  `cmd:"" group:"Queries" help:"Replay a traffic trace through a queue policy on a virtual clock."`
+	Verify  Verify  `cmd:"" group:"Queries" help:"Replay recorded control inputs and compare the state digests."`
 }
 
 // show reads a view and prints it as the server built it.
