--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -23,19 +23,19 @@
 
 // controlModule keeps a replica of the control state.
 var controlModule = fx.Module("control",
-	fx.Provide(openReplica, newLiveness),
+	fx.Provide(openReplica, newLiveness, newAppliedHook),
 	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
 	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
 	fx.Invoke(routeControl, routeOperator, runReplica),
 )
 
-func openReplica(s Settings, l *loop.Loop, log *zap.Logger, dial server.DialFunc) (*replicacommand.Replica, error) {
+func openReplica(s Settings, l *loop.Loop, log *zap.Logger, dial server.DialFunc, applied appliedHook) (*replicacommand.Replica, error) {
 	peers := make([]replicacommand.Peer, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
 		peers = append(peers, replicacommand.Peer{Name: r.Name, Address: r.Address})
 	}
 	return replicacommand.Open(replicacommand.Settings{
-		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Dial: dial,
+		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Dial: dial, Applied: applied,
 	}, l)
 }
 
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -5,17 +5,21 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"lacewingturn.example/api/codec"
 	"lacewingturn.example/cmd/internal/instance"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/operator/answers"
 	"lacewingturn.example/operator/client"
+	"lacewingturn.example/replica/record"
 )
 
 // stepTimeout bounds one step of the demo; a step that takes longer has failed.
@@ -62,6 +66,7 @@
 		{"drain an instance while requests run", d.drainInstance},
 		{"lose the leader", d.loseLeader},
 		{"stop everything gracefully", d.stopAll},
+		{"replay the recorded control inputs", d.verifyRecords},
 	} {
 		fmt.Fprintf(out, "%6.1fs  %s\n", time.Since(began).Seconds(), step.title)
 		if err := step.run(ctx); err != nil {
@@ -364,3 +369,33 @@
 	d.outcomes.add(err == nil, "every process stops gracefully", "%v", err)
 	return nil
 }
+
+// verifyRecords replays what each remaining replica recorded and compares the
+// state digests. Replicas that applied the same index must agree as well.
+func (d *Demo) verifyRecords(context.Context) error {
+	digests := map[model.Index]string{}
+	commands, differ := 0, 0
+	for _, c := range d.site.Controls {
+		f, err := os.Open(filepath.Join(d.site.Folder, c.Settings().Name+"-control.jsonl"))
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		outcome, err := record.Replay(f)
+		_ = f.Close()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		state := c.Replica.View().State
+		digest, err := codec.Digest(state)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if other, seen := digests[state.Index]; outcome.Digest != digest || seen && other != digest {
+			differ++
+		}
+		digests[state.Index] = digest
+		commands += outcome.Commands
+	}
+	d.outcomes.add(differ == 0, "replaying the recorded control inputs gives the state digest of every replica", "%d commands, %d digests differ", commands, differ)
+	return nil
+}
--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -78,7 +78,7 @@
 func (s *Site) settings(name string, role instance.Role, i int) (instance.Settings, error) {
 	out := instance.Settings{
 		Name: name, Roles: []instance.Role{role}, Domain: domain(i), Replicas: s.replicas,
-		DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
+		RecordFolder: s.Folder, DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
 	var err error
 	if out.InternalAddress, err = freeAddress(); err != nil {
--- a/node/event/process.go
+++ b/node/event/process.go
@@ -9,3 +9,8 @@
 	ProcessStopped  = define(5002, "process stopped", zapcore.InfoLevel, "All requests in flight have ended and the listeners are closed.", "")
 	SettingsInvalid = define(5003, "settings invalid", zapcore.ErrorLevel, "One or more settings are wrong; nothing was started.", "Correct every setting that the line names.")
 )
+
+// Events of recording, 5200 to 5299.
+var (
+	RecordFailed = define(5200, "record failed", zapcore.ErrorLevel, "A recording could not be written and has ended; the instance goes on.", "Check the disk of the folder given in --record.")
+)
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -147,6 +147,9 @@
 		env.Command = model.SetReplicas{Replicas: replicaMembers(v)}
 	}
 	env.Time = e.Time
+	if m.r.settings.Applied != nil {
+		m.r.settings.Applied(Input{Before: m.state, Index: e.Index, Term: e.Term, Envelope: env})
+	}
 	var res result.Result
 	m.state, res = command.Apply(m.state, e.Index, e.Term, env)
 	m.answer(e, res)
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -22,6 +22,14 @@
 	Address string // host:port
 }
 
+// Input is a committed command and the state that it is applied to.
+type Input struct {
+	Before   model.State
+	Index    model.Index
+	Term     model.Term
+	Envelope model.Envelope
+}
+
 // Settings of a replica.
 type Settings struct {
 	// Name survives the loss of the disk; the ID is the name and an incarnation.
@@ -52,6 +60,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// FS replaces the data folder in tests.
 	FS storage.FS
+	// Applied is called by the control loop before each committed command is
+	// applied; nil for none. It must not block.
+	Applied func(Input)
 	// Seed decides the random election timeouts; drawn at start if zero.
 	Seed uint64
 }
