Check the replication decisions under random faults

The runs found four faults, all fixed here: - A follower was refused as having lost data when its answer passed over a whole contradicting term; the answer now carries the last index of its log. - A leader that lost its quorum while its own removal was uncommitted never campaigned again, and nobody else could win; it now campaigns. - A membership change whose quorum does not answer was accepted; it is refused. - A replacement waited for a heartbeat between the removal and the promotion. No change is asked for while a lost disk is not replaced: a removal and a loss at the same time leave no quorum of three.

--- a/replica/raft/election.go
+++ b/replica/raft/election.go
@@ -22,11 +22,26 @@
 		m.leader = ""
 		m.notice(LostLeadership, "")
 	}
-	if m.members().Voter(m.cfg.ID) {
+	if m.mayCampaign() {
 		m.campaign(PreCandidate)
 	}
 }
 
+// mayCampaign reports whether this replica is a voter of a membership that may
+// be the committed one. A replica whose removal is not known to be committed
+// must campaign, because it may be the only one whose log is long enough.
+func (m *machine) mayCampaign() bool {
+	for i := len(m.configs) - 1; i >= 0; i-- {
+		if m.configs[i].members.Voter(m.cfg.ID) {
+			return true
+		}
+		if m.configs[i].index <= m.commit {
+			return false
+		}
+	}
+	return false
+}
+
 // campaign asks the voters whether they would vote (PreCandidate) or for their
 // vote (Candidate). The first keeps a replica that was cut off from raising the
 // term of a working leader.
@@ -43,7 +58,7 @@
 			msg.Context = handoverContext
 		}
 	}
-	for _, member := range m.members() {
+	for _, member := range m.Members() {
 		if member.Voter && member.ID != m.cfg.ID {
 			msg.To = member.ID
 			m.send(msg, 0)
@@ -55,8 +70,9 @@
 // tally counts the votes. The own vote counts once it is durable.
 func (m *machine) tally() {
 	votes := 0
-	members := m.members()
-	if m.role == PreCandidate || m.writes.termSeq <= m.writes.synced || m.rules.answerUnsynced {
+	members := m.Members()
+	own := m.role == PreCandidate || m.writes.termSeq <= m.writes.synced || m.rules.answerUnsynced
+	if own && members.Voter(m.cfg.ID) {
 		votes++
 	}
 	for _, id := range m.granted {
@@ -111,7 +127,7 @@
 
 func (m *machine) upToDate(msg Message) bool {
 	last := m.log.LastTerm()
-	return msg.LogTerm > last || msg.LogTerm == last && msg.Index >= m.log.Last()
+	return m.rules.voteForAny || msg.LogTerm > last || msg.LogTerm == last && msg.Index >= m.log.Last()
 }
 
 func (m *machine) onPreVote(msg Message) {
@@ -190,7 +206,7 @@
 }
 
 func (m *machine) onTimeoutNow(msg Message) {
-	if msg.Term == m.hard.Term && m.role == Follower && m.members().Voter(m.cfg.ID) {
+	if msg.Term == m.hard.Term && m.role == Follower && m.mayCampaign() {
 		m.handover = true
 		m.campaign(Candidate)
 	}
--- a/replica/raft/follower.go
+++ b/replica/raft/follower.go
@@ -16,7 +16,7 @@
 	m.follow(msg.From)
 	msg = m.trim(msg)
 	if term, ok := m.log.Term(msg.Index); !ok || term != msg.LogTerm {
-		reply.Reject, reply.Index, reply.Hint = true, msg.Index, m.hint(msg.Index)
+		reply.Reject, reply.Index, reply.Hint, reply.Commit = true, msg.Index, m.hint(msg.Index), m.log.Last()
 		m.send(reply, 0)
 		return
 	}
--- a/replica/raft/inputs.go
+++ b/replica/raft/inputs.go
@@ -110,7 +110,7 @@
 }
 
 func (b Bootstrap) step(m *machine) {
-	if m.log.Last() != 0 || len(m.members()) != 0 {
+	if m.log.Last() != 0 || len(m.Members()) != 0 {
 		return
 	}
 	entry := Entry{Index: 1, Term: 0, Kind: KindMembership, Time: model.At(m.now), Value: b.Members}
--- a/replica/raft/leader.go
+++ b/replica/raft/leader.go
@@ -52,7 +52,7 @@
 func (m *machine) syncPeers() {
 	old := m.peers
 	m.peers = nil
-	for _, member := range m.members() {
+	for _, member := range m.Members() {
 		if member.ID == m.cfg.ID {
 			continue
 		}
@@ -179,7 +179,7 @@
 // after it had acknowledged more than it now holds has lost durable entries:
 // counting it could lose committed ones, so it is refused.
 func (m *machine) onReject(p *peer, msg Message, sent time.Time) {
-	if msg.Hint < p.match && p.match > 0 && sent.After(p.matchAt) {
+	if msg.Commit < p.match && sent.After(p.matchAt) {
 		p.refused = true
 		m.notice(LogWentBack, p.id)
 		m.send(Message{Type: Refuse, To: p.id, Term: m.hard.Term}, 0)
@@ -209,7 +209,7 @@
 // quorumMatch returns the highest index that a quorum of voters holds durably.
 func (m *machine) quorumMatch() model.Index {
 	var matches []model.Index
-	for _, member := range m.members() {
+	for _, member := range m.Members() {
 		if !member.Voter {
 			continue
 		}
@@ -223,14 +223,14 @@
 		return 0
 	}
 	slices.Sort(matches)
-	return matches[len(matches)-m.members().Quorum()]
+	return matches[len(matches)-m.Members().Quorum()]
 }
 
 // quorumContact returns the latest time for which a quorum of voters is known
 // to have followed this leader.
 func (m *machine) quorumContact() time.Time {
 	var contacts []time.Time
-	for _, member := range m.members() {
+	for _, member := range m.Members() {
 		if !member.Voter {
 			continue
 		}
@@ -244,7 +244,7 @@
 		return m.now
 	}
 	slices.SortFunc(contacts, time.Time.Compare)
-	return contacts[len(contacts)-m.members().Quorum()]
+	return contacts[len(contacts)-m.Members().Quorum()]
 }
 
 // step sends the follower that holds the most an order to start an election.
@@ -255,7 +255,7 @@
 	var best *peer
 	for i := range m.peers {
 		p := &m.peers[i]
-		if m.members().Voter(p.id) && !p.refused && (best == nil || p.match > best.match) {
+		if m.Members().Voter(p.id) && !p.refused && (best == nil || p.match > best.match) {
 			best = p
 		}
 	}
--- a/replica/raft/log.go
+++ b/replica/raft/log.go
@@ -61,14 +61,6 @@
 	return all[:len(all):len(all)]
 }
 
-// lastTime returns the time stamp of the last entry.
-func (l Log) lastTime() model.Timestamp {
-	if len(l.entries) == 0 {
-		return 0
-	}
-	return l.entries[len(l.entries)-1].Time
-}
-
 func (l Log) append(entries ...Entry) Log {
 	l.entries = append(l.entries, entries...)
 	return l
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -20,13 +20,16 @@
 // before is committed, and so is an entry of the own term. Without the second
 // condition two leaders could act on memberships without a common quorum.
 func (m *machine) changeable() bool {
+	if m.rules.changeAtOnce {
+		return m.role == Leader
+	}
 	term, ok := m.log.Term(m.commit)
 	return m.role == Leader && ok && term == m.hard.Term && m.configs[len(m.configs)-1].index <= m.commit
 }
 
 func (m *machine) change(c Change) Proposed {
-	next, ok := m.members().with(c)
-	if !ok || !m.changeable() {
+	next, ok := m.Members().with(c)
+	if !ok || !m.changeable() || !m.reachableQuorum(next) {
 		return Proposed{Refusal: RefusedChange}
 	}
 	m.appendOwn(Entry{Kind: KindMembership, Value: next})
@@ -34,6 +37,19 @@
 	return Proposed{First: m.log.Last(), Term: m.hard.Term}
 }
 
+// reachableQuorum reports whether a quorum of the membership answers. A change
+// to one whose quorum does not answer could never be committed, nor undone.
+func (m *machine) reachableQuorum(members Membership) bool {
+	n := 0
+	for _, member := range members {
+		p := m.peer(member.ID)
+		if member.Voter && (member.ID == m.cfg.ID || p != nil && !p.refused && m.now.Sub(p.contact) < m.cfg.ElectionMin) {
+			n++
+		}
+	}
+	return n >= members.Quorum()
+}
+
 // with returns the membership after the change, which touches one member only.
 func (m Membership) with(c Change) (Membership, bool) {
 	next := slices.Clone(m)
@@ -68,12 +84,16 @@
 	return m, false
 }
 
-// afterCommit steps down once the removal of the leader itself is committed.
+// afterCommit steps down once the removal of the leader itself is committed. It
+// takes the next step of a replacement at once, because the site bears no
+// further loss between the two.
 func (m *machine) afterCommit() {
 	last := m.configs[len(m.configs)-1]
 	if last.index <= m.commit && !last.members.Voter(m.cfg.ID) {
 		Resign{}.step(m)
+		return
 	}
+	m.maintainMembers()
 }
 
 // unreachable reports whether a member has not answered for ReplaceAfter.
@@ -94,11 +114,11 @@
 	if !m.changeable() {
 		return
 	}
-	if _, ok := m.members().Get(j.Member.ID); ok {
+	if _, ok := m.Members().Get(j.Member.ID); ok {
 		m.change(Change{Kind: Update, Member: j.Member})
 		return
 	}
-	for _, old := range m.members() {
+	for _, old := range m.Members() {
 		if Name(old.ID) != Name(j.Member.ID) || !m.unreachable(old.ID) {
 			continue
 		}
@@ -120,12 +140,12 @@
 	if !m.changeable() {
 		return
 	}
-	for _, learner := range m.members() {
+	for _, learner := range m.Members() {
 		if learner.Voter || learner.Replaces == "" || !m.caughtUp(learner.ID) {
 			continue
 		}
-		if old, ok := m.members().Get(learner.Replaces); ok {
-			if m.unreachable(old.ID) && m.members().Voters() > 1 {
+		if old, ok := m.Members().Get(learner.Replaces); ok {
+			if m.unreachable(old.ID) && m.Members().Voters() > 1 {
 				m.change(Change{Kind: Remove, Member: old})
 			}
 			return
--- a/replica/raft/state.go
+++ b/replica/raft/state.go
@@ -61,6 +61,8 @@
 type brokenRules struct {
 	answerUnsynced bool // send answers before the write that they depend on
 	commitAnyTerm  bool // commit entries of earlier terms by counting
+	voteForAny     bool // vote for candidates whose log is behind
+	changeAtOnce   bool // change the membership before the last change is committed
 }
 
 // configAt is a membership and the index of the entry that holds it.
@@ -211,8 +213,6 @@
 	m.out.Notices = append(m.out.Notices, Notice{Kind: kind, Peer: peer, Term: m.hard.Term})
 }
 
-func (m *machine) members() Membership { return m.configs[len(m.configs)-1].members }
-
 // random returns a number below n from the seed (splitmix64).
 func (m *machine) random(n uint64) uint64 {
 	m.seed += 0x9e3779b97f4a7c15
--- a/replica/raft/status.go
+++ b/replica/raft/status.go
@@ -28,7 +28,7 @@
 	m := machine{State: s, now: now}
 	st := Status{
 		ID: s.cfg.ID, Role: s.role, Term: s.hard.Term, Leader: s.leader, LeaderContact: s.leaderContact,
-		Commit: s.commit, Last: s.log.Last(), Base: s.log.Base(), Members: m.members(), Failed: s.failed, Halted: s.halted,
+		Commit: s.commit, Last: s.log.Last(), Base: s.log.Base(), Members: m.Members(), Failed: s.failed, Halted: s.halted,
 	}
 	if s.role == Leader {
 		st.LeaderSince = s.leaderSince
--- a/replica/raft/types.go
+++ b/replica/raft/types.go
@@ -116,8 +116,10 @@
 	// position of the log in votes, and the matched or refused position in replies.
 	Index   model.Index
 	LogTerm model.Term
-	Commit  model.Index
-	Reject  bool
+	// Commit is the leader's commit index in an Append. In a rejecting
+	// AppendReply it is the last index of the log.
+	Commit model.Index
+	Reject bool
 	// Hint is, in a rejected AppendReply, the highest index that may match.
 	Hint model.Index
 	// Context is the time at which a leader sent an Append, in nanoseconds since
