--- /dev/null
+++ b/replica/storage/memory_test.go
@@ -0,0 +1,139 @@
+package storage
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/gravitational/trace"
+)
+
+// memory is an FS that loses what was not synced when it crashes, and fails on
+// request.
+type memory struct {
+	files   map[string]*memoryFile // by their present names
+	durable map[string]*memoryFile // names that SyncDir has made durable
+	inodes  uint64
+	failing map[string]error // error by operation: write, sync, rename, syncdir
+	room    int              // bytes that fit; no limit if negative
+}
+
+type memoryFile struct {
+	fs     *memory
+	inode  uint64
+	data   []byte
+	synced []byte
+}
+
+func newMemory() *memory {
+	return &memory{files: map[string]*memoryFile{}, durable: map[string]*memoryFile{}, failing: map[string]error{}, room: -1}
+}
+
+// crash drops what was not synced; the first keep bytes of an unsynced tail
+// have reached the disk.
+func (m *memory) crash(keep int) {
+	m.files = maps.Clone(m.durable)
+	for _, f := range m.files {
+		tail := f.data[min(len(f.synced), len(f.data)):]
+		f.data = append(slices.Clone(f.synced), tail[:min(keep, len(tail))]...)
+		f.synced = slices.Clone(f.data)
+	}
+}
+
+func (m *memory) Create(name string) (File, error) {
+	m.inodes++
+	f := &memoryFile{fs: m, inode: m.inodes}
+	m.files[name] = f
+	return f, m.failing["create"]
+}
+
+func (m *memory) get(name string) (*memoryFile, error) {
+	if f, ok := m.files[name]; ok {
+		return f, nil
+	}
+	return nil, trace.NotFound("%s does not exist", name)
+}
+
+func (m *memory) OpenAppend(name string) (File, error) { return m.get(name) }
+
+func (m *memory) ReadFile(name string) ([]byte, error) {
+	f, err := m.get(name)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (m *memory) List() ([]string, error) { return slices.Sorted(maps.Keys(m.files)), nil }
+
+func (m *memory) Rename(from, to string) error {
+	f, err := m.get(from)
+	if err != nil {
+		return err
+	}
+	delete(m.files, from)
+	m.files[to] = f
+	return m.failing["rename"]
+}
+
+func (m *memory) Remove(name string) error {
+	_, err := m.get(name)
+	delete(m.files, name)
+	return err
+}
+
+func (m *memory) Truncate(name string, size int64) error {
+	f, err := m.get(name)
+	if err == nil {
+		f.data = f.data[:size]
+		f.synced = f.synced[:min(int(size), len(f.synced))]
+	}
+	return err
+}
+
+func (m *memory) SyncDir() error {
+	if err := m.failing["syncdir"]; err != nil {
+		return err
+	}
+	m.durable = maps.Clone(m.files)
+	return nil
+}
+
+func (m *memory) Stamp(name string) (Stamp, error) {
+	f, err := m.get(name)
+	if err != nil {
+		return Stamp{}, err
+	}
+	return Stamp{Inode: f.inode}, nil
+}
+
+func (m *memory) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
+var errFull = errors.New("no space left on device")
+
+func (f *memoryFile) Write(p []byte) (int, error) {
+	if err := f.fs.failing["write"]; err != nil {
+		return 0, err
+	}
+	n := len(p)
+	if f.fs.room >= 0 {
+		n = min(n, f.fs.room)
+		f.fs.room -= n
+	}
+	f.data = append(f.data, p[:n]...)
+	if n < len(p) {
+		return n, errFull
+	}
+	return n, nil
+}
+
+func (f *memoryFile) Sync() error {
+	if err := f.fs.failing["sync"]; err != nil {
+		return err
+	}
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
