--- /dev/null
+++ b/replica/command/faults_test.go
@@ -0,0 +1,212 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/api/codec"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/replica/client"
+	"lacewingturn.example/replica/raft"
+	"lacewingturn.example/replica/storage"
+)
+
+// failingFS is a data folder whose syncs fail on request.
+type failingFS struct {
+	storage.FS
+	failing atomic.Bool
+}
+
+type failingFile struct {
+	storage.File
+	fs *failingFS
+}
+
+func (f *failingFS) Create(name string) (storage.File, error) {
+	file, err := f.FS.Create(name)
+	return failingFile{file, f}, err
+}
+
+func (f *failingFS) OpenAppend(name string) (storage.File, error) {
+	file, err := f.FS.OpenAppend(name)
+	return failingFile{file, f}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.fs.failing.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+func leaderOf(t testing.TB, site []*instance) *instance {
+	t.Helper()
+	var found *instance
+	eventually(t, site[0].Replica, "a leader", func() bool {
+		for _, i := range site {
+			if i.View().IsLeader {
+				found = i
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// commit proposes n commands through a client and requires that all succeed.
+func commit(t testing.TB, site []*instance, from, n int) {
+	t.Helper()
+	c := client.New(addressesOf(site), client.NewHTTPClient())
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	for i := from; i < from+n; i += 10 {
+		batch := make([]model.Envelope, 10)
+		for k := range batch {
+			batch[k] = announce(i + k)
+		}
+		results, err := c.Propose(ctx, batch)
+		assert.NilError(t, err)
+		for _, r := range results {
+			assert.Assert(t, r.Code.OK(), "%v", r)
+		}
+	}
+}
+
+// announce is a command that may be repeated.
+func announce(n int) model.Envelope {
+	id := model.TargetID(string(rune('a'+n%26)) + time.Duration(n).String())
+	return model.Envelope{Command: model.AnnounceTarget{Target: model.Target{
+		ID: id, Service: "s", Address: "127.0.0.1:1", Generation: 1, Phase: model.TargetReady,
+	}}}
+}
+
+func applied(r *instance) int { return r.View().State.Targets.Len() }
+
+// Guards against a follower that was stopped beyond the start of the log and
+// does not catch up, and against states that differ after restarts.
+func TestCatchUpBySnapshotAndRestart(t *testing.T) {
+	settings := siteSettings(t, 3)
+	var site []*instance
+	for i := range settings {
+		settings[i].SnapshotEvery, settings[i].KeepEntries = 40, 10
+		site = append(site, start(t, settings[i]))
+	}
+	commit(t, site, 0, 50)
+	site[2].stop()
+	commit(t, site[:2], 50, 300)
+	site[2] = start(t, settings[2])
+	eventually(t, site[2].Replica, "catch-up", func() bool { return applied(site[2]) == 350 })
+	assert.Assert(t, site[2].Status().Base > 0)
+	for i := range site {
+		site[i].stop()
+	}
+	for i := range site {
+		site[i] = start(t, settings[i])
+	}
+	var digests []string
+	commit(t, site, 350, 10)
+	for _, r := range site {
+		eventually(t, r.Replica, "recovery", func() bool { return applied(r) == 360 })
+	}
+	last := site[0].View().State.Index
+	for _, r := range site {
+		eventually(t, r.Replica, "the last index", func() bool { return r.View().State.Index >= last })
+		d, err := codec.Digest(r.View().State)
+		assert.NilError(t, err)
+		digests = append(digests, d)
+	}
+	assert.Equal(t, digests[0], digests[1])
+	assert.Equal(t, digests[0], digests[2])
+}
+
+// Guards against a replica that lost its disk and votes again under its old
+// ID, or is never admitted again. Afterwards the site bears the loss of another.
+func TestLostDiskIsReplaced(t *testing.T) {
+	settings := siteSettings(t, 3)
+	var site []*instance
+	for i := range settings {
+		settings[i].ReplaceAfter = time.Second
+		site = append(site, start(t, settings[i]))
+	}
+	commit(t, site, 0, 20)
+	old := site[1].ID()
+	site[1].stop()
+	settings[1].DataFolder = t.TempDir()
+	site[1] = start(t, settings[1])
+	assert.Assert(t, site[1].ID() != old)
+	eventually(t, site[1].Replica, "admission as a voter", func() bool {
+		members := site[1].Status().Members
+		_, kept := members.Get(old)
+		return members.Voter(site[1].ID()) && !kept && len(members) == 3
+	})
+	site[0].stop()
+	commit(t, site[1:], 20, 20)
+	eventually(t, site[1].Replica, "all commands", func() bool { return applied(site[1]) == 40 })
+}
+
+// Guards against a leader that acknowledges or keeps leading after a sync has failed.
+func TestFailedSyncGivesUpLeadership(t *testing.T) {
+	settings := siteSettings(t, 3)
+	disks := map[string]*failingFS{}
+	var site []*instance
+	for _, s := range settings {
+		folder, err := storage.OpenFolder(s.DataFolder)
+		assert.NilError(t, err)
+		disks[s.Name] = &failingFS{FS: folder}
+		s.FS = disks[s.Name]
+		site = append(site, start(t, s))
+	}
+	commit(t, site, 0, 10)
+	failed := leaderOf(t, site)
+	disks[failed.settings.Name].failing.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	results, err := failed.Propose(ctx, []model.Envelope{announce(10)})
+	assert.NilError(t, err)
+	// The others may have committed it before the failure was seen.
+	assert.Assert(t, results[0].Code == result.Unknown || results[0].Code.OK(), "%v", results[0])
+	eventually(t, failed.Replica, "the failure", func() bool { return failed.Status().Failed })
+	assert.Assert(t, !failed.View().IsLeader)
+	commit(t, site, 20, 10)
+	assert.Equal(t, failed.Status().Role, raft.Follower)
+	results, err = failed.Propose(ctx, []model.Envelope{announce(11)})
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.NotLeader)
+}
+
+// Guards against a membership change that is lost, unsafe or not shown in the
+// control state.
+func TestChangeMembership(t *testing.T) {
+	settings := siteSettings(t, 4)
+	for i := range settings {
+		settings[i].Peers = settings[0].Peers[:3]
+	}
+	var site []*instance
+	for _, s := range settings {
+		site = append(site, start(t, s))
+	}
+	commit(t, site[:3], 0, 20)
+	leader, fourth := leaderOf(t, site[:3]), site[3]
+	change := func(kind raft.ChangeKind) result.Result {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		return leader.Change(ctx, raft.Change{Kind: kind, Member: raft.Member{ID: fourth.ID(), Address: fourth.settings.Address}})
+	}
+	assert.Equal(t, change(raft.Promote).Code, result.Conflicting)
+	assert.Equal(t, change(raft.AddLearner).Code, result.OK)
+	eventually(t, fourth.Replica, "catch-up as a learner", func() bool { return applied(fourth) == 20 })
+	assert.Assert(t, !fourth.Status().Members.Voter(fourth.ID()))
+	assert.Equal(t, change(raft.Promote).Code, result.OK)
+	eventually(t, fourth.Replica, "the vote", func() bool {
+		return fourth.View().State.Replicas.Len() == 4 && fourth.Status().Members.Voter(fourth.ID())
+	})
+	assert.Equal(t, change(raft.Remove).Code, result.OK)
+	assert.Equal(t, leader.View().State.Replicas.Len(), 3)
+	commit(t, site[:3], 20, 10)
+}
--- a/replica/command/replica_test.go
+++ b/replica/command/replica_test.go
@@ -31,6 +31,10 @@
 	return h.Commands.Propose(ctx, req)
 }
 
+func commandRoute(r *Replica) (string, http.Handler) {
+	return replicav1connect.NewReplicaCommandServiceHandler(commandHandler{Commands: r.Commands()})
+}
+
 // instance is one replica that runs on loopback within the test.
 type instance struct {
 	*Replica
@@ -44,12 +48,7 @@
 	l := loop.New(loop.DefaultCapacity)
 	r, err := Open(settings, l)
 	assert.NilError(t, err)
-	mux := http.NewServeMux()
-	mux.Handle(r.Replication().Route())
-	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandHandler{Commands: r.Commands()}))
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Handler: mux, Protocols: protocols, HTTP2: ServerHTTP2()}
+	server := testServer(r)
 	listener, err := net.Listen("tcp", settings.Address)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
