Let connections to a target follow the slots held

Each instance may open 4 connections and one more for each slot that it holds, so that 12 instances stay below 64 and one of them can use all 8 slots; the fixed share of 5 would strand 3 slots when one instance gets all the traffic.

--- a/entry/command/attempt.go
+++ b/entry/command/attempt.go
@@ -48,7 +48,7 @@
 // retriable reports whether another attempt may help and does no harm.
 func retriable(c *call, a answer, s sample) bool {
 	switch s.kind {
-	case sampleRefused:
+	case sampleRefused, sampleNoConnection:
 		return a.outcome == result.OutcomeNotRun || c.idempotent
 	case sampleSilent, sampleTruncated:
 		return c.idempotent
--- a/entry/command/check.go
+++ b/entry/command/check.go
@@ -50,14 +50,23 @@
 	}
 }
 
-// retain closes the idle connections to targets that are gone and applies the
-// share that follows from the number of members to new connections.
+// allow sets how many connections to a target may be open, given the slots that
+// this instance holds, and closes the idle ones if there are more.
+func (p *pool) allow(d destination, slots int) {
+	l := p.lane(d)
+	n := int32(baseShare(int(p.members.Load())) + slots)
+	l.allowed.Store(n)
+	if l.open.Load() > n {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+// retain closes the idle connections to targets that are gone.
 func (p *pool) retain(targets map[model.TargetID]destination, members int) {
-	before := p.members.Swap(int32(members))
-	moved := idleShare(int(before)) != idleShare(members)
+	p.members.Store(int32(members))
 	p.lanes.Range(func(k, l any) bool {
 		key := k.(laneKey)
-		if d, ok := targets[key.id]; !ok || keyOf(d) != key || moved {
+		if d, ok := targets[key.id]; !ok || keyOf(d) != key {
 			p.lanes.Delete(k)
 			l.(*lane).transport.CloseIdleConnections()
 		}
--- a/entry/command/credits.go
+++ b/entry/command/credits.go
@@ -108,7 +108,9 @@
 	if !m.rearm && (m.nextReport.IsZero() || now.Before(m.nextReport)) {
 		return
 	}
-	for _, r := range m.holder.Reports(now) {
+	reports := m.holder.Reports(now)
+	m.allowConnections(now)
+	for _, r := range reports {
 		if r.To == m.self {
 			grants, ok := m.owner.Take(now, r)
 			m.takeAnswer(now, r, grants, ok)
@@ -121,6 +123,18 @@
 	m.nextReport = m.holder.Deadline(now)
 }
 
+// allowConnections lets the connections to each target follow the slots held. It
+// comes before a report that returns slots, so that the connections are closed
+// before another instance may use the slots.
+func (m *Machine) allowConnections(now time.Time) {
+	for _, t := range m.targets {
+		if n := max(t.account.Granted(now), t.account.InUse()); n != t.allowed {
+			t.allowed = n
+			m.effects.allow(t.destination(), n)
+		}
+	}
+}
+
 // takeAnswer uses the credits that an owner granted.
 func (m *Machine) takeAnswer(now time.Time, r credit.Report, grants []credit.Grant, ok bool) {
 	m.rearm = true
@@ -129,6 +143,7 @@
 		return
 	}
 	m.holder.Answer(now, r, grants)
+	m.allowConnections(now)
 	for _, s := range m.services {
 		if s.queued > 0 {
 			m.dispatch(now, s)
--- a/entry/command/exchange.go
+++ b/entry/command/exchange.go
@@ -25,8 +25,6 @@
 func (g *Gateway) exchange(ctx context.Context, c *call, d destination) (answer, sample) {
 	started := time.Now()
 	l := g.pool.lane(d)
-	l.active.Add(1)
-	defer l.active.Add(-1)
 	sent := &sending{}
 	resp, err := l.transport.RoundTrip(outgoing(sent.trace(ctx), c, d))
 	if err != nil {
@@ -54,6 +52,8 @@
 // failure tells a request that certainly did not run from one that may have.
 func (s *sending) failure(ctx context.Context, err error, run time.Duration) (answer, sample) {
 	switch {
+	case errors.Is(err, errTooManyConnections):
+		return refusal(result.New(result.Overloaded, "%v", err), overloadRetry), sample{sampleNoConnection, run}
 	case s.conn == nil && ctx.Err() != nil:
 		return refusal(result.New(result.Deadline, "no connection to the target before the deadline"), 0), sample{sampleRefused, run}
 	case s.conn == nil || s.conn.unwritten():
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -28,6 +28,7 @@
 	check(d destination)
 	replace(d destination)
 	propose(c model.Command)
+	allow(d destination, slots int)
 	retain(targets map[model.TargetID]destination, members int)
 }
 
@@ -160,6 +161,7 @@
 func (m *Machine) keepHouse(now time.Time) {
 	m.dirty = true
 	m.announceLost(now)
+	m.allowConnections(now)
 	held, used := 0, 0
 	for _, t := range m.targets {
 		held, used = held+t.account.Granted(now), used+t.account.InUse()
--- a/entry/command/messages.go
+++ b/entry/command/messages.go
@@ -85,13 +85,14 @@
 type sampleKind uint8
 
 const (
-	sampleDone      sampleKind = iota + 1 // complete answer
-	sampleFailed                          // complete answer with a status of 500 or more
-	sampleRefused                         // connection not accepted, or the target answered that it did not run the request
-	sampleSilent                          // no answer before the deadline
-	sampleTruncated                       // answer ended early
-	sampleCancelled                       // the caller went away; says nothing about the target
-	sampleUnsent                          // never sent, for reasons on this side
+	sampleDone         sampleKind = iota + 1 // complete answer
+	sampleFailed                             // complete answer with a status of 500 or more
+	sampleRefused                            // connection not accepted, or the target answered that it did not run the request
+	sampleSilent                             // no answer before the deadline
+	sampleTruncated                          // answer ended early
+	sampleCancelled                          // the caller went away; says nothing about the target
+	sampleUnsent                             // never sent, for reasons on this side
+	sampleNoConnection                       // never sent, because it would have exceeded the connections
 )
 
 // abandoned reports whether the target may still run the request.
--- a/entry/command/peers.go
+++ b/entry/command/peers.go
@@ -84,6 +84,8 @@
 
 func (o *outside) replace(d destination) { o.pool.replace(d) }
 
+func (o *outside) allow(d destination, slots int) { o.pool.allow(d, slots) }
+
 func (o *outside) retain(targets map[model.TargetID]destination, members int) {
 	o.pool.retain(targets, members)
 }
--- a/entry/command/pool.go
+++ b/entry/command/pool.go
@@ -13,13 +13,14 @@
 )
 
 // Limits of connections to one target. All entry instances together open at
-// most 64: each keeps at most floor((64 - 16) / entry members) idle ones, at
-// least 12 members being assumed, and the up to 8 slots and 8 health checks of
-// all instances use one each.
+// most 64: each may open 4, or fewer with more than 12 entry members, and one
+// more for each slot that it holds. The slots of all instances are at most 8,
+// and 8 connections are left for health checks.
 const (
 	maxConnections  = 64
 	activeReserve   = 16
 	leastMembers    = 12
+	maxPerLane      = 12                     // 4 and one for each of 8 slots
 	dialTimeout     = 600 * time.Millisecond // below credit.Settle
 	idleConnTimeout = 60 * time.Second
 )
@@ -27,8 +28,8 @@
 // errTooManyConnections means that a connection would exceed the share of this instance.
 var errTooManyConnections = errors.New("entry: too many connections to the target")
 
-// idleShare returns how many idle connections one entry instance may keep.
-func idleShare(members int) int {
+// baseShare returns how many connections one entry instance may open beyond its slots.
+func baseShare(members int) int {
 	return (maxConnections - activeReserve) / max(members, leastMembers)
 }
 
@@ -42,8 +43,8 @@
 // lane holds the connections to one life of a target.
 type lane struct {
 	transport *http.Transport
-	open      atomic.Int32 // connections
-	active    atomic.Int32 // requests that may need one
+	open      atomic.Int32
+	allowed   atomic.Int32
 }
 
 // pool holds the lanes of all targets. It is traffic state: traffic goroutines
@@ -64,14 +65,14 @@
 
 func (p *pool) newLane() *lane {
 	l := &lane{}
-	share := idleShare(int(p.members.Load()))
+	l.allowed.Store(int32(baseShare(int(p.members.Load()))))
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	l.transport = &http.Transport{
 		DisableCompression:  true,
-		MaxIdleConnsPerHost: share,
+		MaxIdleConnsPerHost: maxPerLane,
 		IdleConnTimeout:     idleConnTimeout,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			if int(l.open.Add(1)) > share+int(l.active.Load()) {
+			if l.open.Add(1) > l.allowed.Load() {
 				l.open.Add(-1)
 				return nil, errTooManyConnections
 			}
--- a/entry/command/traffic.go
+++ b/entry/command/traffic.go
@@ -36,6 +36,7 @@
 	account *credit.Account
 	health  *health.Target
 	active  int // requests sent by this instance and not ended
+	allowed int // slots that the connections were last allowed for
 }
 
 func (t *target) key() credit.Key { return credit.Key{Target: t.ID, Generation: t.Generation} }
