--- /dev/null
+++ b/entry/instance/once_test.go
@@ -0,0 +1,242 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// counter is a target that counts what runs.
+func counter(runs *atomic.Int32, delay time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n := runs.Add(1)
+		time.Sleep(delay)
+		fmt.Fprintf(w, "run %d", n)
+	}
+}
+
+// Guards against a charge that runs twice when it is resent to several entry
+// instances at the same time.
+func TestConcurrentResendsRunOnce(t *testing.T) {
+	control := newControl(config(), machines(2)...)
+	a, b := startEntry(t, control, "e1", nil), startEntry(t, control, "e2", nil)
+	var runs atomic.Int32
+	a.target(t, "t1", counter(&runs, 30*time.Millisecond))
+	a.target(t, "t2", counter(&runs, 30*time.Millisecond))
+	b.until(t, func() bool { return b.Source.View().Traffic.Targets.Len() == 2 })
+	for n := range 5 {
+		runs.Store(0)
+		key := keyAt(time.Now(), n)
+		var wg sync.WaitGroup
+		var done, busy atomic.Int32
+		for i := range 8 {
+			wg.Go(func() {
+				s := []*site{a, b}[i%2]
+				switch r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key); r.result {
+				case "0", "3":
+					done.Add(1)
+					assert.Check(t, r.body == "run 1", r.body)
+				case "402":
+					busy.Add(1)
+				default:
+					t.Errorf("result %s: %s", r.result, r.body)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, runs.Load(), int32(1))
+		assert.Assert(t, done.Load() >= 1)
+	}
+}
+
+// Guards against a second run, and against a lost request, when the answer to
+// the claim is lost although the claim was committed.
+func TestLostAnswerToClaimIsProposedAgain(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 0))
+	var lost atomic.Int32
+	control.set(func(_ int, apply func() []result.Result) ([]result.Result, error) {
+		out := apply()
+		if lost.Add(1) <= 2 {
+			return nil, errors.New("answer lost")
+		}
+		return out, nil
+	})
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", keyAt(time.Now(), 1))
+	assert.Equal(t, r.result, "0", r.body)
+	assert.Equal(t, runs.Load(), int32(1))
+}
+
+// Guards against "not run" that is told while a late claim could still lead to
+// a run, and against a key that stays in progress for ever.
+func TestUncertainClaimIsNotSentAndCanBeTriedAgain(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 0))
+	var down atomic.Bool
+	down.Store(true)
+	control.set(func(_ int, apply func() []result.Result) ([]result.Result, error) {
+		out := apply()
+		if down.Load() {
+			return nil, errors.New("answer lost")
+		}
+		return out, nil
+	})
+	key := keyAt(time.Now(), 1)
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key, "Lacewingturn-Timeout-Ms", "200")
+	assert.Equal(t, r.outcome, "not-run", r.body)
+	assert.Equal(t, runs.Load(), int32(0))
+	down.Store(false)
+	s.until(t, func() bool {
+		c, ok := control.claim(model.RequestID(key), "anonymous")
+		return ok && c.Phase == model.ClaimNotRun
+	})
+	r = s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key)
+	assert.Equal(t, r.outcome, "done", r.body)
+	assert.Equal(t, runs.Load(), int32(1))
+}
+
+// Guards against a run without a claim while no quorum can be reached.
+func TestNoQuorumRefusesClaims(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 0))
+	control.set(func(int, func() []result.Result) ([]result.Result, error) {
+		return []result.Result{{Code: result.NoQuorum}}, nil
+	})
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", keyAt(time.Now(), 1), "Lacewingturn-Timeout-Ms", "200")
+	assert.Equal(t, r.result, "106", r.body)
+	assert.Equal(t, r.outcome, "not-run")
+	assert.Equal(t, runs.Load(), int32(0))
+	assert.Equal(t, s.call(t, http.MethodGet, "/", "").outcome, "done", "idempotent work goes on")
+}
+
+// Guards against a second run after the connection broke while the work may run.
+func TestBrokenConnectionIsUnknownAndNotRepeated(t *testing.T) {
+	control := newControl(config(), machines(2)...)
+	s := startEntry(t, control, "e1", nil)
+	var seen atomic.Int32
+	for _, id := range []string{"t1", "t2"} {
+		s.rawTarget(t, id, func(_ int, c net.Conn) {
+			if readRequest(c) != "" {
+				seen.Add(1)
+			}
+			c.Close()
+		})
+	}
+	key := keyAt(time.Now(), 1)
+	r := s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", key)
+	assert.Equal(t, r.outcome, "unknown", r.body)
+	s.until(t, func() bool {
+		c, ok := control.claim(model.RequestID(key), "anonymous")
+		return ok && c.Phase == model.ClaimLost
+	})
+	r = s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", key)
+	assert.Equal(t, r.result, "404", r.body)
+	assert.Equal(t, r.outcome, "unknown")
+	assert.Equal(t, seen.Load(), int32(1))
+}
+
+// Guards against a repeat inside the HTTP transport, which sends a request
+// with an Idempotency-Key again on its own when a kept connection breaks.
+func TestTransportDoesNotRepeatCharges(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var charges atomic.Int32
+	s.rawTarget(t, "t1", func(_ int, c net.Conn) {
+		defer c.Close()
+		for {
+			request := readRequest(c)
+			if request == "" {
+				return
+			}
+			if strings.HasPrefix(request, "POST") {
+				charges.Add(1)
+				return // breaks the kept connection after the request was read
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	assert.Equal(t, s.call(t, http.MethodGet, "/", "").outcome, "done")
+	r := s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", keyAt(time.Now(), 1))
+	assert.Equal(t, r.outcome, "unknown", r.body)
+	assert.Equal(t, charges.Load(), int32(1))
+}
+
+// Guards against keys that are run although their claims may have been dropped.
+func TestExpiredKeyIsRefused(t *testing.T) {
+	s := startEntry(t, newControl(config(), machines(1)...), "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 0))
+	r := s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", keyAt(time.Now().Add(-16*time.Minute), 1))
+	assert.Equal(t, r.result, "401", r.body)
+	assert.Equal(t, r.outcome, "not-run")
+	assert.Equal(t, runs.Load(), int32(0))
+}
+
+// Guards against a resend that runs again after the entry instance that sent
+// the request was lost.
+func TestLostClaimantIsUnknown(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 0))
+	key := keyAt(time.Now(), 1)
+	probe := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key)
+	c, _ := control.claim(model.RequestID(key), "anonymous")
+	assert.Equal(t, probe.outcome, "done")
+	other := keyAt(time.Now(), 2)
+	_, err := control.Propose(context.Background(), []model.Envelope{{Command: model.JoinEntry{ID: "gone", Address: "127.0.0.1:1"}}})
+	assert.NilError(t, err)
+	control.change(func(st *model.State) {
+		st.Claims = st.Claims.Set(model.MakeClaimKey(model.RequestID(other), "anonymous"), model.Claim{
+			Key: model.MakeClaimKey(model.RequestID(other), "anonymous"), Fingerprint: c.Fingerprint, Entry: "gone", EntryEpoch: 1,
+			Attempt: "x", Phase: model.ClaimPending, IssuedAt: model.At(time.Now()),
+		})
+		st.Entries = st.Entries.Delete("gone")
+	})
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", other)
+	assert.Equal(t, r.result, "404", r.body)
+	assert.Equal(t, r.outcome, "unknown")
+	assert.Equal(t, runs.Load(), int32(1))
+}
+
+// Guards against an outcome that is lost because its caller went away.
+func TestChargeIsRecordedWhenCallerGoesAway(t *testing.T) {
+	control := newControl(config(), machines(1)...)
+	s := startEntry(t, control, "e1", nil)
+	var runs atomic.Int32
+	s.target(t, "t1", counter(&runs, 100*time.Millisecond))
+	key := keyAt(time.Now(), 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/services/orders/charge", strings.NewReader("5"))
+	assert.NilError(t, err)
+	req.Header.Set("Idempotency-Key", key)
+	_, err = http.DefaultClient.Do(req)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	s.until(t, func() bool {
+		c, ok := control.claim(model.RequestID(key), "anonymous")
+		return ok && c.Phase == model.ClaimDone
+	})
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key)
+	assert.Equal(t, r.result, "3")
+	assert.Equal(t, r.body, "run 1")
+}
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -83,6 +83,13 @@
 	f.publish()
 }
 
+// set installs a hook, which may lose answers.
+func (f *fakeControl) set(hook func(n int, apply func() []result.Result) ([]result.Result, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hook = hook
+}
+
 func (f *fakeControl) claim(key model.RequestID, caller model.CallerID) (model.Claim, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -173,11 +180,16 @@
 	t.Helper()
 	back := httptest.NewServer(h)
 	t.Cleanup(back.Close)
+	s.join(t, id, back.Listener.Addr().String())
+	return back
+}
+
+func (s *site) join(t testing.TB, id, address string) {
+	t.Helper()
 	status, body := s.announce(t, id, "join", fmt.Sprintf(`{"instance":%q,"service":%q,"address":%q,"generation":1}`,
-		strings.Replace(id, "t", "w", 1), service, back.Listener.Addr()))
+		strings.Replace(id, "t", "w", 1), service, address))
 	assert.Equal(t, status, http.StatusOK, body)
 	s.until(t, func() bool { return s.Source.View().Traffic.Targets.Has(model.TargetID(id)) })
-	return back
 }
 
 func (s *site) announce(t testing.TB, id, what, body string) (int, string) {
