Explain why a job waits, an instance does not drain and a wave stands still

The explanation is a pure read of the replicated state; the reasons are those of the same budget code that decides.

go test -race ./core/query passes.

--- /dev/null
+++ b/core/query/explain.go
@@ -0,0 +1,259 @@
+package query
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/budget"
+	"lacewingturn.example/core/model"
+)
+
+// Explanation is the body of the explain query: the condition of one object,
+// why it is so, and what an operator may do. It is built from the replicated
+// state; what only the leader observes, such as requests in flight, is not in it.
+type Explanation struct {
+	Kind      string   `json:"kind"`
+	ID        string   `json:"id"`
+	Condition string   `json:"condition"`
+	Reasons   []string `json:"reasons"`
+	Next      []string `json:"next"`
+}
+
+// Kinds of objects that can be explained.
+const (
+	KindJob      = "job"
+	KindInstance = "instance"
+	KindWave     = "wave"
+	KindMove     = "move"
+	KindPool     = "pool"
+)
+
+// Explain explains one object. It reports false if there is no such object or kind.
+func Explain(s model.State, kind, id string) (Explanation, bool) {
+	e := &Explanation{Kind: kind, ID: id, Reasons: []string{}, Next: []string{}}
+	found := false
+	switch kind {
+	case KindJob:
+		var j model.Job
+		if j, found = s.Jobs.Get(model.JobID(id)); found {
+			e.job(s, j)
+		}
+	case KindInstance:
+		var i model.Instance
+		if i, found = s.Instances.Get(model.InstanceID(id)); found {
+			e.instance(s, i)
+		}
+	case KindWave:
+		var w model.Wave
+		if w, found = s.Waves.Get(model.WaveID(id)); found {
+			e.wave(s, w)
+		}
+	case KindMove:
+		var m model.Move
+		if m, found = s.Moves.Get(model.MoveID(id)); found {
+			e.move(s, m)
+		}
+	case KindPool:
+		var u *budget.Usage
+		if u, found = budget.Of(s, model.PoolName(id)); found {
+			e.pool(s, u)
+		}
+	}
+	return *e, found
+}
+
+func (e *Explanation) because(format string, args ...any) {
+	e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...))
+}
+
+func (e *Explanation) may(format string, args ...any) {
+	e.Next = append(e.Next, fmt.Sprintf(format, args...))
+}
+
+// since writes how long ago a time was, by the clock of the state.
+func since(s model.State, t model.Timestamp) string {
+	return s.Clock.Sub(t).Round(time.Second).String()
+}
+
+func (e *Explanation) instance(s model.State, i model.Instance) {
+	e.Condition = fmt.Sprintf("%s for %s in pool %s", i.Phase, since(s, i.PhaseSince), i.Pool)
+	e.holder(s, i)
+	if i.Retiring {
+		e.because("the configuration no longer declares it; it is drained within the budget and then forgotten")
+	}
+	if i.Quarantined {
+		e.because("it is quarantined: %d jobs in a row failed on it, so that it gets no more", i.Failures)
+		e.may("examine the instance; a maintenance wave over its pool reboots it")
+	}
+	if i.Operation != "" {
+		e.because("platform operation %s (%s) began %s ago and has not ended", i.Operation, i.OperationKind, since(s, i.OperationSince))
+	}
+	switch i.Phase {
+	case model.PhaseActive:
+		e.mayDrain(s, i)
+	case model.PhaseDraining:
+		e.draining(s, i)
+	case model.PhaseLost, model.PhaseFailed:
+		e.may("repair or replace the instance; it is available again once the platform reports it up and a target joins")
+	}
+}
+
+func (e *Explanation) holder(s model.State, i model.Instance) {
+	if id, ok := i.HeldByWave(); ok {
+		e.because("wave %s holds it", id)
+	} else if id, ok := i.HeldByMove(); ok {
+		e.because("move %s holds it", id)
+	} else if i.HeldBy == model.HolderOperator {
+		e.because("an operator drained it; it stays out of service until `lacewingturn return %s`", i.ID)
+	}
+}
+
+// mayDrain tells whether the budget lets an active instance go.
+func (e *Explanation) mayDrain(s model.State, i model.Instance) {
+	u, ok := budget.Of(s, i.Pool)
+	if !ok {
+		return
+	}
+	if r := u.CheckTake(i); !r.Code.OK() {
+		e.because("it cannot be drained now: %s", r.Detail)
+		e.may("wait until other instances are back, or accept a wider budget")
+		return
+	}
+	e.because("it can be drained now: pool %s may lose %d more instances", i.Pool, u.Headroom())
+}
+
+// draining lists the work that a drain still waits for.
+func (e *Explanation) draining(s model.State, i model.Instance) {
+	jobs := jobsOn(s, i.ID)
+	for _, j := range jobs {
+		e.because("job %s of team %s is %s on it, started %s ago", j.ID, j.Team, j.Phase, since(s, j.StartedAt))
+	}
+	targets := 0
+	for _, t := range s.Targets.All() {
+		if t.Instance == i.ID && t.Phase != model.TargetLost {
+			targets++
+		}
+	}
+	if targets > 0 {
+		e.because("%d targets on it may still have requests in flight; they get no new ones", targets)
+	}
+	if len(jobs) > 0 {
+		e.may("cancel the jobs, or wait until they have been checkpointed or have ended")
+	}
+	if i.HeldBy == model.HolderOperator {
+		e.may("`lacewingturn return %s` ends the drain", i.ID)
+		return
+	}
+	if i.HeldBy != model.HolderRetire {
+		e.because("the drain is given up %s after it began rather than cut work short", s.WavePolicy().DrainTimeout)
+	}
+}
+
+func jobsOn(s model.State, id model.InstanceID) []model.Job {
+	var out []model.Job
+	for _, j := range s.Jobs.All() {
+		if j.Lease.Worker == id && (j.Phase == model.JobLeased || j.Phase == model.JobRunning) {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+func (e *Explanation) wave(s model.State, w model.Wave) {
+	e.Condition = fmt.Sprintf("%s over pools %v: %d done, %d in progress, %d waiting, %d passed by", w.Phase, w.Pools,
+		len(w.Done), len(w.Running), len(w.Pending), len(w.Passed))
+	if w.Reason != "" {
+		e.because("%s", w.Reason)
+	}
+	if w.Faults > 0 {
+		e.because("%d instances failed after their repair, so that the step is %d", w.Faults, w.Step)
+	}
+	for _, id := range w.Running {
+		if i, ok := s.Instances.Get(id); ok {
+			e.because("instance %s is %s for %s", id, i.Phase, since(s, i.PhaseSince))
+		}
+	}
+	for _, id := range w.Passed {
+		e.because("instance %s was passed by; `lacewingturn explain instance %s` says why it is out", id, id)
+	}
+	switch w.Phase {
+	case model.WaveRunning:
+		e.waiting(s, w)
+	case model.WavePaused:
+		e.may("`lacewingturn wave resume %s`", w.ID)
+	case model.WaveStopped:
+		e.may("examine the failed instances, then `lacewingturn wave resume %s` or `lacewingturn wave cancel %s`", w.ID, w.ID)
+	}
+}
+
+// waiting tells for each pool of a wave why the next instance is not taken. Each
+// kind of reason is told once for a pool, with the first instance that has it.
+func (e *Explanation) waiting(s model.State, w model.Wave) {
+	usage := budget.All(s)
+	told := map[string]bool{}
+	for _, id := range w.Pending {
+		i, ok := s.Instances.Get(id)
+		u := usage[i.Pool]
+		if !ok || u == nil {
+			continue
+		}
+		kind, reason := whyNotTaken(w, i, u)
+		if key := string(i.Pool) + "/" + kind; reason != "" && !told[key] {
+			told[key] = true
+			e.because("%s", reason)
+		}
+	}
+}
+
+func whyNotTaken(w model.Wave, i model.Instance, u *budget.Usage) (kind, reason string) {
+	if !slices.Contains(w.Pools, i.Pool) {
+		return "moved", fmt.Sprintf("instance %s has moved to pool %s and is passed by", i.ID, i.Pool)
+	}
+	if i.Phase != model.PhaseActive {
+		return i.Phase.String(), fmt.Sprintf("instance %s of pool %s waits because it is %s", i.ID, i.Pool, i.Phase)
+	}
+	if r := u.CheckTake(i); !r.Code.OK() {
+		return r.Code.String(), fmt.Sprintf("instance %s waits: %s", i.ID, r.Detail)
+	}
+	return "", ""
+}
+
+func (e *Explanation) move(s model.State, m model.Move) {
+	e.Condition = fmt.Sprintf("%s for %s: instance %s from pool %s to pool %s", m.Phase, since(s, m.Since), m.Instance, m.From, m.To)
+	if m.Reason != "" {
+		e.because("%s", m.Reason)
+	}
+	if m.Lend {
+		e.because("the system lends the instance and gives it back when demand falls")
+	}
+	if i, ok := s.Instances.Get(m.Instance); ok && !m.Phase.Ended() {
+		e.because("instance %s is %s for %s", i.ID, i.Phase, since(s, i.PhaseSince))
+		if m.Phase == model.MoveDraining {
+			e.draining(s, i)
+			e.may("`lacewingturn undo-move %s` keeps the instance in pool %s", m.ID, m.From)
+		}
+	}
+}
+
+func (e *Explanation) pool(s model.State, u *budget.Usage) {
+	e.Condition = fmt.Sprintf("%d of %d instances available, %d must stay available", u.Available, u.Members, u.Least())
+	for _, i := range s.Instances.All() {
+		if i.Pool == u.Pool.Name && !i.Available() {
+			held := ""
+			if i.HeldBy != "" {
+				held = ", held by " + i.HeldBy
+			}
+			e.because("instance %s in rack %s of %s is %s for %s%s", i.ID, i.Domain.Rack, i.Domain.DataCenter, i.Phase, since(s, i.PhaseSince), held)
+		}
+	}
+	switch {
+	case u.Headroom() < 0:
+		e.because("faults have left less than the budget, so that planned work has stopped")
+		e.may("repair instances, move one into the pool, or wait for the spare pool to lend one")
+	case u.Headroom() == 0:
+		e.because("the budget is used up; drains, moves out and wave steps wait")
+	default:
+		e.because("%d more instances may become unavailable", u.Headroom())
+	}
+}
--- /dev/null
+++ b/core/query/explain_job.go
@@ -0,0 +1,103 @@
+package query
+
+import (
+	"fmt"
+
+	"lacewingturn.example/core/model"
+)
+
+// job explains a job; for one that waits, why each instance of its pool does not
+// take it. Sizes are the declared ones; the placement may also use what was
+// learned of the class.
+func (e *Explanation) job(s model.State, j model.Job) {
+	e.Condition = fmt.Sprintf("%s, team %s, pool %s, declared %s", j.Phase, j.Team, j.Pool, Capacity(j.Declared))
+	if j.Reason != "" {
+		e.because("%s", j.Reason)
+	}
+	if j.Cancelling {
+		e.because("its cancellation was asked for and the worker has not confirmed it yet")
+	}
+	if j.Failures > 0 {
+		e.because("%d of %d attempts failed", j.Failures, j.Attempts)
+	}
+	switch j.Phase {
+	case model.JobQueued:
+		e.because("it has waited for %s", since(s, j.SubmittedAt))
+		e.quota(s, j)
+		e.room(s, j)
+	case model.JobLeased, model.JobRunning:
+		e.because("worker %s holds its lease with token %d", j.Lease.Worker, j.Lease.Token)
+		if j.Throttled {
+			e.because("it was throttled to make room")
+		}
+	}
+}
+
+// quota tells when the team uses more than its quota, which is allowed only
+// while capacity is idle.
+func (e *Explanation) quota(s model.State, j model.Job) {
+	if s.Config == nil {
+		return
+	}
+	used := j.Declared
+	for _, o := range s.Jobs.All() {
+		if o.Team == j.Team && (o.Phase == model.JobLeased || o.Phase == model.JobRunning) {
+			used = used.Add(o.Declared)
+		}
+	}
+	for _, t := range s.Config.Teams {
+		if t.Name == j.Team && !t.Quota.Fits(used) {
+			e.because("team %s would use %s and its quota is %s, so that only idle capacity can be lent", t.Name, Capacity(used), Capacity(t.Quota))
+			e.may("wait for jobs of the team to end, or accept a larger quota")
+		}
+	}
+}
+
+// room counts why the instances of the pool do not take the job.
+func (e *Explanation) room(s model.State, j model.Job) {
+	free := freeOf(s, j.Pool)
+	out, excluded, small, full, fits := 0, 0, 0, 0, 0
+	for id, f := range free {
+		i, _ := s.Instances.Get(id)
+		switch {
+		case !i.Capacity.Fits(j.Declared):
+			small++
+		case i.Quarantined || i.Retiring:
+			excluded++
+		case !i.Available():
+			out++
+		case !f.Fits(j.Declared):
+			full++
+		default:
+			fits++
+		}
+	}
+	e.because("of %d instances of pool %s: %d are too small, %d out of service, %d quarantined or retiring, %d have not enough free capacity, %d have room",
+		len(free), j.Pool, small, out, excluded, full, fits)
+	switch {
+	case small == len(free):
+		e.may("declare a smaller size, or add a larger instance to pool %s", j.Pool)
+	case fits == 0:
+		e.may("wait for capacity, move an instance into pool %s, or cancel other jobs", j.Pool)
+	}
+}
+
+// freeOf returns the capacity of the pool's instances that no lease holds, by
+// declared sizes.
+func freeOf(s model.State, pool model.PoolName) map[model.InstanceID]model.Resources {
+	free := map[model.InstanceID]model.Resources{}
+	for id, i := range s.Instances.All() {
+		if i.Pool == pool {
+			free[id] = i.Capacity
+		}
+	}
+	for _, j := range s.Jobs.All() {
+		if j.Phase != model.JobLeased && j.Phase != model.JobRunning {
+			continue
+		}
+		if f, ok := free[j.Lease.Worker]; ok {
+			free[j.Lease.Worker] = f.Sub(j.Declared)
+		}
+	}
+	return free
+}
--- a/operator/query/views.go
+++ b/operator/query/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
 	"lacewingturn.example/core/model"
@@ -23,7 +24,8 @@
 	operatorv1.View_VIEW_HISTORY: func(s source, _ string) (any, result.Result) {
 		return query.History(s.state), ok
 	},
-	operatorv1.View_VIEW_CONFIG: buildConfig,
+	operatorv1.View_VIEW_CONFIG:  buildConfig,
+	operatorv1.View_VIEW_EXPLAIN: buildExplanation,
 }
 
 var ok = result.Result{Code: result.OK}
@@ -43,3 +45,13 @@
 	}
 	return v, ok
 }
+
+// buildExplanation takes a subject such as wave/w1.
+func buildExplanation(s source, subject string) (any, result.Result) {
+	kind, id, _ := strings.Cut(subject, "/")
+	e, found := query.Explain(s.state, kind, id)
+	if !found {
+		return nil, result.New(result.NotFound, "no %s %q", kind, id)
+	}
+	return e, ok
+}
