Show pools, waves and jobs to operators

Explanations now count from the time of the reader, because the clock of the state stands still while nothing is committed (a drain of 6 s was shown as 0 s on the development site).

go test -race ./core/query ./operator/... ./cmd/lacewingturn passes.

--- a/cmd/lacewingturn/main_test.go
+++ b/cmd/lacewingturn/main_test.go
@@ -123,6 +123,14 @@
 	ok("wave", "cancel", "w1")
 	ok("job", "submit", "--pool", "lyrics", "--team", "rights", "--processors", "0.5", "--id", "j1")
 	ok("status")
+	for want, args := range map[string][]string{
+		"headroom": {"pools", "lyrics"}, "cancelled": {"waves"}, "0.5 processors": {"jobs", "j1"}, "have room": {"explain", "job", "j1"},
+	} {
+		assert.Assert(t, strings.Contains(strings.ToLower(ok(args...)), want), "%v", args)
+	}
+	status, _, errOut = execute(t, "pools", "no-such-pool")
+	assert.Equal(t, status, result.NotFound.Info().Exit)
+	assert.Assert(t, strings.Contains(errOut, `not-found (101): no pool "no-such-pool"`), errOut)
 	ok("targets")
 	assert.Assert(t, strings.Contains(ok("config"), "pools[lyrics].budget.min_available"))
 }
--- a/core/query/explain.go
+++ b/core/query/explain.go
@@ -18,6 +18,8 @@
 	Condition string   `json:"condition"`
 	Reasons   []string `json:"reasons"`
 	Next      []string `json:"next"`
+
+	now model.Timestamp
 }
 
 // Kinds of objects that can be explained.
@@ -29,9 +31,10 @@
 	KindPool     = "pool"
 )
 
-// Explain explains one object. It reports false if there is no such object or kind.
-func Explain(s model.State, kind, id string) (Explanation, bool) {
-	e := &Explanation{Kind: kind, ID: id, Reasons: []string{}, Next: []string{}}
+// Explain explains one object at the time now. It reports false if there is no
+// such object or kind.
+func Explain(s model.State, now model.Timestamp, kind, id string) (Explanation, bool) {
+	e := &Explanation{Kind: kind, ID: id, Reasons: []string{}, Next: []string{}, now: max(now, s.Clock)}
 	found := false
 	switch kind {
 	case KindJob:
@@ -71,14 +74,14 @@
 	e.Next = append(e.Next, fmt.Sprintf(format, args...))
 }
 
-// since writes how long ago a time was, by the clock of the state.
-func since(s model.State, t model.Timestamp) string {
-	return s.Clock.Sub(t).Round(time.Second).String()
+// since writes how long ago a time was.
+func (e *Explanation) since(t model.Timestamp) string {
+	return e.now.Sub(t).Round(time.Second).String()
 }
 
 func (e *Explanation) instance(s model.State, i model.Instance) {
-	e.Condition = fmt.Sprintf("%s for %s in pool %s", i.Phase, since(s, i.PhaseSince), i.Pool)
-	e.holder(s, i)
+	e.Condition = fmt.Sprintf("%s for %s in pool %s", i.Phase, e.since(i.PhaseSince), i.Pool)
+	e.holder(i)
 	if i.Retiring {
 		e.because("the configuration no longer declares it; it is drained within the budget and then forgotten")
 	}
@@ -87,7 +90,7 @@
 		e.may("examine the instance; a maintenance wave over its pool reboots it")
 	}
 	if i.Operation != "" {
-		e.because("platform operation %s (%s) began %s ago and has not ended", i.Operation, i.OperationKind, since(s, i.OperationSince))
+		e.because("platform operation %s (%s) began %s ago and has not ended", i.Operation, i.OperationKind, e.since(i.OperationSince))
 	}
 	switch i.Phase {
 	case model.PhaseActive:
@@ -99,7 +102,7 @@
 	}
 }
 
-func (e *Explanation) holder(s model.State, i model.Instance) {
+func (e *Explanation) holder(i model.Instance) {
 	if id, ok := i.HeldByWave(); ok {
 		e.because("wave %s holds it", id)
 	} else if id, ok := i.HeldByMove(); ok {
@@ -127,7 +130,7 @@
 func (e *Explanation) draining(s model.State, i model.Instance) {
 	jobs := jobsOn(s, i.ID)
 	for _, j := range jobs {
-		e.because("job %s of team %s is %s on it, started %s ago", j.ID, j.Team, j.Phase, since(s, j.StartedAt))
+		e.because("job %s of team %s is %s on it, started %s ago", j.ID, j.Team, j.Phase, e.since(j.StartedAt))
 	}
 	targets := 0
 	for _, t := range s.Targets.All() {
@@ -171,7 +174,7 @@
 	}
 	for _, id := range w.Running {
 		if i, ok := s.Instances.Get(id); ok {
-			e.because("instance %s is %s for %s", id, i.Phase, since(s, i.PhaseSince))
+			e.because("instance %s is %s for %s", id, i.Phase, e.since(i.PhaseSince))
 		}
 	}
 	for _, id := range w.Passed {
@@ -220,7 +223,7 @@
 }
 
 func (e *Explanation) move(s model.State, m model.Move) {
-	e.Condition = fmt.Sprintf("%s for %s: instance %s from pool %s to pool %s", m.Phase, since(s, m.Since), m.Instance, m.From, m.To)
+	e.Condition = fmt.Sprintf("%s for %s: instance %s from pool %s to pool %s", m.Phase, e.since(m.Since), m.Instance, m.From, m.To)
 	if m.Reason != "" {
 		e.because("%s", m.Reason)
 	}
@@ -228,7 +231,7 @@
 		e.because("the system lends the instance and gives it back when demand falls")
 	}
 	if i, ok := s.Instances.Get(m.Instance); ok && !m.Phase.Ended() {
-		e.because("instance %s is %s for %s", i.ID, i.Phase, since(s, i.PhaseSince))
+		e.because("instance %s is %s for %s", i.ID, i.Phase, e.since(i.PhaseSince))
 		if m.Phase == model.MoveDraining {
 			e.draining(s, i)
 			e.may("`lacewingturn undo-move %s` keeps the instance in pool %s", m.ID, m.From)
@@ -244,7 +247,7 @@
 			if i.HeldBy != "" {
 				held = ", held by " + i.HeldBy
 			}
-			e.because("instance %s in rack %s of %s is %s for %s%s", i.ID, i.Domain.Rack, i.Domain.DataCenter, i.Phase, since(s, i.PhaseSince), held)
+			e.because("instance %s in rack %s of %s is %s for %s%s", i.ID, i.Domain.Rack, i.Domain.DataCenter, i.Phase, e.since(i.PhaseSince), held)
 		}
 	}
 	switch {
--- a/core/query/explain_job.go
+++ b/core/query/explain_job.go
@@ -22,7 +22,7 @@
 	}
 	switch j.Phase {
 	case model.JobQueued:
-		e.because("it has waited for %s", since(s, j.SubmittedAt))
+		e.because("it has waited for %s", e.since(j.SubmittedAt))
 		e.quota(s, j)
 		e.room(s, j)
 	case model.JobLeased, model.JobRunning:
--- a/core/query/explain_test.go
+++ b/core/query/explain_test.go
@@ -58,21 +58,21 @@
 		{start, query.KindJob, "big", []string{
 			"queued, team t, pool p, declared 3 processors", "team t would use 5 processors",
 			"of 3 instances of pool p: 0 are too small, 0 out of service, 0 quarantined or retiring, 1 have not enough free capacity, 2 have room"}},
-		{drained, query.KindInstance, "a", []string{"draining for 5s in pool p", "an operator drained it", "job run of team t is running on it", "`lacewingturn return a` ends the drain"}},
+		{drained, query.KindInstance, "a", []string{"draining for 1m5s in pool p", "an operator drained it", "job run of team t is running on it", "`lacewingturn return a` ends the drain"}},
 		{drained, query.KindInstance, "b", []string{"cannot be drained now: pool p has 2 of 3 instances available and must keep 2"}},
 		{drained, query.KindWave, "w", []string{"running over pools [p]: 0 done, 0 in progress, 3 waiting", "instance a of pool p waits because it is draining", "instance b waits: pool p has 2 of 3"}},
 		{drained, query.KindPool, "p", []string{"2 of 3 instances available, 2 must stay", "instance a in rack r of d is draining", "the budget is used up"}},
 		{stopped, query.KindWave, "w", []string{"stopped over pools [p]", "2 failures after repair", "wave resume w"}},
-		{moving, query.KindMove, "m", []string{"draining for 0s: instance a from pool p to pool q", "job run of team t", "given up 15m0s after", "undo-move m"}},
+		{moving, query.KindMove, "m", []string{"draining for 1m0s: instance a from pool p to pool q", "job run of team t", "given up 15m0s after", "undo-move m"}},
 	} {
-		e, ok := query.Explain(c.state, c.kind, c.id)
+		e, ok := query.Explain(c.state, c.state.Clock+60_000, c.kind, c.id)
 		assert.Assert(t, ok)
 		text := strings.Join(append(append([]string{e.Condition}, e.Reasons...), e.Next...), "\n")
 		for _, w := range c.want {
 			assert.Assert(t, strings.Contains(text, w), "missing %q in\n%s", w, text)
 		}
 	}
-	_, ok := query.Explain(start, "planet", "x")
+	_, ok := query.Explain(start, 0, "planet", "x")
 	assert.Assert(t, !ok)
 }
 
--- /dev/null
+++ b/core/query/jobs.go
@@ -0,0 +1,81 @@
+package query
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// JobsView is the body of the jobs query.
+type JobsView struct {
+	Teams []TeamEntry `json:"teams"`
+	Jobs  []JobEntry  `json:"jobs"`
+}
+
+// TeamEntry is the use of one team's quota, by declared sizes.
+type TeamEntry struct {
+	Name   string `json:"name"`
+	Quota  string `json:"quota"`
+	Used   string `json:"used"`
+	Queued int    `json:"queued"`
+	Active int    `json:"active"` // leased or running
+}
+
+// JobEntry is one job.
+type JobEntry struct {
+	ID          string    `json:"id"`
+	Team        string    `json:"team"`
+	Pool        string    `json:"pool"`
+	Class       string    `json:"class"`
+	Urgent      bool      `json:"urgent"`
+	Phase       string    `json:"phase"`
+	Worker      string    `json:"worker"`
+	Declared    string    `json:"declared"`
+	Used        string    `json:"used"` // as last reported
+	Attempts    int       `json:"attempts"`
+	Failures    int       `json:"failures"`
+	SubmittedAt time.Time `json:"submitted_at"`
+	StartedAt   time.Time `json:"started_at"`
+	EndedAt     time.Time `json:"ended_at"`
+	Reason      string    `json:"reason"`
+}
+
+// Jobs returns the teams and jobs; an ID selects one job without the teams. It
+// reports false if there is no job of that ID.
+func Jobs(s model.State, id model.JobID) (JobsView, bool) {
+	v := JobsView{Teams: []TeamEntry{}, Jobs: []JobEntry{}}
+	if id != "" {
+		j, ok := s.Jobs.Get(id)
+		v.Jobs = append(v.Jobs, jobEntry(j))
+		return v, ok
+	}
+	used := map[model.TeamName]model.Resources{}
+	queued, active := map[model.TeamName]int{}, map[model.TeamName]int{}
+	for _, j := range s.Jobs.All() {
+		v.Jobs = append(v.Jobs, jobEntry(j))
+		switch j.Phase {
+		case model.JobQueued:
+			queued[j.Team]++
+		case model.JobLeased, model.JobRunning:
+			active[j.Team]++
+			used[j.Team] = used[j.Team].Add(j.Declared)
+		}
+	}
+	if s.Config == nil {
+		return v, true
+	}
+	for _, t := range s.Config.Teams {
+		v.Teams = append(v.Teams, TeamEntry{
+			Name: string(t.Name), Quota: Capacity(t.Quota), Used: Capacity(used[t.Name]), Queued: queued[t.Name], Active: active[t.Name],
+		})
+	}
+	return v, true
+}
+
+func jobEntry(j model.Job) JobEntry {
+	return JobEntry{
+		ID: string(j.ID), Team: string(j.Team), Pool: string(j.Pool), Class: j.Class, Urgent: j.Urgent, Phase: j.Phase.String(),
+		Worker: string(j.Lease.Worker), Declared: Capacity(j.Declared), Used: Capacity(j.Used), Attempts: j.Attempts, Failures: j.Failures,
+		SubmittedAt: timeOf(j.SubmittedAt), StartedAt: timeOf(j.StartedAt), EndedAt: timeOf(j.EndedAt), Reason: j.Reason,
+	}
+}
--- a/operator/query/handler.go
+++ b/operator/query/handler.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -43,12 +45,12 @@
 func (h *Handler) Read(_ context.Context, req *connect.Request[operatorv1.ReadRequest]) (*connect.Response[operatorv1.ReadResponse], error) {
 	build, ok := views[req.Msg.View]
 	if !ok {
-		return nil, connect.NewError(connect.CodeInvalidArgument, result.New(result.InvalidInput, "there is no view %s", req.Msg.View))
+		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("there is no view %s", req.Msg.View))
 	}
-	v := h.replica.View()
-	view, r := build(source{state: v.State, contact: h.contact(v, time.Now())}, req.Msg.Subject)
+	v, now := h.replica.View(), time.Now()
+	view, r := build(source{state: v.State, now: model.At(now), contact: h.contact(v, now)}, req.Msg.Subject)
 	if !r.Code.OK() {
-		return nil, connect.NewError(connectCode(r), r)
+		return nil, connect.NewError(connectCode(r), errors.New(r.Detail))
 	}
 	body, err := json.Marshal(view)
 	if err != nil {
@@ -86,5 +88,6 @@
 // source is what a view is built from.
 type source struct {
 	state   model.State
+	now     model.Timestamp
 	contact query.Contact
 }
--- a/operator/query/views.go
+++ b/operator/query/views.go
@@ -24,6 +24,18 @@
 	operatorv1.View_VIEW_HISTORY: func(s source, _ string) (any, result.Result) {
 		return query.History(s.state), ok
 	},
+	operatorv1.View_VIEW_POOLS: func(s source, subject string) (any, result.Result) {
+		v, found := query.Pools(s.state, model.PoolName(subject))
+		return v, foundOr(found, "pool", subject)
+	},
+	operatorv1.View_VIEW_WAVES: func(s source, subject string) (any, result.Result) {
+		v, found := query.Waves(s.state, model.WaveID(subject))
+		return v, foundOr(found, "wave", subject)
+	},
+	operatorv1.View_VIEW_JOBS: func(s source, subject string) (any, result.Result) {
+		v, found := query.Jobs(s.state, model.JobID(subject))
+		return v, foundOr(found, "job", subject)
+	},
 	operatorv1.View_VIEW_CONFIG:  buildConfig,
 	operatorv1.View_VIEW_EXPLAIN: buildExplanation,
 }
@@ -49,9 +61,13 @@
 // buildExplanation takes a subject such as wave/w1.
 func buildExplanation(s source, subject string) (any, result.Result) {
 	kind, id, _ := strings.Cut(subject, "/")
-	e, found := query.Explain(s.state, kind, id)
-	if !found {
-		return nil, result.New(result.NotFound, "no %s %q", kind, id)
+	e, found := query.Explain(s.state, s.now, kind, id)
+	return e, foundOr(found, kind, id)
+}
+
+func foundOr(found bool, kind, id string) result.Result {
+	if found {
+		return ok
 	}
-	return e, ok
+	return result.New(result.NotFound, "no %s %q", kind, id)
 }
