--- /dev/null
+++ b/replica/reconcile/log.go
@@ -0,0 +1,80 @@
+package reconcile
+
+import (
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/budget"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+)
+
+// logChanges writes an event for each change that an operator may look for.
+func (m *Machine) logChanges(a, b model.State) {
+	if !a.Instances.Same(b.Instances) {
+		m.logInstances(a, b)
+	}
+	if !a.Waves.Same(b.Waves) {
+		m.logWaves(a, b)
+	}
+	if !a.Moves.Same(b.Moves) {
+		m.logMoves(a, b)
+	}
+	m.logBudgets(b)
+}
+
+func (m *Machine) logInstances(a, b model.State) {
+	for id, i := range b.Instances.All() {
+		old, known := a.Instances.Get(id)
+		if !known || old.Phase == i.Phase {
+			continue
+		}
+		fields := []zap.Field{zap.String("instance", string(id)), zap.String("pool", string(i.Pool)),
+			zap.Stringer("before", old.Phase), zap.Stringer("phase", i.Phase)}
+		switch i.Phase {
+		case model.PhaseLost, model.PhaseFailed:
+			event.InstanceOut.Log(m.log, fields...)
+		case model.PhaseActive:
+			event.InstanceBack.Log(m.log, fields...)
+		}
+	}
+}
+
+func (m *Machine) logWaves(a, b model.State) {
+	for id, w := range b.Waves.All() {
+		old, known := a.Waves.Get(id)
+		if known && old.Phase == w.Phase {
+			continue
+		}
+		e := event.WaveChanged
+		if w.Phase == model.WaveStopped {
+			e = event.WaveHalted
+		}
+		e.Log(m.log, zap.String("wave", string(id)), zap.Stringer("phase", w.Phase), zap.String("actor", w.Actor),
+			zap.String("reason", w.Reason), zap.Int("waiting", len(w.Pending)), zap.Int("done", len(w.Done)), zap.Int("passed", len(w.Passed)))
+	}
+}
+
+func (m *Machine) logMoves(a, b model.State) {
+	for id, v := range b.Moves.All() {
+		if old, known := a.Moves.Get(id); known && old.Phase == v.Phase {
+			continue
+		}
+		event.MoveChanged.Log(m.log, zap.String("move", string(id)), zap.String("instance", string(v.Instance)),
+			zap.String("from", string(v.From)), zap.String("to", string(v.To)), zap.Stringer("phase", v.Phase), zap.String("reason", v.Reason))
+	}
+}
+
+func (m *Machine) logBudgets(s model.State) {
+	for name, u := range budget.All(s) {
+		broken := u.Headroom() < 0
+		if broken == m.broken[name] {
+			continue
+		}
+		m.broken[name] = broken
+		e := event.BudgetRestored
+		if broken {
+			e = event.BudgetBroken
+		}
+		e.Log(m.log, zap.String("pool", string(name)), zap.Int("available", u.Available), zap.Int("members", u.Members), zap.Int("least", u.Least()))
+	}
+}
--- /dev/null
+++ b/replica/reconcile/machine.go
@@ -0,0 +1,218 @@
+package reconcile
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+// Machine is a loop.Machine. It shares the loop of the replica and is idle
+// unless the replica leads.
+type Machine struct {
+	ctx      context.Context
+	replica  replica.Replica
+	commands PlatformCommands
+	queries  PlatformQueries
+	log      *zap.Logger
+	port     loop.Port
+
+	term      model.Term // of the leadership; 0 if this replica does not lead
+	seen      *replica.View
+	sight     *sight
+	next      time.Time
+	proposing bool
+	calls     map[model.PlatformAction]bool
+	broken    map[model.PoolName]bool // pools below their budget
+	view      atomic.Pointer[model.Observations]
+}
+
+// New adds the machine to the loop of the replica. ctx ends its proposals and calls.
+func New(ctx context.Context, l *loop.Loop, r replica.Replica, c PlatformCommands, q PlatformQueries, log *zap.Logger) *Machine {
+	m := &Machine{ctx: ctx, replica: r, commands: c, queries: q, log: log}
+	m.view.Store(&model.Observations{})
+	m.port = l.Add(m)
+	return m
+}
+
+// Report hands over what an entry instance sees. It reports false if the
+// mailbox is full; the next report makes up for it.
+func (m *Machine) Report(r EntryReport) bool { return m.port.TrySend(r) }
+
+// Observations returns what the last decision was based on, for queries. It is
+// empty on replicas that do not lead.
+func (m *Machine) Observations() model.Observations { return *m.view.Load() }
+
+// Handle applies one message. Messages of an earlier leadership come too late.
+func (m *Machine) Handle(now time.Time, msg loop.Message) {
+	m.follow(now)
+	switch msg := msg.(type) {
+	case EntryReport:
+		if m.term != 0 {
+			m.sight.report(model.At(now), msg)
+			m.wake(now.Add(ReportDelay))
+		}
+	case proposed:
+		if msg.term == m.term {
+			m.finishProposal(now, msg)
+		}
+	case called:
+		if msg.term == m.term {
+			m.finishCall(now, msg)
+		}
+	}
+}
+
+// Deadline returns when to decide again.
+func (m *Machine) Deadline() time.Time { return m.next }
+
+// Flush notices changes of leadership and of the state.
+func (m *Machine) Flush(now time.Time) { m.follow(now) }
+
+func (m *Machine) wake(at time.Time) {
+	if m.next.IsZero() || at.Before(m.next) {
+		m.next = at
+	}
+}
+
+// follow starts and ends the work with the leadership of this replica, and
+// wakes the reconciler when a table has changed that it reads.
+func (m *Machine) follow(now time.Time) {
+	v := m.replica.View()
+	if v == m.seen {
+		return
+	}
+	old := m.seen
+	m.seen = v
+	switch {
+	case !v.IsLeader:
+		m.term, m.next, m.sight = 0, time.Time{}, nil
+		m.view.Store(&model.Observations{})
+	case m.term != v.Term:
+		m.term, m.sight, m.proposing = v.Term, newSight(model.At(v.LeaderSince)), false
+		m.calls, m.broken = map[model.PlatformAction]bool{}, map[model.PoolName]bool{}
+		m.next = now
+	default:
+		m.notice(now, old.State, v.State)
+	}
+}
+
+func (m *Machine) notice(now time.Time, a, b model.State) {
+	if a.Revision != b.Revision || !a.Instances.Same(b.Instances) || !a.Waves.Same(b.Waves) || !a.Moves.Same(b.Moves) {
+		m.logChanges(a, b)
+		m.wake(now)
+	}
+	if !a.Jobs.Same(b.Jobs) || !a.Entries.Same(b.Entries) || !a.Targets.Same(b.Targets) {
+		m.wake(now.Add(ReportDelay))
+	}
+}
+
+// Tick decides on the next commands and platform calls.
+func (m *Machine) Tick(now time.Time) {
+	m.follow(now)
+	m.next = time.Time{}
+	if m.term == 0 || m.proposing {
+		return
+	}
+	state := m.seen.State
+	seen := m.sight.observations(state, model.At(now))
+	m.view.Store(&seen)
+	d := command.Reconcile(state, seen, model.At(now))
+	if d.Next != 0 {
+		m.wake(time.UnixMilli(int64(d.Next)))
+	}
+	for _, a := range d.Actions {
+		m.call(now, a)
+	}
+	if len(d.Commands) > 0 {
+		m.propose(d.Commands)
+	}
+}
+
+func (m *Machine) propose(commands []model.Command) {
+	m.proposing = true
+	term := m.term
+	envelopes := make([]model.Envelope, len(commands))
+	for i, c := range commands {
+		envelopes[i] = model.Envelope{Actor: "reconciler", Command: c}
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(m.ctx, ProposeTimeout)
+		defer cancel()
+		results, err := m.replica.Propose(ctx, envelopes)
+		_ = m.port.Send(m.ctx, proposed{term: term, commands: commands, results: results, err: err})
+	}()
+}
+
+// finishProposal decides again at once if something changed, else after a
+// pause, so that a command which is always refused does not fill the log.
+func (m *Machine) finishProposal(now time.Time, msg proposed) {
+	m.proposing = false
+	if msg.err != nil {
+		event.ProposalFailed.Log(m.log, zap.Error(msg.err))
+		m.wake(now.Add(RetryDelay))
+		return
+	}
+	at := now.Add(RetryDelay)
+	for i, r := range msg.results {
+		switch {
+		case r.Code == result.Accepted:
+			at = now
+		case !r.Code.OK():
+			event.CommandRefused.Log(m.log, zap.Any("command", msg.commands[i]), zap.String("result", r.Error()))
+		}
+		if c, ok := msg.commands[i].(model.EndOperation); ok && r.Code.OK() {
+			delete(m.sight.operations, c.Operation)
+		}
+	}
+	m.wake(at)
+}
+
+// call runs the action on a goroutine of its own unless it is in progress or
+// too many are.
+func (m *Machine) call(now time.Time, a model.PlatformAction) {
+	if m.calls[a] || len(m.calls) >= MaxCalls {
+		return
+	}
+	m.calls[a] = true
+	if a.Kind == model.ActionQueryInstance {
+		m.sight.asked(model.At(now), a.Instance)
+	}
+	done := called{term: m.term, action: a}
+	go func() {
+		switch a.Kind {
+		case model.ActionStartOperation:
+			done.report.State = model.OperationRunning
+			done.err = m.commands.Start(m.ctx, a)
+		case model.ActionQueryOperation:
+			done.report, done.err = m.queries.Operation(m.ctx, a.Operation)
+		case model.ActionQueryInstance:
+			done.up, done.err = m.queries.Instance(m.ctx, a.Instance)
+		}
+		_ = m.port.Send(m.ctx, done)
+	}()
+}
+
+func (m *Machine) finishCall(now time.Time, msg called) {
+	delete(m.calls, msg.action)
+	if msg.err != nil {
+		event.PlatformUnreachable.Log(m.log, zap.String("instance", string(msg.action.Instance)),
+			zap.String("operation", string(msg.action.Operation)), zap.Error(msg.err))
+		msg.report = model.OperationReport{State: model.OperationUnreachable, Reason: msg.err.Error()}
+	}
+	if msg.action.Kind != model.ActionQueryInstance {
+		msg.report.At = model.At(now)
+		m.sight.operations[msg.action.Operation] = msg.report
+	} else if msg.err == nil {
+		m.sight.answered(model.At(now), msg.action.Instance, msg.up)
+	}
+	m.wake(now)
+}
--- /dev/null
+++ b/replica/reconcile/machine_test.go
@@ -0,0 +1,219 @@
+package reconcile
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+// fakeReplica applies commands at once; its leadership is set by the test.
+type fakeReplica struct {
+	mu        sync.Mutex
+	view      *replica.View
+	proposals int
+}
+
+func (f *fakeReplica) View() *replica.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fakeReplica) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.proposals++
+	next := *f.view
+	out := make([]result.Result, len(commands))
+	for i, env := range commands {
+		env.Time = model.At(time.Now())
+		next.State, out[i] = command.Apply(next.State, next.State.Index+1, next.Term, env)
+	}
+	f.view = &next
+	return out, nil
+}
+
+func (f *fakeReplica) lead(term model.Term, leads bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.view
+	next.Term, next.IsLeader, next.LeaderSince = term, leads, time.Now()
+	f.view = &next
+}
+
+func (f *fakeReplica) state() model.State { return f.View().State }
+
+// fakePlatform takes late from the effect of a call to its answer.
+type fakePlatform struct {
+	mu    sync.Mutex
+	late  time.Duration
+	ends  map[model.OperationID]time.Time
+	calls []string
+}
+
+func (p *fakePlatform) note(call string, id model.OperationID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = append(p.calls, call+" "+string(id))
+}
+
+func (p *fakePlatform) Start(ctx context.Context, a model.PlatformAction) error {
+	p.note("start", a.Operation)
+	p.mu.Lock()
+	if _, seen := p.ends[a.Operation]; !seen {
+		p.ends[a.Operation] = time.Now().Add(40 * time.Second)
+	}
+	p.mu.Unlock()
+	if p.late == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(p.late):
+		return errors.New("answered too late")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *fakePlatform) Operation(_ context.Context, id model.OperationID) (model.OperationReport, error) {
+	p.note("query", id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.ends[id]
+	switch {
+	case !ok:
+		return model.OperationReport{State: model.OperationAbsent}, nil
+	case time.Now().Before(at):
+		return model.OperationReport{State: model.OperationRunning}, nil
+	}
+	return model.OperationReport{State: model.OperationSucceeded}, nil
+}
+
+func (p *fakePlatform) Instance(context.Context, model.InstanceID) (bool, error) { return true, nil }
+
+type bench struct {
+	replica  *fakeReplica
+	platform *fakePlatform
+	machine  *Machine
+}
+
+func run(t *testing.T, late time.Duration) *bench {
+	b := &bench{
+		replica:  &fakeReplica{view: &replica.View{Term: 1, IsLeader: true, LeaderSince: time.Now()}},
+		platform: &fakePlatform{late: late, ends: map[model.OperationID]time.Time{}},
+	}
+	c := model.Config{
+		Weights: model.Weights{RollOut: 1}, Waves: model.WavePolicy{MaxStep: 1},
+		Limits: model.Limits{SlotsPerTarget: 8, ConnectionsPerTarget: 64, KeyRetention: time.Minute, MaxClaims: 10},
+		Pools:  []model.Pool{{Name: "a", Budget: model.Budget{MinAvailable: 2}}},
+	}
+	for i := range 3 {
+		c.Instances = append(c.Instances, model.InstanceSpec{
+			ID: model.InstanceID(fmt.Sprint("a", i)), Pool: "a", Domain: model.Domain{DataCenter: "d", Rack: "r"},
+			Capacity: model.Resources{MilliCPU: 1, MemoryMB: 1},
+		})
+	}
+	b.do(t, model.AcceptConfig{Config: c})
+	b.do(t, model.JoinEntry{ID: "e", Address: "127.0.0.1:1"})
+	l := loop.New(loop.DefaultCapacity)
+	b.machine = New(t.Context(), l, b.replica, b.platform, b.platform, zap.NewNop())
+	go l.Run(t.Context())
+	return b
+}
+
+func (b *bench) do(t *testing.T, c model.Command) {
+	t.Helper()
+	r, err := b.replica.Propose(t.Context(), []model.Envelope{{Command: c}})
+	assert.NilError(t, err)
+	assert.NilError(t, r[0].Err())
+}
+
+// report stands for the reports of the only entry instance over d.
+func (b *bench) report(d time.Duration, inFlight int) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
+		b.machine.Report(EntryReport{Entry: "e", InFlight: map[model.InstanceID]int{"a0": inFlight, "a1": inFlight, "a2": inFlight},
+			Running: map[model.InstanceID]int{"a0": 0, "a1": 0, "a2": 0}})
+	}
+	synctest.Wait()
+}
+
+func (b *bench) phase(id model.InstanceID) model.Phase {
+	i, _ := b.replica.state().Instances.Get(id)
+	return i.Phase
+}
+
+// Guards against a reboot sent twice when the platform answers late and the
+// leader changes in the middle, and against work in flight that is cut.
+func TestLeaderChangeDuringReboot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := run(t, 25*time.Second)
+		b.do(t, model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+		b.report(time.Minute, 3)
+		assert.Equal(t, b.phase("a0"), model.PhaseDraining)
+		assert.Equal(t, len(b.platform.calls), 0)
+		b.report(55*time.Second, 0)
+		assert.Equal(t, b.phase("a0"), model.PhaseRebooting)
+		b.replica.lead(2, false)
+		b.report(5*time.Second, 0)
+		b.replica.lead(3, true)
+		b.report(20*time.Minute, 0)
+		w, _ := b.replica.state().Waves.Get("w")
+		assert.Equal(t, w.Phase, model.WaveDone)
+		starts := map[string]int{}
+		for i, call := range b.platform.calls {
+			if call[:5] == "start" {
+				starts[call]++
+				assert.Equal(t, b.platform.calls[i-1], "query"+call[5:], "an operation is queried before it is sent")
+			}
+		}
+		assert.Equal(t, len(starts), 6)
+		for call, n := range starts {
+			assert.Equal(t, n, 1, "%s", call)
+		}
+	})
+}
+
+// Guards against a replica that acts without leading, and against a leader
+// that fills the log or spins while nothing is to be done.
+func TestIdleAndFollowingReplicasAreQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := run(t, 0)
+		b.report(10*time.Minute, 0)
+		assert.Equal(t, b.replica.proposals, 2) // those of the test itself
+		b.replica.lead(1, false)
+		b.do(t, model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+		b.report(10*time.Minute, 0)
+		assert.Equal(t, b.replica.proposals, 3)
+		assert.Equal(t, len(b.platform.calls), 0)
+	})
+}
+
+// Guards against an instance that falls silent and still counts as available.
+func TestSilentInstanceIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := run(t, 0)
+		b.report(time.Minute, 0)
+		for range 70 {
+			b.machine.Report(EntryReport{Entry: "e", Running: map[model.InstanceID]int{"a1": 0, "a2": 0}})
+			time.Sleep(time.Second)
+		}
+		synctest.Wait()
+		assert.Equal(t, b.phase("a0"), model.PhaseLost)
+		assert.Equal(t, b.phase("a1"), model.PhaseActive)
+		b.report(5*time.Second, 0)
+		assert.Equal(t, b.phase("a0"), model.PhaseActive)
+	})
+}
--- /dev/null
+++ b/replica/reconcile/sight.go
@@ -0,0 +1,79 @@
+package reconcile
+
+import "lacewingturn.example/core/model"
+
+// sight is what the leader sees of the fleet since it became leader.
+type sight struct {
+	since      model.Timestamp
+	operations map[model.OperationID]model.OperationReport
+	instances  map[model.InstanceID]model.Observed
+	running    map[model.InstanceID]int // as targets said last
+	reports    map[model.EntryID]entryReport
+}
+
+type entryReport struct {
+	at       model.Timestamp
+	inFlight map[model.InstanceID]int
+}
+
+func newSight(since model.Timestamp) *sight {
+	return &sight{
+		since: since, operations: map[model.OperationID]model.OperationReport{},
+		instances: map[model.InstanceID]model.Observed{}, running: map[model.InstanceID]int{},
+		reports: map[model.EntryID]entryReport{},
+	}
+}
+
+func (s *sight) report(now model.Timestamp, r EntryReport) {
+	s.reports[r.Entry] = entryReport{at: now, inFlight: r.InFlight}
+	for id, n := range r.Running {
+		s.running[id] = n
+		o := s.instances[id]
+		o.LastSeen = now
+		s.instances[id] = o
+	}
+}
+
+func (s *sight) asked(now model.Timestamp, id model.InstanceID) {
+	o := s.instances[id]
+	o.QueriedAt = now
+	s.instances[id] = o
+}
+
+func (s *sight) answered(now model.Timestamp, id model.InstanceID, up bool) {
+	o := s.instances[id]
+	if up {
+		o.UpAt = now
+	} else {
+		o.DownAt = now
+	}
+	s.instances[id] = o
+}
+
+// observations sums up the reports. A count of requests in flight is as old as
+// the oldest report of an entry instance that may send requests.
+func (s *sight) observations(state model.State, now model.Timestamp) model.Observations {
+	out := model.Observations{
+		LeaderSince: s.since, Instances: make(map[model.InstanceID]model.Observed, state.Instances.Len()),
+		Operations: make(map[model.OperationID]model.OperationReport, len(s.operations)),
+	}
+	for id, r := range s.operations {
+		out.Operations[id] = r
+	}
+	reported := now
+	inFlight := map[model.InstanceID]int{}
+	for id := range state.Entries.All() {
+		r := s.reports[id] // a member that has not reported yet makes the count as old as can be
+		reported = min(reported, r.at)
+		for instance, n := range r.inFlight {
+			inFlight[instance] += n
+		}
+	}
+	for id := range state.Instances.All() {
+		o := s.instances[id]
+		o.ReportedAt = reported
+		o.InFlight = max(inFlight[id], s.running[id])
+		out.Instances[id] = o
+	}
+	return out
+}
