--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// NoNewWorkAfter is how long entry instances may still send work to an
-	// instance that has begun to drain.
-	NoNewWorkAfter = 3 * time.Second
 	// OperationPoll is how often the platform is asked about a running operation.
 	OperationPoll = 5 * time.Second
 	// OperationRetry is the wait before a drain that the platform failed is tried again.
--- a/core/command/fleet/reconcile_observe.go
+++ b/core/command/fleet/reconcile_observe.go
@@ -44,7 +44,7 @@
 // idle reports whether no request is in flight on the instance and no job has
 // a lease on it. Reports from before the last request could be sent do not count.
 func (p *plan) idle(i model.Instance) bool {
-	from := i.PhaseSince.Add(NoNewWorkAfter)
+	from := i.PhaseSince.Add(model.NoNewWorkAfter)
 	return p.at(from) && p.obs.Instances[i.ID].ReportedAt >= from && p.load(i) == 0
 }
 
--- a/core/model/fleet_hold.go
+++ b/core/model/fleet_hold.go
@@ -46,6 +46,10 @@
 	return [...]string{"none", "drain", "reboot"}[min(int(k), 2)]
 }
 
+// NoNewWorkAfter is how long entry instances may still send work to an instance
+// that has begun to drain.
+const NoNewWorkAfter = 3 * time.Second
+
 // Defaults of WavePolicy, used where the configuration gives zero.
 const (
 	DefaultSoak          = time.Minute
