--- a/core/query/explain.go
+++ b/core/query/explain.go
@@ -11,7 +11,7 @@
 
 // Explanation is the body of the explain query: the condition of one object,
 // why it is so, and what an operator may do. It is built from the replicated
-// state; what only the leader observes, such as requests in flight, is not in it.
+// state and from what the leader observes.
 type Explanation struct {
 	Kind      string   `json:"kind"`
 	ID        string   `json:"id"`
@@ -19,7 +19,8 @@
 	Reasons   []string `json:"reasons"`
 	Next      []string `json:"next"`
 
-	now model.Timestamp
+	now          model.Timestamp
+	observations model.Observations
 }
 
 // Kinds of objects that can be explained.
@@ -31,10 +32,10 @@
 	KindPool     = "pool"
 )
 
-// Explain explains one object at the time now. It reports false if there is no
-// such object or kind.
-func Explain(s model.State, now model.Timestamp, kind, id string) (Explanation, bool) {
-	e := &Explanation{Kind: kind, ID: id, Reasons: []string{}, Next: []string{}, now: max(now, s.Clock)}
+// Explain explains one object at the time now. The observations are empty on
+// replicas that do not lead. It reports false if there is no such object or kind.
+func Explain(s model.State, o model.Observations, now model.Timestamp, kind, id string) (Explanation, bool) {
+	e := &Explanation{Kind: kind, ID: id, Reasons: []string{}, Next: []string{}, now: max(now, s.Clock), observations: o}
 	found := false
 	switch kind {
 	case KindJob:
@@ -89,9 +90,7 @@
 		e.because("it is quarantined: %d jobs in a row failed on it, so that it gets no more", i.Failures)
 		e.may("examine the instance; a maintenance wave over its pool reboots it")
 	}
-	if i.Operation != "" {
-		e.because("platform operation %s (%s) began %s ago and has not ended", i.Operation, i.OperationKind, e.since(i.OperationSince))
-	}
+	e.observed(s, i)
 	switch i.Phase {
 	case model.PhaseActive:
 		e.mayDrain(s, i)
@@ -139,7 +138,7 @@
 		}
 	}
 	if targets > 0 {
-		e.because("%d targets on it may still have requests in flight; they get no new ones", targets)
+		e.because("%d targets on it get no new requests", targets)
 	}
 	if len(jobs) > 0 {
 		e.may("cancel the jobs, or wait until they have been checkpointed or have ended")
@@ -175,6 +174,7 @@
 	for _, id := range w.Running {
 		if i, ok := s.Instances.Get(id); ok {
 			e.because("instance %s is %s for %s", id, i.Phase, e.since(i.PhaseSince))
+			e.operation(i)
 		}
 	}
 	for _, id := range w.Passed {
@@ -259,4 +259,5 @@
 	default:
 		e.because("%d more instances may become unavailable", u.Headroom())
 	}
+	e.due(s, u.Pool.Name)
 }
--- a/operator/query/views.go
+++ b/operator/query/views.go
@@ -61,7 +61,7 @@
 // buildExplanation takes a subject such as wave/w1.
 func buildExplanation(s source, subject string) (any, result.Result) {
 	kind, id, _ := strings.Cut(subject, "/")
-	e, found := query.Explain(s.state, s.now, kind, id)
+	e, found := query.Explain(s.state, s.observations, s.now, kind, id)
 	return e, foundOr(found, kind, id)
 }
 
