Run the reconciler on the leader and report what entry instances see with each renewal

Reports list instances out of service only, and name silent ones; the leader works out the rest from ownership. A renewal without either stays as small as before.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/fx"
@@ -10,20 +11,25 @@
 
 	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
 	operatorcommand "lacewingturn.example/operator/command"
+	"lacewingturn.example/operator/platform"
+	platformcommand "lacewingturn.example/operator/platform/command"
+	platformquery "lacewingturn.example/operator/platform/query"
 	operatorquery "lacewingturn.example/operator/query"
 	"lacewingturn.example/replica"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/liveness"
 	replicaquery "lacewingturn.example/replica/query"
+	"lacewingturn.example/replica/reconcile"
 )
 
 // controlModule keeps a replica of the control state.
 var controlModule = fx.Module("control",
-	fx.Provide(openReplica, newLiveness, newAppliedHook),
+	fx.Provide(openReplica, newLiveness, newReconciler, newAppliedHook),
 	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
 	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
 	fx.Invoke(routeControl, routeOperator, runReplica),
@@ -43,10 +49,21 @@
 	return liveness.New(life, l, r, log)
 }
 
+// newReconciler decides on the fleet. Without a platform it still drains,
+// moves and lends, and reboots nothing.
+func newReconciler(life *life, s Settings, l *loop.Loop, r *replicacommand.Replica, log *zap.Logger) *reconcile.Machine {
+	if s.PlatformURL == "" {
+		return reconcile.New(life, l, r, platform.None{}, platform.None{}, log)
+	}
+	c := &http.Client{Timeout: platform.CallTimeout}
+	return reconcile.New(life, l, r, platformcommand.New(s.PlatformURL, c), platformquery.New(s.PlatformURL, c), log)
+}
+
 // commandService joins the two halves of the replica's command service.
 type commandService struct {
 	proposals replicacommand.Commands
 	renewals  *liveness.Machine
+	fleet     *reconcile.Machine
 }
 
 var _ replicav1connect.ReplicaCommandServiceHandler = commandService{}
@@ -56,16 +73,34 @@
 	return c.proposals.Propose(ctx, r)
 }
 
-// RenewEntry renews the membership of an entry instance.
+// RenewEntry renews the membership of an entry instance and hands its report on.
 func (c commandService) RenewEntry(ctx context.Context, r *connect.Request[replicav1.RenewEntryRequest]) (*connect.Response[replicav1.RenewEntryResponse], error) {
-	return c.renewals.RenewEntry(ctx, r)
+	resp, err := c.renewals.RenewEntry(ctx, r)
+	if err == nil && resp.Msg.ValidMs > 0 {
+		c.fleet.Report(toReport(r.Msg))
+	}
+	return resp, err
+}
+
+func toReport(m *replicav1.RenewEntryRequest) reconcile.EntryReport {
+	r := reconcile.EntryReport{Entry: model.EntryID(m.EntryId)}
+	for _, i := range m.Reports {
+		r.OutOfService = append(r.OutOfService, reconcile.InstanceReport{
+			Instance: model.InstanceID(i.Instance), InFlight: int(i.InFlight),
+			Heard: i.Heard, Running: int(i.Running), HeardAge: time.Duration(i.HeardAgeMs) * time.Millisecond,
+		})
+	}
+	for _, id := range m.Silent {
+		r.Silent = append(r.Silent, model.InstanceID(id))
+	}
+	return r
 }
 
 // routeControl serves the replica. The listener is opened before the replica
 // runs, because peers ask for its identity first.
-func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, t *server.Traffic, r *replicacommand.Replica, m *liveness.Machine) error {
+func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, t *server.Traffic, r *replicacommand.Replica, m *liveness.Machine, f *reconcile.Machine) error {
 	mux.Handle(r.Replication().Route())
-	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.Commands(), renewals: m}))
+	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.Commands(), renewals: m, fleet: f}))
 	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(r)))
 	return serveInternal(lc, all, s, mux, t)
 }
@@ -79,6 +114,7 @@
 	Metrics   metricsHandler
 	Replica   replica.Replica
 	Liveness  replica.Liveness
+	Fleet     *reconcile.Machine
 	Control   entry.Control
 	Log       *zap.Logger
 }
@@ -88,7 +124,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle(operatorcommand.New(p.Replica, p.Control, p.Log).Route())
-	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Log).Route())
+	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Fleet, p.Log).Route())
 	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, p.Settings.OperatorTLS)
 }
 
--- a/cmd/lacewingturn/main_test.go
+++ b/cmd/lacewingturn/main_test.go
@@ -31,6 +31,7 @@
 }
 
 func (s *single) Entries() []replica.EntryLiveness { return nil }
+func (s *single) Observations() model.Observations { return model.Observations{} }
 
 func (s *single) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
 	old, env := s.state.Load(), commands[0]
@@ -47,7 +48,7 @@
 	s.state.Store(&model.State{})
 	mux := http.NewServeMux()
 	mux.Handle(opcommand.New(s, nil, zap.NewNop()).Route())
-	mux.Handle(opquery.New(s, s, zap.NewNop()).Route())
+	mux.Handle(opquery.New(s, s, s, zap.NewNop()).Route())
 	srv, err := server.Listen("127.0.0.1:0", mux, nil)
 	assert.NilError(t, err)
 	srv.Start()
--- a/core/command/credit/owner.go
+++ b/core/command/credit/owner.go
@@ -185,6 +185,20 @@
 	return out
 }
 
+// Heard returns how many requests the latest heartbeat of a target listed and
+// when it came; the zero time if none has come since this owner has the target.
+// It reports false if the target has another owner.
+func (o *Owner) Heard(key Key) (running int, at time.Time, owned bool) {
+	t := o.targets[key]
+	if t == nil {
+		return 0, time.Time{}, false
+	}
+	for _, slots := range t.beat.Running {
+		running += len(slots)
+	}
+	return running, t.beatAt, true
+}
+
 // Beat takes the heartbeat of a target.
 func (o *Owner) Beat(now time.Time, b Heartbeat) {
 	t := o.targets[b.Key]
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -99,6 +99,8 @@
 		m.renew(now)
 	case entry.ControlContact:
 		m.contact, m.dirty = msg.At, true
+	case entry.ReportRequest:
+		msg.Reply <- m.fleetReport(now)
 	case withdraw:
 		m.stopping, m.dirty = true, true
 	case drain:
--- /dev/null
+++ b/entry/command/report.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/entry"
+)
+
+// fleetReport sums up requests in flight and heartbeats by instance.
+func (m *Machine) fleetReport(now time.Time) entry.FleetReport {
+	var out entry.FleetReport
+	listed := map[model.InstanceID]entry.InstanceReport{}
+	silent := map[model.InstanceID]bool{}
+	for _, t := range m.targets {
+		running, at, owned := m.owner.Heard(t.key())
+		if m.inService(t.Instance) {
+			if owned && now.Sub(at) > entry.SilentAfter {
+				silent[t.Instance] = true
+			}
+			continue
+		}
+		r := listed[t.Instance]
+		r.Instance = t.Instance
+		r.InFlight += t.active
+		if owned && !at.IsZero() && (!r.Heard || now.Sub(at) < r.HeardAge) {
+			r.Heard, r.HeardAge = true, now.Sub(at)
+		}
+		r.Running += running
+		listed[t.Instance] = r
+	}
+	for _, r := range listed {
+		out.OutOfService = append(out.OutOfService, r)
+	}
+	for id := range silent {
+		out.Silent = append(out.Silent, id)
+	}
+	return out
+}
+
+// inService reports whether the instance takes new work.
+func (m *Machine) inService(id model.InstanceID) bool {
+	i, ok := m.traffic.Instances.Get(id)
+	return ok && i.Phase == model.PhaseActive
+}
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -63,10 +63,16 @@
 // recorder is an entry machine that keeps what the link posts.
 type recorder struct{ got chan loop.Message }
 
-func (r *recorder) Handle(_ time.Time, m loop.Message) { r.got <- m }
-func (r *recorder) Tick(time.Time)                     {}
-func (r *recorder) Deadline() time.Time                { return time.Time{} }
-func (r *recorder) Flush(time.Time)                    {}
+func (r *recorder) Handle(_ time.Time, m loop.Message) {
+	if ask, ok := m.(entry.ReportRequest); ok {
+		ask.Reply <- entry.FleetReport{}
+		return
+	}
+	r.got <- m
+}
+func (r *recorder) Tick(time.Time)      {}
+func (r *recorder) Deadline() time.Time { return time.Time{} }
+func (r *recorder) Flush(time.Time)     {}
 
 type commandService struct {
 	replicav1connect.UnimplementedReplicaCommandServiceHandler
--- a/entry/follow/renew.go
+++ b/entry/follow/renew.go
@@ -69,9 +69,9 @@
 	defer cancel()
 	sent := time.Now()
 	client := replicav1connect.NewReplicaCommandServiceClient(r.Client, r.url)
-	resp, err := client.RenewEntry(ctx, connect.NewRequest(&replicav1.RenewEntryRequest{
-		EntryId: string(r.ID), Epoch: r.epoch, Revision: uint64(r.known.Revision), Index: uint64(r.known.Index),
-	}))
+	req := &replicav1.RenewEntryRequest{EntryId: string(r.ID), Epoch: r.epoch, Revision: uint64(r.known.Revision), Index: uint64(r.known.Index)}
+	r.addReport(ctx, req)
+	resp, err := client.RenewEntry(ctx, connect.NewRequest(req))
 	if err != nil {
 		r.tryAnother()
 		return
@@ -79,6 +79,28 @@
 	r.take(ctx, sent, resp.Msg)
 }
 
+// addReport asks the entry machine what it sees of the fleet. A renewal without
+// it is as good for the membership.
+func (r *renewer) addReport(ctx context.Context, req *replicav1.RenewEntryRequest) {
+	ask := entry.ReportRequest{Reply: make(chan entry.FleetReport, 1)}
+	if !r.Port.TrySend(ask) {
+		return
+	}
+	select {
+	case report := <-ask.Reply:
+		for _, i := range report.OutOfService {
+			req.Reports = append(req.Reports, &replicav1.InstanceReport{
+				Instance: string(i.Instance), InFlight: uint32(i.InFlight), Heard: i.Heard,
+				Running: uint32(i.Running), HeardAgeMs: uint32(i.HeardAge.Milliseconds()),
+			})
+		}
+		for _, id := range report.Silent {
+			req.Silent = append(req.Silent, string(id))
+		}
+	case <-ctx.Done():
+	}
+}
+
 func (r *renewer) take(ctx context.Context, sent time.Time, m *replicav1.RenewEntryResponse) {
 	switch {
 	case m.NotLeader && m.LeaderAddress != "":
--- a/operator/client/client_test.go
+++ b/operator/client/client_test.go
@@ -44,6 +44,7 @@
 }
 
 func (g *group) Entries() []replica.EntryLiveness { return *g.entries.Load() }
+func (g *group) Observations() model.Observations { return model.Observations{} }
 
 // member is one replica of a group.
 type member struct {
@@ -73,7 +74,7 @@
 func routes(m member, forward opcommand.Proposer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(opcommand.New(m, forward, zap.NewNop()).Route())
-	mux.Handle(opquery.New(m, m, zap.NewNop()).Route())
+	mux.Handle(opquery.New(m, m, m, zap.NewNop()).Route())
 	return mux
 }
 
--- a/operator/query/handler.go
+++ b/operator/query/handler.go
@@ -26,14 +26,18 @@
 type Handler struct {
 	replica  replica.Replica
 	liveness replica.Liveness
+	fleet    Observer
 	log      *zap.Logger
 }
 
+// Observer gives what the leader sees of the fleet; empty on other replicas.
+type Observer interface{ Observations() model.Observations }
+
 var _ operatorv1connect.OperatorQueryServiceHandler = (*Handler)(nil)
 
 // New returns the handler of a replica.
-func New(r replica.Replica, l replica.Liveness, log *zap.Logger) *Handler {
-	return &Handler{replica: r, liveness: l, log: log}
+func New(r replica.Replica, l replica.Liveness, fleet Observer, log *zap.Logger) *Handler {
+	return &Handler{replica: r, liveness: l, fleet: fleet, log: log}
 }
 
 // Route returns the path and the handler to register on the operators' listener.
@@ -48,7 +52,7 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("there is no view %s", req.Msg.View))
 	}
 	v, now := h.replica.View(), time.Now()
-	view, r := build(source{state: v.State, now: model.At(now), contact: h.contact(v, now)}, req.Msg.Subject)
+	view, r := build(source{state: v.State, now: model.At(now), contact: h.contact(v, now), observations: h.fleet.Observations()}, req.Msg.Subject)
 	if !r.Code.OK() {
 		return nil, connect.NewError(connectCode(r), errors.New(r.Detail))
 	}
@@ -90,4 +94,6 @@
 	state   model.State
 	now     model.Timestamp
 	contact query.Contact
+
+	observations model.Observations
 }
--- a/replica/reconcile/machine.go
+++ b/replica/reconcile/machine.go
@@ -28,6 +28,7 @@
 	term      model.Term // of the leadership; 0 if this replica does not lead
 	seen      *replica.View
 	sight     *sight
+	owned     owned
 	next      time.Time
 	proposing bool
 	calls     map[model.PlatformAction]bool
@@ -57,7 +58,7 @@
 	switch msg := msg.(type) {
 	case EntryReport:
 		if m.term != 0 {
-			m.sight.report(model.At(now), msg)
+			m.sight.report(model.At(now), msg, m.owned.inService(m.seen.State, msg.Entry))
 			m.wake(now.Add(ReportDelay))
 		}
 	case proposed:
--- a/replica/reconcile/machine_test.go
+++ b/replica/reconcile/machine_test.go
@@ -141,11 +141,19 @@
 	assert.NilError(t, r[0].Err())
 }
 
+// heard lists instances with a fresh heartbeat.
+func heard(inFlight int, ids ...model.InstanceID) []InstanceReport {
+	var out []InstanceReport
+	for _, id := range ids {
+		out = append(out, InstanceReport{Instance: id, InFlight: inFlight, Heard: true})
+	}
+	return out
+}
+
 // report stands for the reports of the only entry instance over d.
 func (b *bench) report(d time.Duration, inFlight int) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Second) {
-		b.machine.Report(EntryReport{Entry: "e", InFlight: map[model.InstanceID]int{"a0": inFlight, "a1": inFlight, "a2": inFlight},
-			Running: map[model.InstanceID]int{"a0": 0, "a1": 0, "a2": 0}})
+		b.machine.Report(EntryReport{Entry: "e", OutOfService: heard(inFlight, "a0", "a1", "a2")})
 	}
 	synctest.Wait()
 }
@@ -207,7 +215,7 @@
 		b := run(t, 0)
 		b.report(time.Minute, 0)
 		for range 70 {
-			b.machine.Report(EntryReport{Entry: "e", Running: map[model.InstanceID]int{"a1": 0, "a2": 0}})
+			b.machine.Report(EntryReport{Entry: "e", OutOfService: heard(0, "a1", "a2")})
 			time.Sleep(time.Second)
 		}
 		synctest.Wait()
@@ -217,3 +225,24 @@
 		assert.Equal(t, b.phase("a0"), model.PhaseActive)
 	})
 }
+
+// Guards against an instance in service that is not named one by one and so
+// counts as unseen, and against one that is named as silent and counts as seen.
+func TestInstancesInServiceAreSeenUnlessSilent(t *testing.T) {
+	s := model.State{}
+	s.Entries = s.Entries.Set("e", model.EntryMember{ID: "e"})
+	for _, id := range []model.InstanceID{"a0", "a1", "a2"} {
+		s.Instances = s.Instances.Set(id, model.Instance{ID: id, Phase: model.PhaseActive})
+		s.Targets = s.Targets.Set(model.TargetID(id), model.Target{ID: model.TargetID(id), Instance: id, Phase: model.TargetReady})
+	}
+	drained, _ := s.Instances.Get("a2")
+	drained.Phase = model.PhaseDraining
+	s.Instances = s.Instances.Set("a2", drained)
+	sight := newSight(0)
+	var o owned
+	sight.report(5000, EntryReport{Entry: "e", Silent: []model.InstanceID{"a1"}}, o.inService(s, "e"))
+	seen := sight.observations(s, 5000).Instances
+	assert.Equal(t, seen["a0"].LastSeen, model.Timestamp(5000))
+	assert.Equal(t, seen["a1"].LastSeen, model.Timestamp(0))
+	assert.Equal(t, seen["a2"].LastSeen, model.Timestamp(0))
+}
--- a/replica/reconcile/reconcile.go
+++ b/replica/reconcile/reconcile.go
@@ -40,12 +40,24 @@
 // EntryReport is what one entry instance sees of the fleet.
 type EntryReport struct {
 	Entry model.EntryID
-	// InFlight counts the requests that the entry instance has in flight on each
-	// instance; instances without any are left out.
-	InFlight map[model.InstanceID]int
-	// Running is what targets said in heartbeats since the last report, by their
-	// instance. An instance without running requests is listed with 0.
-	Running map[model.InstanceID]int
+	// OutOfService lists instances that take no new work.
+	OutOfService []InstanceReport
+	// Silent names the instances in service whose target, owned by the entry
+	// instance, has sent no heartbeat lately. All others that it owns a target
+	// of count as seen.
+	Silent []model.InstanceID
+}
+
+// InstanceReport is what one entry instance sees of an instance.
+type InstanceReport struct {
+	Instance model.InstanceID
+	// InFlight counts the requests that the entry instance has in flight on it.
+	InFlight int
+	// Heard is set if the entry instance has the latest heartbeat of a target
+	// there; it listed Running requests and came HeardAge ago.
+	Heard    bool
+	Running  int
+	HeardAge time.Duration
 }
 
 // proposed is posted when a batch of commands has been committed or has failed.
--- a/replica/reconcile/sight.go
+++ b/replica/reconcile/sight.go
@@ -1,6 +1,10 @@
 package reconcile
 
-import "lacewingturn.example/core/model"
+import (
+	"slices"
+
+	"lacewingturn.example/core/model"
+)
 
 // sight is what the leader sees of the fleet since it became leader.
 type sight struct {
@@ -24,16 +28,32 @@
 	}
 }
 
-func (s *sight) report(now model.Timestamp, r EntryReport) {
-	s.reports[r.Entry] = entryReport{at: now, inFlight: r.InFlight}
-	for id, n := range r.Running {
-		s.running[id] = n
-		o := s.instances[id]
-		o.LastSeen = now
-		s.instances[id] = o
+// report takes what an entry instance sees. inService lists the instances in
+// service of which it owns a target.
+func (s *sight) report(now model.Timestamp, r EntryReport, inService []model.InstanceID) {
+	counts := map[model.InstanceID]int{}
+	for _, i := range r.OutOfService {
+		counts[i.Instance] = i.InFlight
+		if i.Heard {
+			s.running[i.Instance] = i.Running
+			s.heard(i.Instance, now.Add(-i.HeardAge))
+		}
+	}
+	s.reports[r.Entry] = entryReport{at: now, inFlight: counts}
+	for _, id := range inService {
+		if !slices.Contains(r.Silent, id) {
+			s.heard(id, now)
+			delete(s.running, id)
+		}
 	}
 }
 
+func (s *sight) heard(id model.InstanceID, at model.Timestamp) {
+	o := s.instances[id]
+	o.LastSeen = max(o.LastSeen, at)
+	s.instances[id] = o
+}
+
 func (s *sight) asked(now model.Timestamp, id model.InstanceID) {
 	o := s.instances[id]
 	o.QueriedAt = now
