--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -28,6 +28,7 @@
 	check(d destination)
 	replace(d destination)
 	propose(c model.Command)
+	allow(d destination, slots int)
 	retain(targets map[model.TargetID]destination, members int)
 }
 
@@ -98,6 +99,8 @@
 		m.renew(now)
 	case entry.ControlContact:
 		m.contact, m.dirty = msg.At, true
+	case entry.ReportRequest:
+		msg.Reply <- m.fleetReport(now)
 	case withdraw:
 		m.stopping, m.dirty = true, true
 	case drain:
@@ -160,6 +163,7 @@
 func (m *Machine) keepHouse(now time.Time) {
 	m.dirty = true
 	m.announceLost(now)
+	m.allowConnections(now)
 	held, used := 0, 0
 	for _, t := range m.targets {
 		held, used = held+t.account.Granted(now), used+t.account.InUse()
--- a/operator/query/views.go
+++ b/operator/query/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
 	"lacewingturn.example/core/model"
@@ -23,7 +24,20 @@
 	operatorv1.View_VIEW_HISTORY: func(s source, _ string) (any, result.Result) {
 		return query.History(s.state), ok
 	},
-	operatorv1.View_VIEW_CONFIG: buildConfig,
+	operatorv1.View_VIEW_POOLS: func(s source, subject string) (any, result.Result) {
+		v, found := query.Pools(s.state, model.PoolName(subject))
+		return v, foundOr(found, "pool", subject)
+	},
+	operatorv1.View_VIEW_WAVES: func(s source, subject string) (any, result.Result) {
+		v, found := query.Waves(s.state, model.WaveID(subject))
+		return v, foundOr(found, "wave", subject)
+	},
+	operatorv1.View_VIEW_JOBS: func(s source, subject string) (any, result.Result) {
+		v, found := query.Jobs(s.state, model.JobID(subject))
+		return v, foundOr(found, "job", subject)
+	},
+	operatorv1.View_VIEW_CONFIG:  buildConfig,
+	operatorv1.View_VIEW_EXPLAIN: buildExplanation,
 }
 
 var ok = result.Result{Code: result.OK}
@@ -43,3 +57,17 @@
 	}
 	return v, ok
 }
+
+// buildExplanation takes a subject such as wave/w1.
+func buildExplanation(s source, subject string) (any, result.Result) {
+	kind, id, _ := strings.Cut(subject, "/")
+	e, found := query.Explain(s.state, s.observations, s.now, kind, id)
+	return e, foundOr(found, kind, id)
+}
+
+func foundOr(found bool, kind, id string) result.Result {
+	if found {
+		return ok
+	}
+	return result.New(result.NotFound, "no %s %q", kind, id)
+}
