--- a/cmd/lacewingturn/query/replay.go
+++ b/cmd/lacewingturn/query/replay.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	if c.JSON {
+	if c.JSON || s.Settings.JSON {
 		return report.WriteJSON(s.Out)
 	}
 	return report.WriteTable(s.Out)
