Decide on jobs: admission, placement, leases, outcomes and room for urgent work

SubmitJob was the only job command with effect. All commands of commands_job.go are now applied with their checks, and job.Reconcile proposes placements. An index derived from the jobs (queue groups, active jobs, loads, teams) is kept with every change, because scanning all jobs would cost a pass in proportion to the queue.

--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -26,6 +26,7 @@
 	Replicas   []model.ReplicaMember
 	Jobs       []model.Job
 	Classes    []model.ClassEstimate
+	Workers    []model.WorkerRecord
 	Claims     []model.Claim
 	ClaimFloor model.Timestamp
 	Requests   []model.RequestRecord
@@ -37,7 +38,7 @@
 		Clock: s.Clock, Index: s.Index, Term: s.Term, Traffic: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
 		History: s.History.Values(), Instances: s.Instances.Values(), Waves: s.Waves.Values(), Moves: s.Moves.Values(),
 		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
-		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(),
+		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
 	})
 }
@@ -48,6 +49,7 @@
 	if err := decoder.Unmarshal(data, &m); err != nil {
 		return model.State{}, fmt.Errorf("codec: state: %w", err)
 	}
+	jobs := table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID })
 	return model.State{
 		Clock: m.Clock, Index: m.Index, Term: m.Term, TrafficIndex: m.Traffic, Revision: m.Revision, Config: m.Config,
 		History:    table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
@@ -57,8 +59,10 @@
 		Targets:    table.FromValues(m.Targets, func(v model.Target) model.TargetID { return v.ID }),
 		Entries:    table.FromValues(m.Entries, func(v model.EntryMember) model.EntryID { return v.ID }),
 		Replicas:   table.FromValues(m.Replicas, func(v model.ReplicaMember) model.ReplicaID { return v.ID }),
-		Jobs:       table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID }),
+		Jobs:       jobs,
+		JobIndex:   model.IndexJobs(jobs),
 		Classes:    table.FromValues(m.Classes, func(v model.ClassEstimate) string { return v.Class }),
+		Workers:    table.FromValues(m.Workers, func(v model.WorkerRecord) model.InstanceID { return v.Worker }),
 		Claims:     table.FromValues(m.Claims, func(v model.Claim) model.ClaimKey { return v.Key }),
 		ClaimFloor: m.ClaimFloor,
 		Requests:   table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
--- a/core/command/job/job.go
+++ b/core/command/job/job.go
@@ -1,41 +1,108 @@
 // Package job decides on jobs: admission, placement under leases, reports,
-// cancellation and outcomes.
+// cancellation and outcomes. Every check that spends capacity or a quota is
+// made by Apply, in log order; Reconcile only proposes.
 package job
 
 import (
+	"time"
+
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
 
+const (
+	// LeaseTerm is how long a lease lasts from its grant and from each report.
+	// Workers report every few seconds, so that several reports may be lost.
+	LeaseTerm = 15 * time.Second
+	// Retention is how long an ended job is kept.
+	Retention = time.Hour
+	// MaxEnded bounds the ended jobs kept within Retention.
+	MaxEnded = 200_000
+	// MaxActive bounds the jobs that are queued or hold a lease.
+	MaxActive = 500_000
+	// MaxFailures is the number of failures that end a job.
+	MaxFailures = 3
+)
+
 // Apply handles the commands of jobs.
 func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
-	if c, ok := env.Command.(model.SubmitJob); ok {
+	switch c := env.Command.(type) {
+	case model.SubmitJob:
 		return submit(s, env, c.Job), true
+	case model.CancelJob:
+		return cancelOne(s, env, c.ID), true
+	case model.CancelJobs:
+		return cancelMany(s, env, c.IDs), true
+	case model.PlaceJob:
+		return place(s, env, c), true
+	case model.JobStarted:
+		return started(s, env, c), true
+	case model.JobReport:
+		return report(s, env, c), true
+	case model.JobEnded:
+		return ended(s, env, c), true
+	case model.ExpireLease:
+		return expire(s, env, c), true
+	case model.ControlJob:
+		return control(s, env, c), true
 	}
 	return result.Result{}, false
 }
 
-func submit(s *model.State, env model.Envelope, j model.Job) result.Result {
-	if j.ID == "" {
-		return result.New(result.InvalidInput, "a job needs an ID")
+// store replaces a job and keeps the index in step.
+func store(s *model.State, old, j model.Job) {
+	s.Jobs = s.Jobs.Set(j.ID, j)
+	if old.Active() && j.Active() && old.Lease.Worker == j.Lease.Worker {
+		s.JobIndex = s.JobIndex.Renew(old, j)
+		return
 	}
-	if s.Jobs.Has(j.ID) {
-		return result.New(result.Exists, "job %s exists", j.ID)
+	if old.Phase != 0 {
+		s.JobIndex = s.JobIndex.Remove(old)
 	}
-	if !possible(s, j) {
-		return result.New(result.JobImpossible, "no instance of pool %s has %+v", j.Pool, j.Declared)
+	s.JobIndex = s.JobIndex.Add(j)
+}
+
+// finish records the outcome of a job. It is called once for each job.
+func finish(s *model.State, env model.Envelope, old model.Job, phase model.JobPhase, reason string) {
+	j := old
+	j.Phase, j.EndedAt, j.Reason = phase, env.Time, reason
+	j.Reserved, j.Action, j.YieldsTo = model.Resources{}, model.ActionNone, ""
+	store(s, old, j)
+}
+
+// requeue returns a job to its place in the queue.
+func requeue(s *model.State, old model.Job, reason string) {
+	j := old
+	j.Phase, j.Reason = model.JobQueued, reason
+	j.Lease, j.StartedAt, j.Reserved = model.Lease{}, 0, model.Resources{}
+	j.Action, j.ActionSince, j.YieldsTo = model.ActionNone, 0, ""
+	j.Throttled, j.Borrowed = false, false
+	store(s, old, j)
+}
+
+// leased returns the job if the token is that of its current lease.
+func leased(s *model.State, id model.JobID, token uint64) (model.Job, result.Result) {
+	j, ok := s.Jobs.Get(id)
+	if !ok {
+		return j, result.New(result.NotFound, "no job %q", id)
 	}
-	j.Phase, j.SubmittedAt = model.JobQueued, env.Time
-	s.Jobs = s.Jobs.Set(j.ID, j)
-	return result.Result{Code: result.Accepted, Value: string(j.ID)}
+	if j.Lease.Token != token {
+		return j, result.New(result.StaleToken, "job %s has token %d, not %d", id, j.Lease.Token, token)
+	}
+	if j.Phase.Final() {
+		return j, result.New(result.JobFinished, "job %s is %s", id, j.Phase)
+	}
+	return j, result.Result{Code: result.OK}
 }
 
-// possible reports whether some instance of the pool could ever hold the job.
-func possible(s *model.State, j model.Job) bool {
-	for _, i := range s.Instances.All() {
-		if i.Pool == j.Pool && i.Capacity.Fits(j.Declared) {
-			return true
-		}
+// wanted tells the worker what to do with the job.
+func wanted(j model.Job) result.Result {
+	r := result.Result{Code: result.OK, Revision: j.Lease.Token}
+	switch {
+	case j.Cancelling:
+		r.Value = "cancel"
+	case j.Action != model.ActionNone:
+		r.Value = j.Action.String()
 	}
-	return false
+	return r
 }
--- a/core/model/commands_job.go
+++ b/core/model/commands_job.go
@@ -15,6 +15,8 @@
 type PlaceJob struct {
 	ID     JobID
 	Worker InstanceID
+	// Borrow allows the team to exceed its quota with idle capacity.
+	Borrow bool
 }
 
 // JobStarted is reported by the worker.
@@ -48,11 +50,13 @@
 	Token uint64
 }
 
-// ControlJob asks the worker to checkpoint, throttle or stop a job.
+// ControlJob asks the worker to checkpoint, throttle or stop a job, or with
+// ActionNone to run it at full speed again.
 type ControlJob struct {
 	ID     JobID
 	Token  uint64
 	Action JobAction
+	For    JobID // the job that room is made for
 	Reason string
 }
 
@@ -61,11 +65,16 @@
 
 // Actions on a running job.
 const (
-	ActionCheckpoint JobAction = iota + 1
-	ActionThrottle
-	ActionStop
+	ActionNone       JobAction = iota
+	ActionCheckpoint           // save progress, end, and continue later
+	ActionThrottle             // continue with half of the processors
+	ActionStop                 // end; progress since the last checkpoint is lost
 )
 
+func (a JobAction) String() string {
+	return [...]string{"none", "checkpoint", "throttle", "stop"}[min(int(a), 3)]
+}
+
 func (SubmitJob) isCommand()   {}
 func (CancelJob) isCommand()   {}
 func (CancelJobs) isCommand()  {}
--- a/core/model/job.go
+++ b/core/model/job.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Job is a unit of work placed on a worker.
 type Job struct {
@@ -21,13 +24,81 @@
 	// Used is the last reported usage.
 	Used Resources
 	// Attempts counts leases granted; Failures counts those that count against the job.
-	Attempts    int
-	Failures    int
-	Reason      string
-	Checkpoint  string // name of the last checkpoint; empty if none
-	Throttled   bool
-	Cancelling  bool
-	ActionSince Timestamp // when the last checkpoint, throttle or stop was asked for
+	Attempts   int
+	Failures   int
+	Reason     string
+	Checkpoint string // name of the last checkpoint; empty if none
+	Throttled  bool
+	Cancelling bool
+	// Action is what the worker was asked to do to make room; ActionNone if nothing.
+	Action      JobAction
+	ActionSince Timestamp // when Action was asked for
+	YieldsTo    JobID     // the job that Action makes room for
+	// Sequence is the log index of the submission; it orders the queue and is
+	// kept when the job returns to the queue.
+	Sequence uint64
+	// Reserved is what the lease takes of the worker: at least the learned size
+	// at the time of the grant and at least the reported usage.
+	Reserved Resources
+	// Borrowed is set while the job runs beyond the quota of its team.
+	Borrowed bool
+	// FailedOn holds the last workers on which the job failed, then empty IDs. It
+	// is placed elsewhere as long as there is another.
+	FailedOn FailedWorkers
+}
+
+// FailedWorkers is a small set of workers. It is an array so that jobs can be
+// compared and copied as values.
+type FailedWorkers [3]InstanceID
+
+// Has reports whether w is in the set.
+func (f FailedWorkers) Has(w InstanceID) bool { return w != "" && slices.Contains(f[:], w) }
+
+// Len returns the number of workers in the set.
+func (f FailedWorkers) Len() int {
+	n := 0
+	for _, w := range f {
+		if w != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// With returns the set with w; the oldest one gives way if the set is full.
+func (f FailedWorkers) With(w InstanceID) FailedWorkers {
+	if f.Has(w) {
+		return f
+	}
+	if n := f.Len(); n < len(f) {
+		f[n] = w
+		return f
+	}
+	copy(f[:], f[1:])
+	f[len(f)-1] = w
+	return f
+}
+
+// Without returns the set without w.
+func (f FailedWorkers) Without(w InstanceID) FailedWorkers {
+	var out FailedWorkers
+	for _, other := range f {
+		if other != w && other != "" {
+			out = out.With(other)
+		}
+	}
+	return out
+}
+
+// Active reports whether the job holds a lease.
+func (j Job) Active() bool { return j.Phase == JobLeased || j.Phase == JobRunning }
+
+// ClassKey names the class whose estimates apply to the job.
+func (j Job) ClassKey() string {
+	if j.Class != "" {
+		return j.Class
+	}
+	return string(j.Team) + "/" + string(j.Pool)
 }
 
 // Lease binds a job to a worker until it expires or is renewed.
@@ -66,3 +137,28 @@
 	Run     time.Duration // typical run time
 	RunHigh time.Duration // high estimate of the run time
 }
+
+// WorkerRecord is the recent history of a worker, kept to quarantine one that
+// fails everything it starts.
+type WorkerRecord struct {
+	Worker InstanceID
+	// Streak lists the jobs of the failures since the last success, oldest first.
+	Streak []JobID
+	// Generation is that of the instance during the streak.
+	Generation uint64
+}
+
+// WorkerLoad is what the leases on a worker take of it. It is derived from the jobs.
+type WorkerLoad struct {
+	Worker   InstanceID
+	Reserved Resources
+	Jobs     int
+}
+
+// TeamLoad is what the jobs of a team use and wait for. It is derived from the jobs.
+type TeamLoad struct {
+	Team     TeamName
+	Reserved Resources
+	Active   int
+	Queued   int
+}
--- /dev/null
+++ b/core/model/job_index.go
@@ -0,0 +1,118 @@
+package model
+
+import (
+	"fmt"
+	"math/bits"
+
+	"lacewingturn.example/core/table"
+)
+
+// JobIndex holds what placement reads of the jobs, so that it does not depend
+// on the number of jobs that are queued or ended.
+type JobIndex struct {
+	// Queue orders the queued jobs by QueueGroup and then by Sequence.
+	Queue  table.Table[string, JobID]
+	Active table.Table[string, Job]   // by worker and ID
+	Ended  table.Table[string, JobID] // by time of the outcome
+	Loads  table.Table[InstanceID, WorkerLoad]
+	Teams  table.Table[TeamName, TeamLoad]
+}
+
+// QueueGroup names the jobs that compete in the same way: equal urgency, pool,
+// team, class and about equal declared size. Urgent groups come first.
+func (j Job) QueueGroup() string {
+	urgency := "1"
+	if j.Urgent {
+		urgency = "0"
+	}
+	return fmt.Sprintf("%s\x00%s\x00%s\x00%s\x00%02d.%02d.%04d\x00", urgency, j.Pool, j.Team, j.Class,
+		bits.Len64(uint64(j.Declared.MilliCPU)), bits.Len64(uint64(j.Declared.MemoryMB)), j.Declared.Accelerators)
+}
+
+func (j Job) queueKey() string { return fmt.Sprintf("%s%020d", j.QueueGroup(), j.Sequence) }
+
+// ActiveKey is the key of a leased job in JobIndex.Active.
+func (j Job) ActiveKey() string { return WorkerPrefix(j.Lease.Worker) + string(j.ID) }
+
+// WorkerPrefix starts the keys of the jobs on a worker in JobIndex.Active.
+func WorkerPrefix(w InstanceID) string { return string(w) + "\x00" }
+
+func (j Job) endedKey() string { return fmt.Sprintf("%020d\x00%s", j.EndedAt, j.ID) }
+
+// Remove returns the index without the job, which must be as it was added.
+func (x JobIndex) Remove(j Job) JobIndex {
+	switch {
+	case j.Phase == JobQueued:
+		x.Queue = x.Queue.Delete(j.queueKey())
+	case j.Active():
+		x.Active = x.Active.Delete(j.ActiveKey())
+	case j.Phase.Final():
+		x.Ended = x.Ended.Delete(j.endedKey())
+	}
+	return x.count(j, -1)
+}
+
+// Add returns the index with the job.
+func (x JobIndex) Add(j Job) JobIndex {
+	switch {
+	case j.Phase == JobQueued:
+		x.Queue = x.Queue.Set(j.queueKey(), j.ID)
+	case j.Active():
+		x.Active = x.Active.Set(j.ActiveKey(), j)
+	case j.Phase.Final():
+		x.Ended = x.Ended.Set(j.endedKey(), j.ID)
+	}
+	return x.count(j, 1)
+}
+
+// Renew returns the index with an active job whose lease, usage or action
+// changed, but neither its worker nor its phase.
+func (x JobIndex) Renew(old, j Job) JobIndex {
+	x.Active = x.Active.Set(j.ActiveKey(), j)
+	if old.Reserved != j.Reserved {
+		x = x.count(old, -1).count(j, 1)
+	}
+	return x
+}
+
+// count adds the job n times to the loads of its worker and team.
+func (x JobIndex) count(j Job, n int) JobIndex {
+	if j.Phase.Final() {
+		return x
+	}
+	team, _ := x.Teams.Get(j.Team)
+	team.Team = j.Team
+	if j.Phase == JobQueued {
+		team.Queued += n
+	} else {
+		team.Active += n
+		team.Reserved = team.Reserved.Add(j.Reserved.times(n))
+		load, _ := x.Loads.Get(j.Lease.Worker)
+		load.Worker = j.Lease.Worker
+		load.Jobs += n
+		load.Reserved = load.Reserved.Add(j.Reserved.times(n))
+		x.Loads = setOrDelete(x.Loads, load.Worker, load, load.Jobs == 0)
+	}
+	x.Teams = setOrDelete(x.Teams, j.Team, team, team.Active == 0 && team.Queued == 0)
+	return x
+}
+
+func setOrDelete[K InstanceID | TeamName, V any](t table.Table[K, V], k K, v V, empty bool) table.Table[K, V] {
+	if empty {
+		return t.Delete(k)
+	}
+	return t.Set(k, v)
+}
+
+func (r Resources) times(n int) Resources {
+	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
+// IndexJobs builds the index of a table of jobs.
+func IndexJobs(jobs table.Table[JobID, Job]) JobIndex {
+	var x JobIndex
+	for _, j := range jobs.All() {
+		x = x.Add(j)
+	}
+	return x
+}
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -29,6 +29,9 @@
 
 	Jobs    table.Table[JobID, Job]
 	Classes table.Table[string, ClassEstimate]
+	Workers table.Table[InstanceID, WorkerRecord]
+	// JobIndex is derived from Jobs and kept in step by command/job.
+	JobIndex JobIndex
 
 	Claims table.Table[ClaimKey, Claim]
 	// ClaimFloor refuses keys issued before it, because claims of that age may
