--- a/cmd/lacewingturn/main_test.go
+++ b/cmd/lacewingturn/main_test.go
@@ -101,7 +101,7 @@
 	data, err := os.ReadFile(file)
 	assert.NilError(t, err)
 	assert.NilError(t, os.WriteFile(file, bytes.Replace(data, []byte("max_step: 2"), []byte("max_step: 1"), 1), 0o600))
-	assert.Assert(t, strings.Contains(ok("plan", file), "waves.MaxStep: 2 -> 1"))
+	assert.Assert(t, strings.Contains(ok("plan", file), "waves.max_step: 2 -> 1"))
 	ok("accept", file, "--base", "1")
 	status, _, errOut := execute(t, "accept", file, "--base", "1")
 	assert.Equal(t, status, result.Conflicting.Info().Exit)
@@ -109,7 +109,7 @@
 	assert.Assert(t, strings.Contains(ok("revert", "1"), "revision 3"))
 	assert.Equal(t, site.state.Load().Config.Waves.MaxStep, 2)
 	history := ok("history")
-	assert.Assert(t, strings.Contains(history, "waves.MaxStep: 1 -> 2"), history)
+	assert.Assert(t, strings.Contains(history, "waves.max_step: 1 -> 2"), history)
 
 	ok("drain", "lyrics-east-r1-1")
 	status, _, _ = execute(t, "drain", "no-such-instance")
@@ -123,6 +123,14 @@
 	ok("wave", "cancel", "w1")
 	ok("job", "submit", "--pool", "lyrics", "--team", "rights", "--processors", "0.5", "--id", "j1")
 	ok("status")
+	for want, args := range map[string][]string{
+		"headroom": {"pools", "lyrics"}, "cancelled": {"waves"}, "0.5 processors": {"jobs", "j1"}, "have room": {"explain", "job", "j1"},
+	} {
+		assert.Assert(t, strings.Contains(strings.ToLower(ok(args...)), want), "%v", args)
+	}
+	status, _, errOut = execute(t, "pools", "no-such-pool")
+	assert.Equal(t, status, result.NotFound.Info().Exit)
+	assert.Assert(t, strings.Contains(errOut, `not-found (101): no pool "no-such-pool"`), errOut)
 	ok("targets")
 	assert.Assert(t, strings.Contains(ok("config"), "pools[lyrics].budget.min_available"))
 }
