Accept jobs without a declared size and give them a small one

A missing size is a missing hint, not a contradiction: the job takes 0.1 processors and 64 MB until its class is known.

--- a/core/command/job/admit.go
+++ b/core/command/job/admit.go
@@ -41,8 +41,8 @@
 		}
 	}
 	d := j.Declared
-	if d.MilliCPU <= 0 || d.MemoryMB <= 0 || d.Accelerators < 0 {
-		return result.New(result.InvalidInput, "processors and memory must be positive, accelerators not negative")
+	if d.MilliCPU < 0 || d.MemoryMB < 0 || d.Accelerators < 0 {
+		return result.New(result.InvalidInput, "declared sizes must not be negative")
 	}
 	if s.Config == nil || len(s.Config.Teams) == 0 {
 		return result.Result{Code: result.OK}
--- a/core/command/job/place.go
+++ b/core/command/job/place.go
@@ -12,6 +12,10 @@
 // time of a class replace the declared ones.
 const minSamples = 3
 
+// undeclared is taken for processors and memory that a job does not declare,
+// until its class is known.
+var undeclared = model.Resources{MilliCPU: 100, MemoryMB: 64}
+
 func place(s *model.State, env model.Envelope, c model.PlaceJob) result.Result {
 	j, ok := s.Jobs.Get(c.ID)
 	if !ok {
@@ -73,6 +77,12 @@
 // whole worker, because a job is admitted by its declared size.
 func Size(s model.State, j model.Job, w model.Instance) model.Resources {
 	size := j.Declared
+	if size.MilliCPU == 0 {
+		size.MilliCPU = undeclared.MilliCPU
+	}
+	if size.MemoryMB == 0 {
+		size.MemoryMB = undeclared.MemoryMB
+	}
 	if e, ok := s.Classes.Get(j.ClassKey()); ok && e.Samples >= minSamples {
 		size.MilliCPU, size.MemoryMB = max(e.Used.MilliCPU, 1), max(e.Used.MemoryMB, 1)
 	}
