--- a/core/command/dispatch/dispatch_test.go
+++ b/core/command/dispatch/dispatch_test.go
@@ -133,3 +133,18 @@
 	}
 	assert.Assert(t, calls <= 5, "%d calls", calls)
 }
+
+// Guards against idle time that is charged to the reserve although nothing waits.
+func TestCancelledWorkHoldsNoSlots(t *testing.T) {
+	d, err := New(Default, Options{})
+	assert.NilError(t, err)
+	for i := range 10 {
+		arrive(d, at(0), ItemID(i), "bulk")
+	}
+	assert.Equal(t, len(d.Next(at(0), 8).Start), 1, "slow start")
+	for i := 1; i < 10; i++ {
+		assert.Assert(t, d.Cancel(at(100), ItemID(i)))
+	}
+	assert.Equal(t, d.Stats(at(100)).ReserveIdle, 700*time.Millisecond)
+	assert.Equal(t, d.Stats(at(5000)).ReserveIdle, 700*time.Millisecond)
+}
--- a/core/command/dispatch/fair.go
+++ b/core/command/dispatch/fair.go
@@ -211,6 +211,7 @@
 	w.cancelled = true
 	fl := f.flows[flowKey{w.Service, w.Caller}]
 	f.leaveQueue(fl, id)
+	f.held = min(f.held, len(f.queued))
 	f.settle(now, fl)
 	return true
 }
--- a/core/command/job/reconcile_test.go
+++ b/core/command/job/reconcile_test.go
@@ -61,12 +61,14 @@
 	w.refused(model.PlaceJob{ID: "a9", Worker: "w000"}, result.NoCapacity)
 }
 
+// small jobs fill the processors of a worker before its memory.
+var small = model.Resources{MilliCPU: 2000, MemoryMB: 256}
+
 // Guards against urgent work that waits for others, against a costly action
 // before a cheap one, and against other work that takes the room. The jobs
 // here obey only a stop.
 func TestUrgentWorkGetsRoomInOrderOfCost(t *testing.T) {
 	w := newWorld(t, 1)
-	small := model.Resources{MilliCPU: 2000, MemoryMB: 256}
 	for i := range 6 {
 		w.submit(model.JobID(fmt.Sprint("j", i)), func(j *model.Job) { j.Declared = small })
 	}
@@ -167,3 +169,43 @@
 	assert.Equal(t, len(commands), 0)
 	assert.Equal(t, next, w.now.Add(job.LeaseTerm))
 }
+
+// Guards against urgent jobs that get room one after the other. 720 full
+// workers, whose jobs obey only a stop, and that after 100 ms.
+func TestManyUrgentJobsStartInTime(t *testing.T) {
+	const pass = 50 * time.Millisecond
+	w := newWorld(t, 720)
+	for i := range 720 * 4 {
+		w.submit(model.JobID(fmt.Sprint("j", i)), func(j *model.Job) { j.Declared = small })
+	}
+	for w.s.JobIndex.Queue.Len() > 0 {
+		w.reconcile()
+	}
+	for i := range 100 {
+		w.submit(model.JobID(fmt.Sprint("urgent", i)), func(j *model.Job) { j.Urgent, j.Class, j.Declared = true, "urgent", small })
+	}
+	since, stops := w.now, map[model.Timestamp][]model.ControlJob{}
+	for w.s.JobIndex.Queue.Len() > 0 {
+		for _, c := range stops[w.now] {
+			w.must(model.JobEnded{ID: c.ID, Token: c.Token, Cancelled: true, Reason: "stopped"})
+		}
+		for _, c := range w.reconcile() {
+			if c, ok := c.(model.ControlJob); ok && c.Action == model.ActionStop {
+				stops[w.now.Add(2*pass)] = append(stops[w.now.Add(2*pass)], c)
+			}
+		}
+		urgent := 0
+		for _, j := range w.s.JobIndex.Active.All() {
+			if j.Urgent {
+				urgent++
+			}
+		}
+		if urgent == 100 {
+			break
+		}
+		w.pass(pass)
+	}
+	took := w.now.Sub(since)
+	t.Logf("100 urgent jobs had leases after %s", took)
+	assert.Assert(t, took <= 1200*time.Millisecond, "%s", took)
+}
