Hedge idempotent requests instead of cutting them at half of their time

Cause: the first attempt of an idempotent request was cut when half of its deadline had passed, so that work of 1.5 s under a deadline of 2 s always failed (seen: 504 after 1.0 s). A second attempt on another target now starts at that point and the first goes on; the first complete answer counts.

--- a/core/command/dispatch/dispatch_test.go
+++ b/core/command/dispatch/dispatch_test.go
@@ -148,3 +148,19 @@
 	assert.Equal(t, d.Stats(at(100)).ReserveIdle, 700*time.Millisecond)
 	assert.Equal(t, d.Stats(at(5000)).ReserveIdle, 700*time.Millisecond)
 }
+
+// Guards against a first item that never ends, such as one on a silent target,
+// and keeps the other items of its caller waiting although slots are free.
+func TestStuckFirstItemDoesNotHoldBackItsCaller(t *testing.T) {
+	d, err := New(Default, Options{})
+	assert.NilError(t, err)
+	start := time.Unix(1000, 0)
+	for id := range ItemID(4) {
+		d.Arrive(start, Item{ID: id, Caller: "c", Service: "s"})
+	}
+	running := len(d.Next(start, 16).Start)
+	for at := start; at.Before(start.Add(500 * time.Millisecond)); at = at.Add(50 * time.Millisecond) {
+		running += len(d.Next(at, 16-running).Start)
+	}
+	assert.Assert(t, running >= 2, "%d of 4 items run after 500 ms on 16 slots", running)
+}
--- a/core/command/dispatch/fair.go
+++ b/core/command/dispatch/fair.go
@@ -35,7 +35,7 @@
 	// slowStartPeriod is the time after which the slow start of a flow none of
 	// whose items completed doubles, unless other run times show earlier that its
 	// items are longer work.
-	slowStartPeriod = time.Second
+	slowStartPeriod = 250 * time.Millisecond
 	// maxIdleFlows bounds the flows remembered without queued or running items.
 	maxIdleFlows = 10_000
 	// minAgain is the shortest time until a held-back item is looked at again.
--- a/entry/command/attempt.go
+++ b/entry/command/attempt.go
@@ -69,9 +69,8 @@
 	}
 }
 
-// attempt gets a slot and sends the request once. The last attempt may use all
-// the time that is left; earlier ones of an idempotent request leave half of it
-// for a retry on another target.
+// attempt gets a slot and sends the request once. An idempotent request that
+// has no answer after half of its time is sent to a second target as well.
 func (g *Gateway) attempt(ctx context.Context, c *call, n int, avoid model.TargetID) (answer, sample, model.TargetID) {
 	if n > 0 {
 		g.metrics.retries.Inc()
@@ -82,25 +81,30 @@
 	}
 	ctx, span := g.tracer.Start(ctx, "entry.exchange", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("lacewingturn.target", string(d.target.id)), attribute.Int("lacewingturn.attempt", n)))
-	cancel := context.CancelFunc(func() {})
-	if c.idempotent && n+1 < maxAttempts {
-		ctx, cancel = context.WithTimeout(ctx, time.Until(c.deadline)/2)
+	if !c.idempotent || n+1 >= maxAttempts {
+		a, s := g.exchange(ctx, c, d.target)
+		g.endAttempt(id, c, &a, s, func() { span.End() })
+		return a, s, d.target.id
 	}
+	ctx, h := g.startHedge(ctx, c, d.target.id)
 	a, s := g.exchange(ctx, c, d.target)
+	g.endAttempt(id, c, &a, s, func() { span.End(); h.first(nil) })
+	return h.settle(a, c.release), s, d.target.id
+}
+
+// endAttempt gives the slot back, at once or when the answer has been streamed.
+func (g *Gateway) endAttempt(id uint64, c *call, a *answer, s sample, end func()) {
 	if a.stream == nil {
-		cancel()
-		span.End()
+		end()
 		g.finish(id, s)
-		return a, s, d.target.id
+		return
 	}
 	a.stream.ended = func(err error) {
-		cancel()
-		span.End()
+		end()
 		if err != nil {
 			s.kind = sampleTruncated
 		}
 		g.finish(id, s)
 		c.release()
 	}
-	return a, s, d.target.id
 }
--- a/entry/command/dispatch.go
+++ b/entry/command/dispatch.go
@@ -149,7 +149,8 @@
 }
 
 // maxRetryTokens bounds what a quiet time can save up, so that a burst of
-// failures causes at most this many retries above the share.
+// failures causes at most this many retries above the share. An instance starts
+// with as many, or the first failures of a small site could not be retried.
 const maxRetryTokens = 10
 
 func (b *retryBudget) earn() { b.tokens = min(b.tokens+b.share, maxRetryTokens) }
