--- a/entry/instance/path_test.go
+++ b/entry/instance/path_test.go
@@ -48,7 +48,7 @@
 	s := startEntry(t, newControl(config(), machines(1)...), "e1", nil)
 	ok, _ := s.Source.View().Ready(time.Now())
 	assert.Assert(t, ok)
-	ok, reason := s.Source.View().Ready(time.Now().Add(time.Hour + 3*time.Second))
+	ok, reason := s.Source.View().Ready(time.Now().Add(3 * time.Second))
 	assert.Assert(t, !ok)
 	assert.Equal(t, reason, "no contact to the control state for more than 2.5s")
 	resp, err := http.Get(s.server.URL + "/readyz")
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -69,6 +70,13 @@
 	return out
 }
 
+// cutOff ends the messages to one instance.
+func (f *fakeControl) cutOff(port loop.Port) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ports = slices.DeleteFunc(f.ports, func(p loop.Port) bool { return p == port })
+}
+
 func (f *fakeControl) publish() {
 	for _, p := range f.ports {
 		_ = p.Send(context.Background(), entry.TrafficChanged{View: query.TrafficOf(f.state)})
@@ -119,6 +127,9 @@
 	control *fakeControl
 	server  *httptest.Server
 	metrics *prometheus.Registry
+	epoch   uint64
+	stop    func()
+	letGo   func() // ends the renewal of the lease
 }
 
 // startEntry joins an entry instance and keeps its lease valid.
@@ -147,13 +158,16 @@
 	control.mu.Unlock()
 	results, err := control.Propose(ctx, []model.Envelope{{Command: model.JoinEntry{ID: id, Address: s.server.Listener.Addr().String()}}})
 	assert.NilError(t, err)
-	s.lease(results[0].Revision, time.Hour)
+	s.epoch = results[0].Revision
+	s.keepLease()
 	s.until(t, func() bool { ok, _ := s.Source.View().Ready(time.Now()); return ok })
-	t.Cleanup(func() {
-		s.server.Close()
+	s.stop = sync.OnceFunc(func() {
+		s.letGo()
 		cancel()
+		s.server.Close()
 		done.Wait()
 	})
+	t.Cleanup(s.stop)
 	return s
 }
 
@@ -169,10 +183,41 @@
 	t.Fatal("state not reached within 10 s")
 }
 
-func (s *site) lease(epoch uint64, valid time.Duration) {
-	now := time.Now()
-	_ = s.Port.Send(context.Background(), entry.LeaseRenewed{Until: now.Add(valid), Epoch: epoch})
-	_ = s.Port.Send(context.Background(), entry.ControlContact{At: now.Add(valid)})
+// keepLease renews the lease and the contact as the control link does.
+func (s *site) keepLease() {
+	held := make(chan struct{})
+	s.letGo = sync.OnceFunc(func() { close(held) })
+	renew := func() {
+		now := time.Now()
+		_ = s.Port.Send(context.Background(), entry.LeaseRenewed{Until: now.Add(entry.StaleAfter), Epoch: s.epoch})
+		_ = s.Port.Send(context.Background(), entry.ControlContact{At: now})
+	}
+	renew()
+	go func() {
+		ticker := time.NewTicker(500 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				renew()
+			case <-held:
+				return
+			}
+		}
+	}()
+}
+
+// loseTouch ends the renewals and the changes of the traffic view.
+func (s *site) loseTouch() {
+	s.control.cutOff(s.Port)
+	s.letGo()
+}
+
+// kill ends an instance without a graceful shutdown.
+func (s *site) kill() {
+	s.loseTouch()
+	s.server.CloseClientConnections()
+	s.stop()
 }
 
 // target starts a back end and announces it.
