--- a/core/command/health/health.go
+++ b/core/command/health/health.go
@@ -6,6 +6,7 @@
 package health
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -29,6 +30,11 @@
 	// which a target counts as slow; minSamples run times are needed.
 	SlowFactor = 4
 	minSamples = 5
+	// FailureHalfLife is the time in which the memory of failures halves, so that
+	// a target that lost its work by a failure gets work again.
+	FailureHalfLife = 2 * time.Second
+	// negligible is the share of failures below which there is no penalty.
+	negligible = 0.05
 	// weight of a new sample in the moving averages.
 	weight = 0.2
 )
@@ -91,8 +97,9 @@
 	reason   Reason
 	failures int // failed answers in a row
 	refusals int
-	stuck    int // unanswered requests in a row, with a working new connection
-	failing  float64
+	stuck    int     // unanswered requests in a row, with a working new connection
+	failing  float64 // moving share of failures, as of sampled
+	sampled  time.Time
 	mean     time.Duration
 	samples  int
 	ejected  int // ejections in a row
@@ -131,8 +138,11 @@
 // Penalty scales the load of a target in the choice between targets, from 1 for
 // a good one. A target that fails fast is free again soon; the penalty keeps it
 // from attracting work by that.
-func (t *Target) Penalty() float64 {
-	p := 1 + 8*t.failing
+func (t *Target) Penalty(now time.Time) float64 {
+	p := 1.0
+	if f := t.recentFailures(now); f >= negligible {
+		p += 8 * f
+	}
 	switch t.state {
 	case Slow:
 		p *= 2
@@ -142,8 +152,12 @@
 	return p
 }
 
-// Return is when the ejection of a target ends.
-func (t *Target) Return() time.Time { return t.until }
+func (t *Target) recentFailures(now time.Time) float64 {
+	if t.failing == 0 {
+		return 0
+	}
+	return t.failing * math.Exp2(-float64(now.Sub(t.sampled))/float64(FailureHalfLife))
+}
 
 // Observe takes a sample of a request that ran for the time given.
 func (s *Service) Observe(now time.Time, t *Target, k Kind, run time.Duration) Action {
@@ -151,7 +165,9 @@
 	if k == Done {
 		failed = 0
 	}
+	t.failing = t.recentFailures(now)
 	t.failing += weight * (failed - t.failing)
+	t.sampled = now
 	switch k {
 	case Done:
 		s.succeed(t, run)
--- a/core/command/health/health_test.go
+++ b/core/command/health/health_test.go
@@ -69,7 +69,8 @@
 func TestFastFailureDoesNotAttractWork(t *testing.T) {
 	s, list := service(4)
 	s.Observe(start, list[0], Failed, time.Millisecond)
-	assert.Assert(t, list[0].Penalty() > 2*list[1].Penalty())
+	assert.Assert(t, list[0].Penalty(start) > 2*list[1].Penalty(start))
+	assert.Equal(t, list[0].Penalty(start.Add(3*FailureHalfLife)), 1.0, "failures are forgotten in time")
 	for range FailuresToEject - 2 {
 		assert.Equal(t, s.Observe(start, list[0], Failed, time.Millisecond), None)
 	}
@@ -109,5 +110,5 @@
 	s.Observe(start, list[0], Done, 100*time.Millisecond)
 	assert.Equal(t, stateOf(list[0], start), "slow ")
 	assert.Equal(t, list[0].Limit(start), -1)
-	assert.Assert(t, list[0].Penalty() > list[1].Penalty())
+	assert.Assert(t, list[0].Penalty(start) > list[1].Penalty(start))
 }
--- a/entry/command/dispatch.go
+++ b/entry/command/dispatch.go
@@ -74,7 +74,7 @@
 			last = t
 			continue
 		}
-		if load := float64(t.account.InUse()+1) * t.health.Penalty(); best == nil || load < least {
+		if load := float64(t.account.InUse()+1) * t.health.Penalty(now); best == nil || load < least {
 			best, least = t, load
 		}
 	}
--- /dev/null
+++ b/entry/instance/observe_test.go
@@ -0,0 +1,50 @@
+package instance
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against hops without a span and against a trace that ends at the
+// entry instance.
+func TestTraceContextGoesThrough(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	s := startEntry(t, newControl(config(), machines(1)...), "e1", tracer)
+	parent := make(chan string, 1)
+	s.target(t, "t1", func(_ http.ResponseWriter, r *http.Request) { parent <- r.Header.Get("Traceparent") })
+	const id = "4bf92f3577b34da6a3ce929d0e0e4736"
+	s.call(t, http.MethodGet, "/", "", "Traceparent", "00-"+id+"-00f067aa0ba902b7-01")
+	got := <-parent
+	assert.Assert(t, strings.HasPrefix(got, "00-"+id+"-"), got)
+	s.until(t, func() bool { return len(spans.Ended()) == 2 })
+	names := map[string]bool{}
+	for _, span := range spans.Ended() {
+		names[span.Name()] = true
+		assert.Equal(t, span.SpanContext().TraceID().String(), id)
+	}
+	assert.DeepEqual(t, names, map[string]bool{"entry.request": true, "entry.exchange": true})
+}
+
+// Guards against refusals, claims and waits that no metric shows.
+func TestMetricsCountResults(t *testing.T) {
+	s := startEntry(t, newControl(config(), machines(1)...), "e1", nil)
+	s.call(t, http.MethodGet, "/", "")
+	s.target(t, "t1", echo)
+	s.call(t, http.MethodGet, "/", "")
+	s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", keyAt(time.Now(), 1))
+	s.until(t, func() bool {
+		n, err := testutil.GatherAndCount(s.metrics, "lacewingturn_entry_claims_total")
+		return err == nil && n == 2
+	})
+	n, err := testutil.GatherAndCount(s.metrics, "lacewingturn_entry_results_total", "lacewingturn_entry_wait_seconds")
+	assert.NilError(t, err)
+	assert.Equal(t, n, 3)
+}
--- a/entry/instance/slots_test.go
+++ b/entry/instance/slots_test.go
@@ -228,6 +228,18 @@
 	assert.Assert(t, countB["410"] > 0, "%v", countB)
 }
 
+// gauge returns the value of a metric without labels.
+func (s *site) gauge(t testing.TB, name string) float64 {
+	families, err := s.metrics.Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.Metric[0].GetGauge().GetValue()
+		}
+	}
+	return 0
+}
+
 // Guards against a graceful shutdown that cuts a request in flight or in the
 // queue, or stays ready.
 func TestStopCutsNothing(t *testing.T) {
@@ -246,7 +258,8 @@
 		r := s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", keyAt(time.Now(), 1))
 		assert.Check(t, r.result == "0", r.body)
 	})
-	s.until(t, func() bool { _, n := w.figures(); return n == 8 })
+	// All 13 are in before the shutdown begins; one that comes later is refused.
+	s.until(t, func() bool { return s.gauge(t, "lacewingturn_entry_requests") == 13 })
 	assert.NilError(t, s.Stop(t.Context()))
 	wg.Wait()
 	_, started := w.figures()
