--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -15,13 +15,14 @@
 	entryinstance "lacewingturn.example/entry/instance"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
 	"lacewingturn.example/replica/client"
 )
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newControlClient, newEntry),
+	fx.Provide(newEntry),
 	fx.Invoke(runEntry),
 )
 
@@ -52,6 +53,7 @@
 
 	Settings Settings
 	Control  entry.Control
+	Client   *http.Client
 	Loop     *loop.Loop
 	Log      *zap.Logger
 	Metrics  prometheus.Registerer
@@ -61,7 +63,7 @@
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics,
+		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
@@ -79,6 +81,7 @@
 	Log       *zap.Logger
 	Metrics   metricsHandler
 	Internal  internalMux
+	Traffic   *server.Traffic
 }
 
 // runEntry starts the entry role. At a stop the hooks run in reverse: the
@@ -86,6 +89,7 @@
 // gives up the membership.
 func runEntry(p runParams) error {
 	link := newLink(p)
+	p.Internal.Handle(p.Entry.PeerPath, p.Entry.Peers)
 	background, cancel := context.WithCancel(p.Life)
 	linkDone := make(chan struct{})
 	p.Lifecycle.Append(fx.Hook{
@@ -107,11 +111,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle("/", p.Entry.Traffic)
-	if err := serve(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, nil, stopAfterRequests); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, server.TLSFiles{}); err != nil {
 		return err
 	}
 	if !p.Settings.Has(RoleControl) {
-		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal); err != nil {
+		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Traffic); err != nil {
 			return err
 		}
 	}
--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -77,7 +78,7 @@
 func (s *Site) settings(name string, role instance.Role, i int) (instance.Settings, error) {
 	out := instance.Settings{
 		Name: name, Roles: []instance.Role{role}, Domain: domain(i), Replicas: s.replicas,
-		DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
+		RecordFolder: s.Folder, DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
 	var err error
 	if out.InternalAddress, err = freeAddress(); err != nil {
@@ -184,18 +185,22 @@
 	return out
 }
 
-// Stop shuts the site down gracefully: targets, entry instances, replicas.
+// Stop shuts the site down gracefully: targets, entry instances, replicas. The
+// processes of one kind stop at the same time.
 func (s *Site) Stop(ctx context.Context) error {
-	var errs []error
-	for _, t := range s.Targets {
-		errs = append(errs, t.Leave(ctx))
-	}
-	for _, e := range s.Entries {
-		errs = append(errs, e.Stop(ctx))
-	}
-	for _, c := range s.Controls {
-		errs = append(errs, c.Stop(ctx))
+	targets := stopAll(s.Targets, func(t *Target) error { return t.Leave(ctx) })
+	entries := stopAll(s.Entries, func(p *instance.Process) error { return p.Stop(ctx) })
+	controls := stopAll(s.Controls, func(p *instance.Process) error { return p.Stop(ctx) })
+	return trace.NewAggregate(targets, entries, controls)
+}
+
+func stopAll[T any](list []T, stop func(T) error) error {
+	errs := make([]error, len(list))
+	var all sync.WaitGroup
+	for i, v := range list {
+		all.Go(func() { errs[i] = stop(v) })
 	}
+	all.Wait()
 	return trace.NewAggregate(errs...)
 }
 
--- a/entry/command/once.go
+++ b/entry/command/once.go
@@ -24,7 +24,7 @@
 	request := model.ClaimRequest{
 		Key: c.key, Caller: c.caller, Fingerprint: c.fingerprint(), Entry: g.id, EntryEpoch: v.Epoch, Attempt: rand.Text(),
 	}
-	r, settling := g.claim(c, request)
+	r, settling := g.claimOrWait(ctx, c, request)
 	if r.Code != result.Accepted {
 		if !settling {
 			g.closeClaim()
@@ -36,6 +36,17 @@
 	return a
 }
 
+// claimOrWait claims the key. While another request with the key runs it asks
+// again until the deadline, so that a resend that overtakes the record of the
+// first outcome still gets it.
+func (g *Gateway) claimOrWait(ctx context.Context, c *call, request model.ClaimRequest) (r result.Result, settling bool) {
+	r, settling = g.claim(c, request)
+	for n := 1; r.Code == result.KeyInProgress && backoff(ctx, n); n++ {
+		r, settling = g.claim(c, request)
+	}
+	return r, settling
+}
+
 // admit asks the machine whether the request would be queued.
 func (g *Gateway) admit(c *call) decision {
 	reply := make(chan decision, 1)
