--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -36,15 +36,18 @@
 }
 
 // All counts all pools in one pass.
-func All(s model.State) map[model.PoolName]*Usage {
+func All(s model.State) map[model.PoolName]*Usage { return Count(s.Config, s.Instances.Values()) }
+
+// Count counts all pools of the configuration, which may be nil.
+func Count(c *model.Config, instances []model.Instance) map[model.PoolName]*Usage {
 	all := map[model.PoolName]*Usage{}
-	if s.Config == nil {
+	if c == nil {
 		return all
 	}
-	for _, p := range s.Config.Pools {
+	for _, p := range c.Pools {
 		all[p.Name] = &Usage{Pool: p}
 	}
-	for _, i := range s.Instances.All() {
+	for _, i := range instances {
 		if u, ok := all[i.Pool]; ok {
 			u.add(i)
 		}
--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -17,8 +17,10 @@
 	// UnseenLimit is the silence after which an instance counts as lost whatever
 	// the platform says, because a hung machine still looks up from outside.
 	UnseenLimit = time.Minute
-	// InstancePoll is how often the platform is asked about a silent instance.
-	InstancePoll = 30 * time.Second
+	// InstancePoll is how often the platform is asked about a silent instance. The
+	// wait grows to a tenth of the time that it has been out, up to MaxInstancePoll.
+	InstancePoll    = 30 * time.Second
+	MaxInstancePoll = 5 * time.Minute
 	// WaitPoll is how often it is asked about an instance that is expected back.
 	WaitPoll = 5 * time.Second
 )
@@ -29,6 +31,7 @@
 	obs     model.Observations
 	now     model.Timestamp
 	policy  model.WavePolicy
+	all     []model.Instance // walking the table once is cheaper than in each part
 	usage   map[model.PoolName]*budget.Usage
 	leases  map[model.InstanceID]int  // built when first needed
 	targets map[model.InstanceID]bool // built when first needed
@@ -41,8 +44,9 @@
 	if s.Config == nil {
 		return model.Decision{}
 	}
-	p := &plan{s: s, obs: o, now: now, policy: s.WavePolicy(), usage: budget.All(s)}
-	for _, i := range s.Instances.All() {
+	p := &plan{s: s, obs: o, now: now, policy: s.WavePolicy(), all: s.Instances.Values()}
+	p.usage = budget.Count(s.Config, p.all)
+	for _, i := range p.all {
 		if i.Operation != "" {
 			p.driveOperation(i)
 		}
@@ -189,6 +193,6 @@
 		}
 		p.observe(i, to, "seen again")
 	default:
-		p.await(i, InstancePoll)
+		p.await(i, min(max(InstancePoll, p.now.Sub(i.PhaseSince)/10), MaxInstancePoll))
 	}
 }
--- a/core/command/fleet/reconcile_lend.go
+++ b/core/command/fleet/reconcile_lend.go
@@ -28,19 +28,23 @@
 // budget for some time, and gives them back when they are no longer needed.
 func (p *plan) lend() {
 	changed, inbound := p.changes()
+	waiting, lent := p.waitingPools(), p.lent()
 	for _, pool := range p.s.Config.Pools {
 		u := p.usage[pool.Name]
 		if u == nil || pool.Spare {
 			continue
 		}
-		wanted := p.wanted(u)
+		wanted := 0
+		if waiting[pool.Name] {
+			wanted = 1
+		}
 		if missing := wanted - u.Headroom() - inbound[pool.Name]; missing > 0 {
 			if u.Helped() && p.at(changed[pool.Name].Add(p.lendHold())) {
 				p.lendTo(u, missing)
 			}
 			continue
 		}
-		p.giveBack(u, wanted, changed[pool.Name])
+		p.giveBack(lent[pool.Name], u.Headroom()-wanted, changed[pool.Name])
 	}
 }
 
@@ -48,7 +52,7 @@
 // the way to it.
 func (p *plan) changes() (map[model.PoolName]model.Timestamp, map[model.PoolName]int) {
 	changed := map[model.PoolName]model.Timestamp{}
-	for _, i := range p.s.Instances.All() {
+	for _, i := range p.all {
 		changed[i.Pool] = max(changed[i.Pool], i.PhaseSince)
 	}
 	inbound := map[model.PoolName]int{}
@@ -60,21 +64,36 @@
 	return changed, inbound
 }
 
-// wanted is the headroom that the pool should have: none, or one where a wave
-// waits for it and holds nothing of the pool that could come back by itself.
-func (p *plan) wanted(u *budget.Usage) int {
+// waitingPools lists the pools of running waves that have instances left to
+// take and hold none that could come back by itself. They need a headroom of one.
+func (p *plan) waitingPools() map[model.PoolName]bool {
+	out := map[model.PoolName]bool{}
 	for _, w := range p.s.Waves.All() {
-		if w.Phase != model.WaveRunning || !slices.Contains(w.Pools, u.Pool.Name) {
+		if w.Phase != model.WaveRunning {
 			continue
 		}
+		pending := map[model.PoolName]bool{}
 		for _, id := range w.Pending {
-			i, ok := p.s.Instances.Get(id)
-			if ok && i.Pool == u.Pool.Name && i.Phase == model.PhaseActive && RunningIn(p.s, w, u.Pool.Name) == 0 {
-				return 1
+			if i, ok := p.s.Instances.Get(id); ok && i.Phase == model.PhaseActive && slices.Contains(w.Pools, i.Pool) {
+				pending[i.Pool] = true
 			}
 		}
+		for pool := range pending {
+			out[pool] = out[pool] || running(p.s, w, pool) == 0
+		}
 	}
-	return 0
+	return out
+}
+
+// lent lists the instances in service in each pool that belong to another one.
+func (p *plan) lent() map[model.PoolName][]model.Instance {
+	out := map[model.PoolName][]model.Instance{}
+	for _, i := range p.all {
+		if i.Home != "" && i.Home != i.Pool && i.Phase == model.PhaseActive && !i.Retiring {
+			out[i.Pool] = append(out[i.Pool], i)
+		}
+	}
+	return out
 }
 
 // lendTo starts up to count moves to the pool, from the data centre where the
@@ -82,7 +101,7 @@
 func (p *plan) lendTo(u *budget.Usage, count int) {
 	here := map[string]int{}
 	var spare []model.Instance
-	for _, i := range p.s.Instances.All() {
+	for _, i := range p.all {
 		if i.Phase != model.PhaseActive || i.Retiring || i.Operation != "" {
 			continue
 		}
@@ -112,21 +131,16 @@
 }
 
 // giveBack returns one lent instance that the pool has not needed for some time.
-func (p *plan) giveBack(u *budget.Usage, wanted int, changed model.Timestamp) {
-	if u.Headroom()-wanted < 1 {
+func (p *plan) giveBack(lent []model.Instance, headroom int, changed model.Timestamp) {
+	if len(lent) == 0 || headroom < 1 || !p.at(changed.Add(p.lendHold())) {
 		return
 	}
-	for _, i := range p.s.Instances.All() {
-		if i.Pool != u.Pool.Name || i.Home == "" || i.Home == i.Pool || i.Phase != model.PhaseActive || i.Retiring {
-			continue
-		}
-		if p.usage[i.Home] == nil || !p.at(changed.Add(p.lendHold())) || !p.mayTake(i) {
-			return
-		}
-		p.propose(model.StartMove{
-			ID:       model.MoveID("return-" + string(i.ID) + "-" + itoa(p.s.Index)),
-			Instance: i.ID, From: i.Pool, To: i.Home,
-		})
+	i := lent[0]
+	if p.usage[i.Home] == nil || !p.mayTake(i) {
 		return
 	}
+	p.propose(model.StartMove{
+		ID:       model.MoveID("return-" + string(i.ID) + "-" + itoa(p.s.Index)),
+		Instance: i.ID, From: i.Pool, To: i.Home,
+	})
 }
--- a/core/command/fleet/reconcile_wave.go
+++ b/core/command/fleet/reconcile_wave.go
@@ -66,7 +66,7 @@
 		return
 	}
 	limit := p.stepOf(w, waiting)
-	running := RunningIn(p.s, w, pool)
+	running := running(p.s, w, pool)
 	if running >= limit {
 		return
 	}
@@ -178,7 +178,7 @@
 	}
 	found := map[model.PoolName]*due{}
 	var out []due
-	for _, i := range p.s.Instances.All() {
+	for _, i := range p.all {
 		if held[i.Pool] || i.Phase != model.PhaseActive || i.Retiring {
 			continue
 		}
--- a/core/command/fleet/wave.go
+++ b/core/command/fleet/wave.go
@@ -110,7 +110,7 @@
 	if i.Operation != "" {
 		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
 	}
-	if n := RunningIn(*s, w, i.Pool); n >= w.Step {
+	if n := running(*s, w, i.Pool); n >= w.Step {
 		return result.New(result.StepFull, "wave %s holds %d instances of pool %s, its step", w.ID, n, i.Pool)
 	}
 	if r := checkTake(s, i); !r.Code.OK() {
@@ -121,8 +121,8 @@
 	return accepted
 }
 
-// RunningIn counts the instances of the pool that the wave holds.
-func RunningIn(s model.State, w model.Wave, pool model.PoolName) int {
+// running counts the instances of the pool that the wave holds.
+func running(s model.State, w model.Wave, pool model.PoolName) int {
 	n := 0
 	for _, id := range w.Running {
 		if i, ok := s.Instances.Get(id); ok && i.Pool == pool {
--- a/core/command/fleet/world_test.go
+++ b/core/command/fleet/world_test.go
@@ -41,7 +41,9 @@
 	puts        []model.PlatformAction
 	duration    func(model.PlatformAction) time.Duration // how long the platform takes
 	fails       func(model.PlatformAction) bool
-	downtime    time.Duration // from the end of a reboot until the instance is up
+	downtime    time.Duration                                 // from the end of a reboot until the instance is up
+	load        func(model.InstanceID, model.Timestamp) int   // work in flight while in service; may be nil
+	choose      func(*world, []model.Command) []model.Command // replaces choices of the production code; may be nil
 	// applied sees every command with the state before and after it.
 	applied func(before, after model.State, c model.Command, r result.Result)
 }
@@ -95,6 +97,9 @@
 		if m.busyUntil > w.now {
 			seen.InFlight = 1
 		}
+		if w.load != nil && w.instance(id).Available() {
+			seen.InFlight = w.load(id, w.now)
+		}
 		if m.downUntil <= w.now {
 			seen.LastSeen = w.now.Add(time.Hour)
 		} else if m.downSince >= w.leaderSince {
@@ -110,6 +115,9 @@
 func (w *world) settle() model.Timestamp {
 	for range 100 {
 		d := command.Reconcile(w.s, w.observe(), w.now)
+		if w.choose != nil {
+			d.Commands = w.choose(w, d.Commands)
+		}
 		index, changed := w.s.Index, false
 		for _, c := range d.Commands {
 			changed = w.do(c).Code == result.Accepted || changed
