--- a/core/command/dispatch/fair.go
+++ b/core/command/dispatch/fair.go
@@ -32,6 +32,9 @@
 	// number and this part of the slots. Several such flows may arrive together.
 	slowStartAbove = 2
 	slowStartShare = 8
+	// slowStartFirst is how many items a slow start begins with at most in a small
+	// group; larger groups begin with their floor.
+	slowStartFirst = 4
 	// slowStartPeriod is the time after which the slow start of a flow none of
 	// whose items completed doubles, unless other run times show earlier that its
 	// items are longer work.
@@ -55,7 +58,7 @@
 	fresh   []*flow
 	slow    []*flow // in slow start
 	queued  map[ItemID]*waiting
-	running map[ItemID]*flow
+	running map[ItemID]execution
 	ready   [classes]flowHeap
 	virtual time.Duration // start tag of the latest item
 	orders  uint64
@@ -71,10 +74,16 @@
 	credit    time.Duration // slot time that the reserve may still leave idle
 }
 
+// execution is a running item.
+type execution struct {
+	*flow
+	*started
+}
+
 func newFair(w model.Weights) *fair {
 	return &fair{
 		weight: reserveWeight(w), flows: map[flowKey]*flow{}, idle: list.New(),
-		queued: map[ItemID]*waiting{}, running: map[ItemID]*flow{},
+		queued: map[ItemID]*waiting{}, running: map[ItemID]execution{},
 	}
 }
 
@@ -168,7 +177,7 @@
 	}
 	if w != nil {
 		f.leaveQueue(fl, w.ID)
-		f.running[w.ID] = fl
+		f.running[w.ID] = execution{fl, fl.starts.add(now)}
 		fl.running++
 		f.runningIn[c]++
 		f.virtual = max(f.virtual, fl.tag)
@@ -189,11 +198,13 @@
 
 func (f *fair) Complete(now time.Time, id ItemID, run time.Duration) {
 	f.advance(now)
-	fl, ok := f.running[id]
+	e, ok := f.running[id]
 	if !ok {
 		return
 	}
+	fl := e.flow
 	delete(f.running, id)
+	fl.starts.end(e.started)
 	fl.running--
 	f.runningIn[fl.class]--
 	if run > 0 {
--- a/core/command/dispatch/flow.go
+++ b/core/command/dispatch/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -20,7 +21,8 @@
 	queue    queue
 	live     int // queued and not cancelled
 	running  int
-	fresh    int // arrived since the last Next
+	starts   starts // of the running items, to tell stragglers
+	fresh    int    // arrived since the last Next
 	estimate estimate
 	class    int
 	finish   time.Duration // virtual time at which its last started item ends
@@ -82,3 +84,60 @@
 	f.index = -1
 	return f
 }
+
+// strayRuns is how many times its expected run time an item runs before it no
+// longer counts as demand of its class.
+const strayRuns = 4
+
+// strayAfter returns the run time from which an item is a straggler; while run
+// times are unknown no item is.
+func (f *flow) strayAfter() time.Duration {
+	if f.estimate.samples == 0 {
+		return math.MaxInt64
+	}
+	return strayRuns * f.cost()
+}
+
+// started is a running item of a flow.
+type started struct {
+	at    time.Time
+	ended bool
+	stray bool
+}
+
+// starts holds the running items of a flow in the order of their starts and
+// counts the stragglers among them.
+type starts struct {
+	items  []*started
+	strays int
+}
+
+func (s *starts) add(now time.Time) *started {
+	item := &started{at: now}
+	s.items = append(s.items, item)
+	return item
+}
+
+func (s *starts) end(item *started) {
+	item.ended = true
+	if item.stray {
+		s.strays--
+	}
+}
+
+// mark finds items that have run for longer than limit.
+func (s *starts) mark(now time.Time, limit time.Duration) {
+	n := 0
+	for ; n < len(s.items); n++ {
+		item := s.items[n]
+		if !item.ended {
+			if now.Sub(item.at) <= limit {
+				break
+			}
+			item.stray = true
+			s.strays++
+		}
+		s.items[n] = nil
+	}
+	s.items = s.items[n:]
+}
--- a/core/command/dispatch/learn.go
+++ b/core/command/dispatch/learn.go
@@ -13,7 +13,7 @@
 		fl.fresh = 0
 		f.fresh[i] = nil
 		if !fl.ramped && fl.allowed == 0 && fl.estimate.samples == 0 && fl.demand() > max(slowStartAbove, f.total/slowStartShare) {
-			fl.allowed = max(1, f.total/floorShare)
+			fl.allowed = max(1, f.total/floorShare, min(f.total/slowStartShare, slowStartFirst))
 			f.slow = append(f.slow, fl)
 		}
 		f.settle(now, fl)
@@ -121,9 +121,11 @@
 }
 
 // count brings the flow's share in the demand in line with its items. A flow
-// in slow start is not counted, because its run time is not known.
+// in slow start is not counted, because its run time is not known, and neither
+// are stragglers, because new short work cannot use their slots anyway.
 func (f *fair) count(now time.Time, fl *flow) {
-	want := min(fl.demand(), max(1, f.total/flowShare))
+	fl.starts.mark(now, fl.strayAfter())
+	want := min(fl.demand()-fl.starts.strays, max(1, f.total/flowShare))
 	if fl.allowed > 0 {
 		want = 0
 	}
--- a/operator/replay/rotating_test.go
+++ b/operator/replay/rotating_test.go
@@ -106,3 +106,21 @@
 		})
 	}
 }
+
+// Guards against a policy that holds back short work because its callers also
+// send stragglers. No wait is added to that under fifo but one short run.
+func TestDefaultPolicyWithStragglersAmongShortWork(t *testing.T) {
+	for name, site := range map[string]rotating{"cooperative": cooperative, "registry": registry} {
+		t.Run(name, func(t *testing.T) {
+			site.mixed = true
+			trace := site.trace(7)
+			fifo := replayed(t, trace, dispatch.FIFO)
+			got := replayed(t, trace, dispatch.Default)
+			t.Logf("short p99 %.1f ms (fifo %.1f), max %.1f (fifo %.1f); long finished %.0f ms (fifo %.0f); reserve idle %.0f slot-ms",
+				got.Cohorts["short"].Wait.P99, fifo.Cohorts["short"].Wait.P99, got.Cohorts["short"].Wait.Max, fifo.Cohorts["short"].Wait.Max,
+				got.Cohorts["long"].FinishedMS, fifo.Cohorts["long"].FinishedMS, got.ReserveIdleSlotMS)
+			assert.Check(t, got.Cohorts["short"].Wait.P99 <= fifo.Cohorts["short"].Wait.P99+inMS((site.shortMin+site.shortMax)/2))
+			assert.Check(t, got.Cohorts["long"].FinishedMS <= 1.1*fifo.Cohorts["long"].FinishedMS)
+		})
+	}
+}
