--- a/replica/reconcile/machine.go
+++ b/replica/reconcile/machine.go
@@ -28,6 +28,7 @@
 	term      model.Term // of the leadership; 0 if this replica does not lead
 	seen      *replica.View
 	sight     *sight
+	owned     owned
 	next      time.Time
 	proposing bool
 	calls     map[model.PlatformAction]bool
@@ -57,7 +58,7 @@
 	switch msg := msg.(type) {
 	case EntryReport:
 		if m.term != 0 {
-			m.sight.report(model.At(now), msg)
+			m.sight.report(model.At(now), msg, m.owned.inService(m.seen.State, msg.Entry))
 			m.wake(now.Add(ReportDelay))
 		}
 	case proposed:
@@ -110,7 +111,10 @@
 		m.logChanges(a, b)
 		m.wake(now)
 	}
-	if !a.Jobs.Same(b.Jobs) || !a.Entries.Same(b.Entries) || !a.Targets.Same(b.Targets) {
+	if !a.Jobs.Same(b.Jobs) {
+		m.wake(now.Add(JobDelay))
+	}
+	if !a.Entries.Same(b.Entries) || !a.Targets.Same(b.Targets) {
 		m.wake(now.Add(ReportDelay))
 	}
 }
