Share placements by the use of quotas within a pass and repeat lost proposals

The share of a team was taken when its queue group was read, so a team with many classes of jobs got all places of a pass (8 of 8 in the new test, now 4 and 4). Reconcile asks to be called again when it proposed something, because a lost proposal changes no state, and leaves 20 ms between full passes.

--- a/core/command/job/reconcile.go
+++ b/core/command/job/reconcile.go
@@ -7,11 +7,15 @@
 )
 
 // Bounds of one pass of Reconcile, so that it does not hold up the loop. What
-// is left over is proposed by the next pass, which is due at once.
+// is left over is proposed by the next pass.
 const (
 	maxPlacements = 512
 	maxGroups     = 4096
 	maxRooms      = 256
+	// passGap leaves time to commit what a full pass proposed.
+	passGap = 20 * time.Millisecond
+	// repeatAfter is when proposals that had no effect are made again.
+	repeatAfter = 500 * time.Millisecond
 )
 
 // Long work may take this part of the processors of a pool that has short work
@@ -34,6 +38,9 @@
 	p.findShortRuns(heads)
 	borrowers := p.placeAll(heads, false)
 	p.placeAll(borrowers, true)
+	if len(p.commands) > 0 {
+		p.dueAt(now.Add(repeatAfter))
+	}
 	return p.commands, p.next
 }
 
--- a/core/command/job/reconcile_place.go
+++ b/core/command/job/reconcile_place.go
@@ -107,11 +107,16 @@
 	heap.Init(&q)
 	for q.Len() > 0 {
 		if p.placed >= maxPlacements {
-			p.dueAt(p.now)
+			p.dueAt(p.now.Add(passGap))
 			return over
 		}
 		h := q[0]
 		t := p.team(h.job.Team)
+		if share := t.share(); share != h.share { // the team got a job in another group
+			h.share = share
+			heap.Fix(&q, 0)
+			continue
+		}
 		size := Size(p.s, h.job, model.Instance{Capacity: h.job.Declared.Add(unbounded)})
 		if !borrow && t.limited && !fitsQuota(t.quota, t.used.Add(size)) {
 			over = append(over, heap.Pop(&q).(*head))
--- a/core/command/job/reconcile_test.go
+++ b/core/command/job/reconcile_test.go
@@ -29,6 +29,23 @@
 	assert.Equal(t, len(racks), 6)
 }
 
+// Guards against a team that gets everything because it was first or has more
+// classes of jobs.
+func TestTeamsShareByQuota(t *testing.T) {
+	w := newWorld(t, 2, model.Team{Name: "a", Quota: cores(16)}, model.Team{Name: "b", Quota: cores(16)})
+	for i := range 12 {
+		w.submit(model.JobID(fmt.Sprint("a", i)), func(j *model.Job) { j.Class = fmt.Sprint("class", i) })
+	}
+	for i := range 12 {
+		w.submit(model.JobID(fmt.Sprint("b", i)), func(j *model.Job) { j.Team = "b" })
+	}
+	w.reconcile()
+	for _, team := range []model.TeamName{"a", "b"} {
+		load, _ := w.s.JobIndex.Teams.Get(team)
+		assert.Equal(t, load.Active, 4, "team %s", team)
+	}
+}
+
 // Guards against idle capacity that a quota keeps unused, and against borrowed
 // capacity that its owner does not get back.
 func TestIdleCapacityIsLentAndReclaimed(t *testing.T) {
