Count the initial retry tokens as an advance on the first requests

TestRetryBudgetBoundsRetries: 119 requests sent for 100 with a share of 0.1 before, at most 110 after; the first failures of a small site can still be retried.

--- a/entry/command/dispatch.go
+++ b/entry/command/dispatch.go
@@ -146,14 +146,27 @@
 type retryBudget struct {
 	share  float64
 	tokens float64
+	// advance is what the first requests still have to earn.
+	advance float64
+}
+
+// newRetryBudget starts with the tokens of the first requests in advance, or
+// the first failures of a small site could not be retried.
+func newRetryBudget() retryBudget {
+	return retryBudget{tokens: maxRetryTokens, advance: maxRetryTokens}
 }
 
 // maxRetryTokens bounds what a quiet time can save up, so that a burst of
-// failures causes at most this many retries above the share. An instance starts
-// with as many, or the first failures of a small site could not be retried.
+// failures causes at most this many retries above the share.
 const maxRetryTokens = 10
 
-func (b *retryBudget) earn() { b.tokens = min(b.tokens+b.share, maxRetryTokens) }
+func (b *retryBudget) earn() {
+	if b.advance > 0 {
+		b.advance -= b.share
+		return
+	}
+	b.tokens = min(b.tokens+b.share, maxRetryTokens)
+}
 
 func (b *retryBudget) take() bool {
 	if b.tokens < 1 {
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -73,7 +73,7 @@
 		id: s.ID, log: s.Log, metrics: s.Metrics, source: s.Source, effects: e, policy: s.Policy,
 		services: map[model.ServiceName]*service{}, targets: map[model.TargetID]*target{}, requests: map[uint64]*request{},
 		owner: credit.NewOwner(), holder: credit.NewHolder(), forwards: map[credit.Member][]credit.Heartbeat{}, dirty: true,
-		budget: retryBudget{tokens: maxRetryTokens},
+		budget: newRetryBudget(),
 	}
 }
 
