--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -22,7 +22,7 @@
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newEntry),
+	fx.Provide(newEntry, newTrafficRecorder),
 	fx.Invoke(runEntry),
 )
 
@@ -58,12 +58,13 @@
 	Log      *zap.Logger
 	Metrics  prometheus.Registerer
 	Tracing  telemetry.Tracing
+	Recorder *trafficRecorder
 }
 
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
+		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client, Record: p.Recorder.hook(),
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
@@ -82,6 +83,7 @@
 	Metrics   metricsHandler
 	Internal  internalMux
 	Traffic   *server.Traffic
+	Recorder  *trafficRecorder
 }
 
 // runEntry starts the entry role. At a stop the hooks run in reverse: the
@@ -91,16 +93,23 @@
 	link := newLink(p)
 	p.Internal.Handle(p.Entry.PeerPath, p.Entry.Peers)
 	background, cancel := context.WithCancel(p.Life)
-	linkDone := make(chan struct{})
+	linkDone, recorded := make(chan struct{}), make(chan struct{})
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() { defer close(linkDone); link.Run(background) }()
 			go p.Entry.Run(p.Life)
+			go func() {
+				defer close(recorded)
+				if p.Recorder != nil {
+					p.Recorder.run(background, p.Entry.Source)
+				}
+			}()
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			cancel()
 			<-linkDone
+			<-recorded
 			event.ProcessStopped.Log(p.Log)
 			if !p.Settings.Has(RoleControl) {
 				p.Life.cancel()
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -15,10 +15,12 @@
 
 	"lacewingturn.example/api/codec"
 	"lacewingturn.example/cmd/internal/instance"
+	"lacewingturn.example/core/command/dispatch"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/operator/answers"
 	"lacewingturn.example/operator/client"
+	"lacewingturn.example/operator/replay"
 	"lacewingturn.example/replica/record"
 )
 
@@ -66,7 +68,7 @@
 		{"drain an instance while requests run", d.drainInstance},
 		{"lose the leader", d.loseLeader},
 		{"stop everything gracefully", d.stopAll},
-		{"replay the recorded control inputs", d.verifyRecords},
+		{"replay the recorded control inputs and traffic", d.verifyRecords},
 	} {
 		fmt.Fprintf(out, "%6.1fs  %s\n", time.Since(began).Seconds(), step.title)
 		if err := step.run(ctx); err != nil {
@@ -370,6 +372,28 @@
 	return nil
 }
 
+// replayTraffic replays the traffic that the entry instances recorded through
+// the default queue policy.
+func (d *Demo) replayTraffic() (requests int, err error) {
+	for _, e := range d.site.Entries {
+		f, err := os.Open(filepath.Join(d.site.Folder, e.Settings().Name+"-traffic.jsonl"))
+		if err != nil {
+			return requests, trace.ConvertSystemError(err)
+		}
+		recorded, err := replay.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return requests, trace.Wrap(err)
+		}
+		report, err := replay.Run(recorded, replay.Options{Policy: dispatch.Default})
+		if err != nil {
+			return requests, trace.Wrap(err)
+		}
+		requests += report.Completed
+	}
+	return requests, nil
+}
+
 // verifyRecords replays what each remaining replica recorded and compares the
 // state digests. Replicas that applied the same index must agree as well.
 func (d *Demo) verifyRecords(context.Context) error {
@@ -397,5 +421,10 @@
 		commands += outcome.Commands
 	}
 	d.outcomes.add(differ == 0, "replaying the recorded control inputs gives the state digest of every replica", "%d commands, %d digests differ", commands, differ)
+	requests, err := d.replayTraffic()
+	if err != nil {
+		return err
+	}
+	d.outcomes.add(requests > 0, "the recorded traffic replays through the production queue policy", "%d requests", requests)
 	return nil
 }
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -42,6 +42,7 @@
 	source  *query.Source
 	effects effects
 	policy  dispatch.Policy
+	record  func(entry.TrafficRecord)
 
 	traffic  corequery.Traffic
 	services map[model.ServiceName]*service
@@ -70,7 +71,7 @@
 
 func newMachine(s Settings, e effects) *Machine {
 	return &Machine{
-		id: s.ID, log: s.Log, metrics: s.Metrics, source: s.Source, effects: e, policy: s.Policy,
+		id: s.ID, log: s.Log, metrics: s.Metrics, source: s.Source, effects: e, policy: s.Policy, record: s.Record,
 		services: map[model.ServiceName]*service{}, targets: map[model.TargetID]*target{}, requests: map[uint64]*request{},
 		owner: credit.NewOwner(), holder: credit.NewHolder(), forwards: map[credit.Member][]credit.Heartbeat{}, dirty: true,
 		budget: newRetryBudget(),
--- a/entry/command/new.go
+++ b/entry/command/new.go
@@ -29,6 +29,9 @@
 	// PeerClient and PeerScheme (http or https) lead to other entry instances.
 	PeerClient *http.Client
 	PeerScheme string
+	// Record is called by the control loop for each answered request; nil for
+	// none. It must not block.
+	Record func(entry.TrafficRecord)
 }
 
 // New adds a machine to the loop and returns the gateway to it and the server
--- a/entry/command/requests.go
+++ b/entry/command/requests.go
@@ -8,6 +8,7 @@
 	"lacewingturn.example/core/command/health"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry"
 )
 
 // defaultQueueLimit applies to a service without a limit of its own.
@@ -141,6 +142,9 @@
 	run := time.Duration(0)
 	if c.sample.kind == sampleDone {
 		run = c.sample.run
+		if m.record != nil {
+			m.record(entry.TrafficRecord{Number: r.id, Caller: r.caller, Service: r.service, Arrived: r.queuedAt, Deadline: r.deadline, Run: run})
+		}
 	}
 	s.queue.Complete(now, dispatch.ItemID(c.id), run)
 	m.dispatch(now, s)
--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -44,6 +44,9 @@
 	// and http if not set.
 	PeerClient *http.Client
 	PeerScheme string
+	// Record is called by the control loop for each answered request; nil for
+	// none. It must not block.
+	Record func(entry.TrafficRecord)
 }
 
 // Instance is an entry instance.
@@ -82,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g, peers, err := command.New(ctx, command.Settings{
 		ID: s.ID, Control: s.Control, Log: s.Log, Metrics: command.NewMetrics(s.Metrics), Tracer: s.Tracer, Source: source, Loop: s.Loop,
-		Policy: s.Policy, PeerClient: s.PeerClient, PeerScheme: s.PeerScheme,
+		Policy: s.Policy, PeerClient: s.PeerClient, PeerScheme: s.PeerScheme, Record: s.Record,
 	})
 	if err != nil {
 		cancel()
