Explain waiting jobs by the sizes that the placement uses

The queries counted declared sizes, which placement leaves behind as soon as a class is known: a job of 3 declared and 1 learned processors was said to fit on 2 of 3 instances where it fits on 3. The size moves to model.State.JobSize, so that command and query share it; the fixture of the explanations now has the reservation that a running job always has.

--- a/core/command/job/place.go
+++ b/core/command/job/place.go
@@ -8,14 +8,6 @@
 	"lacewingturn.example/core/result"
 )
 
-// minSamples is the number of ended jobs after which the learned size and run
-// time of a class replace the declared ones.
-const minSamples = 3
-
-// undeclared is taken for processors and memory that a job does not declare,
-// until its class is known.
-var undeclared = model.Resources{MilliCPU: 100, MemoryMB: 64}
-
 func place(s *model.State, env model.Envelope, c model.PlaceJob) result.Result {
 	j, ok := s.Jobs.Get(c.ID)
 	if !ok {
@@ -31,7 +23,7 @@
 	if !r.Code.OK() {
 		return r
 	}
-	size := Size(*s, j, w)
+	size := s.JobSize(j, w)
 	load, _ := s.JobIndex.Loads.Get(w.ID)
 	if free := w.Capacity.Sub(load.Reserved); !free.Fits(size) {
 		return result.New(result.NoCapacity, "instance %s has %+v free, job %s needs %+v", w.ID, free, j.ID, size)
@@ -72,25 +64,6 @@
 	return w.Phase == model.PhaseActive && !w.Quarantined && !w.Retiring && w.HeldBy == ""
 }
 
-// Size returns what the job will take of the worker: the learned size of its
-// class, or the declared one while there are few samples. It is at most the
-// whole worker, because a job is admitted by its declared size.
-func Size(s model.State, j model.Job, w model.Instance) model.Resources {
-	size := j.Declared
-	if size.MilliCPU == 0 {
-		size.MilliCPU = undeclared.MilliCPU
-	}
-	if size.MemoryMB == 0 {
-		size.MemoryMB = undeclared.MemoryMB
-	}
-	if e, ok := s.Classes.Get(j.ClassKey()); ok && e.Samples >= minSamples {
-		size.MilliCPU, size.MemoryMB = max(e.Used.MilliCPU, 1), max(e.Used.MemoryMB, 1)
-	}
-	size.MilliCPU = min(size.MilliCPU, w.Capacity.MilliCPU)
-	size.MemoryMB = min(size.MemoryMB, w.Capacity.MemoryMB)
-	return size
-}
-
 // quota returns the quota of a team. Zero fields do not limit.
 func quota(s *model.State, team model.TeamName) (model.Resources, bool) {
 	if s.Config == nil {
--- a/core/command/job/reconcile.go
+++ b/core/command/job/reconcile.go
@@ -201,7 +201,7 @@
 	if j.Action != model.ActionThrottle {
 		return
 	}
-	if more := Size(p.s, j, w.Instance).MilliCPU - j.Reserved.MilliCPU; more <= w.free.MilliCPU {
+	if more := p.s.JobSize(j, w.Instance).MilliCPU - j.Reserved.MilliCPU; more <= w.free.MilliCPU {
 		w.free.MilliCPU -= max(more, 0)
 		p.propose(model.ControlJob{ID: j.ID, Token: j.Lease.Token, Action: model.ActionNone, Reason: "the worker has room again"})
 	}
@@ -211,7 +211,7 @@
 // has reserved.
 func (p *planner) findShortRuns(heads []*head) {
 	see := func(pool *pool, j model.Job) {
-		if e, ok := p.s.Classes.Get(j.ClassKey()); ok && e.Samples >= minSamples && e.Run > 0 {
+		if e, ok := p.s.LearnedClass(j); ok && e.Run > 0 {
 			if pool.shortRun == 0 || e.Run < pool.shortRun {
 				pool.shortRun = e.Run
 			}
@@ -242,6 +242,6 @@
 	if pool.shortRun == 0 || j.Urgent {
 		return false
 	}
-	e, ok := p.s.Classes.Get(j.ClassKey())
-	return ok && e.Samples >= minSamples && e.Run >= longFactor*pool.shortRun
+	e, ok := p.s.LearnedClass(j)
+	return ok && e.Run >= longFactor*pool.shortRun
 }
--- a/core/command/job/reconcile_place.go
+++ b/core/command/job/reconcile_place.go
@@ -44,7 +44,7 @@
 	for key, id := range p.s.JobIndex.Queue.From(cursor) {
 		j, _ := p.s.Jobs.Get(id)
 		h := &head{group: key[:len(key)-sequenceDigits], key: key, job: j}
-		if e, ok := p.s.Classes.Get(j.ClassKey()); ok && e.Samples >= minSamples {
+		if e, ok := p.s.LearnedClass(j); ok {
 			h.run = e.Run
 		}
 		h.share = p.team(j.Team).share()
@@ -117,7 +117,7 @@
 			heap.Fix(&q, 0)
 			continue
 		}
-		size := Size(p.s, h.job, model.Instance{Capacity: h.job.Declared.Add(unbounded)})
+		size := p.s.JobSize(h.job, model.Instance{Capacity: h.job.Declared.Add(unbounded)})
 		if !borrow && t.limited && !fitsQuota(t.quota, t.used.Add(size)) {
 			over = append(over, heap.Pop(&q).(*head))
 			continue
--- a/core/command/job/reconcile_room.go
+++ b/core/command/job/reconcile_room.go
@@ -103,8 +103,8 @@
 
 // straggles reports whether the job runs far longer than its class.
 func (p *planner) straggles(j model.Job) bool {
-	e, ok := p.s.Classes.Get(j.ClassKey())
-	return ok && e.Samples >= minSamples && j.Phase == model.JobRunning && p.now.Sub(j.StartedAt) > stragglerFactor*e.RunHigh
+	e, ok := p.s.LearnedClass(j)
+	return ok && j.Phase == model.JobRunning && p.now.Sub(j.StartedAt) > stragglerFactor*e.RunHigh
 }
 
 // escalate asks for the next, more costly action of jobs that have not made
--- a/core/command/job/report.go
+++ b/core/command/job/report.go
@@ -118,7 +118,7 @@
 	}
 	w, _ := s.Instances.Get(j.Lease.Worker)
 	load, _ := s.JobIndex.Loads.Get(w.ID)
-	size := Size(*s, j, w)
+	size := s.JobSize(j, w)
 	if others := load.Reserved.MilliCPU - j.Reserved.MilliCPU; others+size.MilliCPU > w.Capacity.MilliCPU {
 		return result.New(result.NoCapacity, "instance %s has no processors free to end the throttling of job %s", w.ID, j.ID)
 	}
--- a/core/query/explain_job.go
+++ b/core/query/explain_job.go
@@ -7,8 +7,7 @@
 )
 
 // job explains a job; for one that waits, why each instance of its pool does not
-// take it. Sizes are the declared ones; the placement may also use what was
-// learned of the class.
+// take it. Sizes are those that the placement uses.
 func (e *Explanation) job(s model.State, j model.Job) {
 	e.Condition = fmt.Sprintf("%s, team %s, pool %s, declared %s", j.Phase, j.Team, j.Pool, Capacity(j.Declared))
 	if j.Reason != "" {
@@ -23,6 +22,9 @@
 	switch j.Phase {
 	case model.JobQueued:
 		e.because("it has waited for %s", e.since(j.SubmittedAt))
+		if c, ok := s.LearnedClass(j); ok {
+			e.because("jobs of class %q take %s and run for %s, as learned from %d of them", c.Class, Capacity(c.Used), c.Run, c.Samples)
+		}
 		e.quota(s, j)
 		e.room(s, j)
 	case model.JobLeased, model.JobRunning:
@@ -39,10 +41,10 @@
 	if s.Config == nil {
 		return
 	}
-	used := j.Declared
+	used := s.JobSize(j, model.Instance{Capacity: anySize})
 	for _, o := range s.Jobs.All() {
 		if o.Team == j.Team && (o.Phase == model.JobLeased || o.Phase == model.JobRunning) {
-			used = used.Add(o.Declared)
+			used = used.Add(o.Reserved)
 		}
 	}
 	for _, t := range s.Config.Teams {
@@ -66,7 +68,7 @@
 			excluded++
 		case !i.Available():
 			out++
-		case !f.Fits(j.Declared):
+		case !f.Fits(s.JobSize(j, i)):
 			full++
 		default:
 			fits++
@@ -82,8 +84,10 @@
 	}
 }
 
-// freeOf returns the capacity of the pool's instances that no lease holds, by
-// declared sizes.
+// anySize is a capacity that does not limit.
+var anySize = model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 40}
+
+// freeOf returns the capacity of the pool's instances that no lease holds.
 func freeOf(s model.State, pool model.PoolName) map[model.InstanceID]model.Resources {
 	free := map[model.InstanceID]model.Resources{}
 	for id, i := range s.Instances.All() {
@@ -96,7 +100,7 @@
 			continue
 		}
 		if f, ok := free[j.Lease.Worker]; ok {
-			free[j.Lease.Worker] = f.Sub(j.Declared)
+			free[j.Lease.Worker] = f.Sub(j.Reserved)
 		}
 	}
 	return free
--- a/core/query/explain_test.go
+++ b/core/query/explain_test.go
@@ -28,7 +28,7 @@
 	assert.Assert(t, r.Code.OK(), r.Error())
 	s.Jobs = table.FromValues([]model.Job{
 		{ID: "big", Team: "t", Pool: "p", Phase: model.JobQueued, SubmittedAt: 1000, Declared: model.Resources{MilliCPU: 3000, MemoryMB: 1}},
-		{ID: "run", Team: "t", Pool: "p", Phase: model.JobRunning, StartedAt: 1000, Declared: model.Resources{MilliCPU: 2000, MemoryMB: 1}, Lease: model.Lease{Worker: "a", Token: 7}},
+		{ID: "run", Team: "t", Pool: "p", Phase: model.JobRunning, StartedAt: 1000, Declared: model.Resources{MilliCPU: 2000, MemoryMB: 1}, Reserved: model.Resources{MilliCPU: 2000, MemoryMB: 1}, Lease: model.Lease{Worker: "a", Token: 7}},
 	}, func(j model.Job) model.JobID { return j.ID })
 	return s
 }
--- a/core/query/jobs.go
+++ b/core/query/jobs.go
@@ -12,7 +12,7 @@
 	Jobs  []JobEntry  `json:"jobs"`
 }
 
-// TeamEntry is the use of one team's quota, by declared sizes.
+// TeamEntry is the use of one team's quota, by what the leases hold.
 type TeamEntry struct {
 	Name   string `json:"name"`
 	Quota  string `json:"quota"`
@@ -58,7 +58,7 @@
 			queued[j.Team]++
 		case model.JobLeased, model.JobRunning:
 			active[j.Team]++
-			used[j.Team] = used[j.Team].Add(j.Declared)
+			used[j.Team] = used[j.Team].Add(j.Reserved)
 		}
 	}
 	if s.Config == nil {
