Look at the queues of all teams when one has very many kinds of jobs

A pass read the first 4096 queue groups in key order, so 20,000 kinds of jobs of one team that did not fit hid the jobs of all teams behind it. A pass now reads at most 64 groups of one team in one pool.

--- a/core/command/job/reconcile.go
+++ b/core/command/job/reconcile.go
@@ -10,7 +10,8 @@
 // is left over is proposed by the next pass.
 const (
 	maxPlacements = 512
-	maxGroups     = 4096
+	maxGroups     = 16384
+	maxTeamGroups = 64 // of one team in one pool
 	maxRooms      = 256
 	// passGap leaves time to commit what a full pass proposed.
 	passGap = 20 * time.Millisecond
--- a/core/command/job/reconcile_place.go
+++ b/core/command/job/reconcile_place.go
@@ -25,17 +25,26 @@
 }
 
 // queueHeads returns the first job of each queue group. Groups are skipped from
-// one to the next, so the cost does not depend on their length.
+// one to the next, so the cost does not depend on their length. Of each team in
+// each pool only some groups are read, so that one with very many kinds of jobs
+// does not hide the others.
 func (p *planner) queueHeads() []*head {
 	var heads []*head
-	cursor := ""
+	cursor, owner, groups := "", "", 0
 	for len(heads) < maxGroups {
 		h := p.headFrom(cursor)
 		if h == nil {
 			break
 		}
-		heads = append(heads, h)
 		cursor = h.group + afterGroup
+		if o := h.job.QueueOwner(); o != owner {
+			owner, groups = o, 0
+		}
+		if groups++; groups > maxTeamGroups {
+			cursor = owner + afterGroup
+			continue
+		}
+		heads = append(heads, h)
 	}
 	return heads
 }
--- a/core/command/job/reconcile_test.go
+++ b/core/command/job/reconcile_test.go
@@ -46,6 +46,22 @@
 	}
 }
 
+// Guards against jobs that are never looked at because another team has very
+// many kinds of jobs that do not fit.
+func TestManyKindsOfJobsDoNotHideOthers(t *testing.T) {
+	w := newWorld(t, 1)
+	w.submit("big", func(j *model.Job) { j.Declared = model.Resources{MilliCPU: 6000, MemoryMB: 1} })
+	w.reconcile()
+	for i := range 20_000 {
+		w.submit(model.JobID(fmt.Sprint("kind", i)), func(j *model.Job) {
+			j.Class, j.Declared = fmt.Sprint("kind", i), model.Resources{MilliCPU: 6000, MemoryMB: 1}
+		})
+	}
+	w.submit("other", func(j *model.Job) { j.Team = "b" })
+	w.reconcile()
+	assert.Equal(t, w.job("other").Phase, model.JobLeased)
+}
+
 // Guards against idle capacity that a quota keeps unused, and against borrowed
 // capacity that its owner does not get back.
 func TestIdleCapacityIsLentAndReclaimed(t *testing.T) {
--- a/core/model/job_index.go
+++ b/core/model/job_index.go
@@ -18,14 +18,20 @@
 	Teams  table.Table[TeamName, TeamLoad]
 }
 
-// QueueGroup names the jobs that compete in the same way: equal urgency, pool,
-// team, class and about equal declared size. Urgent groups come first.
-func (j Job) QueueGroup() string {
+// QueueOwner starts the queue groups of one team in one pool and urgency. Urgent
+// ones come first.
+func (j Job) QueueOwner() string {
 	urgency := "1"
 	if j.Urgent {
 		urgency = "0"
 	}
-	return fmt.Sprintf("%s\x00%s\x00%s\x00%s\x00%02d.%02d.%04d\x00", urgency, j.Pool, j.Team, j.Class,
+	return fmt.Sprintf("%s\x00%s\x00%s\x00", urgency, j.Pool, j.Team)
+}
+
+// QueueGroup names the jobs that compete in the same way: equal urgency, pool,
+// team, class and about equal declared size.
+func (j Job) QueueGroup() string {
+	return fmt.Sprintf("%s%s\x00%02d.%02d.%04d\x00", j.QueueOwner(), j.Class,
 		bits.Len64(uint64(j.Declared.MilliCPU)), bits.Len64(uint64(j.Declared.MemoryMB)), j.Declared.Accelerators)
 }
 
