Refuse traces whose run times add up to more than the clock can hold

300 records of the longest run time on one slot overflow the virtual clock, so that time would go back. Each time is now at most a year and their sum at most 200 years.

--- a/core/command/dispatch/fair.go
+++ b/core/command/dispatch/fair.go
@@ -69,7 +69,6 @@
 	servedAt  [classes]time.Time     // when the class was last served or became ready
 
 	held      int           // slots left idle on purpose since now
-	reserved  bool          // held because of the reserve, not only of a slow start
 	idleTotal time.Duration // slot time left idle on purpose
 	credit    time.Duration // slot time that the reserve may still leave idle
 }
--- a/core/command/dispatch/reserve.go
+++ b/core/command/dispatch/reserve.go
@@ -69,7 +69,8 @@
 // hold records the slots left idle on purpose and sets the time at which they
 // may be used at the latest.
 func (f *fair) hold(now time.Time, free int, limits *[classes]int, d *Decision) {
-	f.held, f.reserved = min(free, len(f.queued)), false
+	f.held = min(free, len(f.queued))
+	reserved := false
 	if f.held <= 0 {
 		return
 	}
@@ -88,11 +89,11 @@
 		if f.ready[c].Len() == 0 || limits[c] == f.total {
 			continue
 		}
-		f.reserved = true
+		reserved = true
 		earlier(f.demands[c-separation].expiry())
 	}
 	// Without allowance only an arrival or a completion can change the decision.
-	if left := f.allowance(); f.reserved && left > 0 {
+	if left := f.allowance(); reserved && left > 0 {
 		earlier(now.Add(left / time.Duration(f.held)))
 	}
 	if !again.IsZero() {
--- a/operator/replay/trace.go
+++ b/operator/replay/trace.go
@@ -20,9 +20,11 @@
 
 // Bounds of a trace.
 const (
-	maxLine  = 1 << 20           // bytes
-	maxSlots = 1 << 20           // of all targets together
-	maxMS    = 100 * 365 * 864e5 // a hundred years
+	maxLine  = 1 << 20     // bytes
+	maxSlots = 1 << 20     // of all targets together
+	maxMS    = 365 * 864e5 // a year, for each time in a record
+	// maxTotal bounds the virtual time that a replay can take.
+	maxTotal = 200 * 365 * 24 * time.Hour
 )
 
 // Trace is a recorded sequence of requests and the slots that served them.
@@ -112,6 +114,7 @@
 	var t Trace
 	seen := map[string]int{}
 	line := 0
+	total := maxMS * time.Millisecond // the latest arrival
 	for lines.Scan() {
 		line++
 		if len(bytes.TrimSpace(lines.Bytes())) == 0 && line > 1 {
@@ -120,6 +123,12 @@
 		if err := t.readLine(lines.Bytes(), line, seen); err != nil {
 			return Trace{}, &LineError{Line: line, Reason: err.Error()}
 		}
+		if n := len(t.Records); n > 0 {
+			total += t.Records[n-1].Run
+		}
+		if total > maxTotal {
+			return Trace{}, &LineError{Line: line, Reason: fmt.Sprintf("the run times add up to more than %s", maxTotal)}
+		}
 	}
 	if err := lines.Err(); errors.Is(err, bufio.ErrTooLong) {
 		return Trace{}, &LineError{Line: line + 1, Reason: fmt.Sprintf("longer than %d bytes", maxLine)}
--- a/operator/replay/trace_test.go
+++ b/operator/replay/trace_test.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// Guards against run times that add up to more than the clock can hold.
+func TestReadBoundsTheLengthOfAReplay(t *testing.T) {
+	text := strings.Builder{}
+	text.WriteString(head)
+	for i := range 300 {
+		fmt.Fprintf(&text, `{"at_ms":0,"id":%d,"caller":0,"cohort":"c","service":"s","run_ms":31536000000}`+"\n", i)
+	}
+	_, err := Read(strings.NewReader(text.String()))
+	var line *LineError
+	assert.Assert(t, errors.As(err, &line), "%v", err)
+	assert.Equal(t, line.Line, 201)
+}
+
 // Guards against another order at one instant than completions, arrivals,
 // dispatch, and against a cancelled or late request that runs.
 func TestReplayOrderAtOneInstant(t *testing.T) {
