Let outcomes wait for the next claim to be proposed with

The claim of a lone caller waited behind the proposal that recorded the outcome of its request before. Outcomes alone now wait up to 25 ms for a claim.

--- a/entry/command/claims.go
+++ b/entry/command/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -17,6 +18,10 @@
 	proposeBackoff = 50 * time.Millisecond
 	// claimPatience is how long a request waits for a leader; it outlives a failover of 2 s.
 	claimPatience = 3 * time.Second
+	// settleLinger is how long outcomes alone wait for a claim to be proposed
+	// with, so that the next claim does not wait behind their proposal. It exceeds
+	// a commit on a slow disk.
+	settleLinger = 25 * time.Millisecond
 	// settleKeep is how long an outcome that could not be recorded is proposed again.
 	settleKeep = time.Minute
 )
@@ -100,15 +105,37 @@
 			return nil, false
 		}
 	}
+	return c.linger(ctx, c.gather(batch)), true
+}
+
+// gather adds what is waiting.
+func (c *claimer) gather(batch []*claimTask) []*claimTask {
 	for len(batch) < maxClaimBatch {
 		select {
 		case t := <-c.tasks:
 			batch = append(batch, t)
 		default:
-			return batch, true
+			return batch
+		}
+	}
+	return batch
+}
+
+// linger holds back a batch that nobody waits for until somebody does.
+func (c *claimer) linger(ctx context.Context, batch []*claimTask) []*claimTask {
+	timer := time.NewTimer(settleLinger)
+	defer timer.Stop()
+	for len(batch) < maxClaimBatch && !slices.ContainsFunc(batch, func(t *claimTask) bool { return t.reply != nil }) {
+		select {
+		case t := <-c.tasks:
+			batch = c.gather(append(batch, t))
+		case <-timer.C:
+			return batch
+		case <-ctx.Done():
+			return batch
 		}
 	}
-	return batch, true
+	return batch
 }
 
 // propose sends a batch and returns the tasks to be proposed again.
