--- a/core/command/dispatch/fair.go
+++ b/core/command/dispatch/fair.go
@@ -32,10 +32,13 @@
 	// number and this part of the slots. Several such flows may arrive together.
 	slowStartAbove = 2
 	slowStartShare = 8
+	// slowStartFirst is how many items a slow start begins with at most in a small
+	// group; larger groups begin with their floor.
+	slowStartFirst = 4
 	// slowStartPeriod is the time after which the slow start of a flow none of
 	// whose items completed doubles, unless other run times show earlier that its
 	// items are longer work.
-	slowStartPeriod = time.Second
+	slowStartPeriod = 250 * time.Millisecond
 	// maxIdleFlows bounds the flows remembered without queued or running items.
 	maxIdleFlows = 10_000
 	// minAgain is the shortest time until a held-back item is looked at again.
@@ -55,7 +58,7 @@
 	fresh   []*flow
 	slow    []*flow // in slow start
 	queued  map[ItemID]*waiting
-	running map[ItemID]*flow
+	running map[ItemID]execution
 	ready   [classes]flowHeap
 	virtual time.Duration // start tag of the latest item
 	orders  uint64
@@ -71,10 +74,16 @@
 	credit    time.Duration // slot time that the reserve may still leave idle
 }
 
+// execution is a running item.
+type execution struct {
+	*flow
+	*started
+}
+
 func newFair(w model.Weights) *fair {
 	return &fair{
 		weight: reserveWeight(w), flows: map[flowKey]*flow{}, idle: list.New(),
-		queued: map[ItemID]*waiting{}, running: map[ItemID]*flow{},
+		queued: map[ItemID]*waiting{}, running: map[ItemID]execution{},
 	}
 }
 
@@ -89,7 +98,7 @@
 
 func (f *fair) Arrive(now time.Time, item Item) {
 	f.advance(now)
-	key := flowKey{item.Service, item.Caller}
+	key := keyOf(item)
 	fl := f.flows[key]
 	if fl == nil {
 		fl = &flow{key: key, index: -1, class: f.shortClass()}
@@ -168,7 +177,7 @@
 	}
 	if w != nil {
 		f.leaveQueue(fl, w.ID)
-		f.running[w.ID] = fl
+		f.running[w.ID] = execution{fl, fl.starts.add(now)}
 		fl.running++
 		f.runningIn[c]++
 		f.virtual = max(f.virtual, fl.tag)
@@ -189,11 +198,13 @@
 
 func (f *fair) Complete(now time.Time, id ItemID, run time.Duration) {
 	f.advance(now)
-	fl, ok := f.running[id]
+	e, ok := f.running[id]
 	if !ok {
 		return
 	}
+	fl := e.flow
 	delete(f.running, id)
+	fl.starts.end(e.started)
 	fl.running--
 	f.runningIn[fl.class]--
 	if run > 0 {
@@ -209,7 +220,7 @@
 		return false
 	}
 	w.cancelled = true
-	fl := f.flows[flowKey{w.Service, w.Caller}]
+	fl := f.flows[keyOf(w.Item)]
 	f.leaveQueue(fl, id)
 	f.held = min(f.held, len(f.queued))
 	f.settle(now, fl)
