--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -49,6 +49,10 @@
 	a := g.answer(ctx, r)
 	span.SetAttributes(attribute.Int("lacewingturn.result", int(a.result.Code)), attribute.String("lacewingturn.outcome", a.outcome.String()))
 	g.metrics.results.WithLabelValues(codeLabel(a.result.Code)).Inc()
+	if a.stream != nil && a.stream.length < 0 && !r.ProtoAtLeast(1, 1) {
+		a.stream.drop()
+		a = refusal(result.New(result.TargetTruncated, "an answer without a length cannot be passed on whole to an HTTP/1.0 caller"), 0)
+	}
 	if err := a.write(w); errors.Is(err, errAborted) {
 		event.AnswerAborted.Log(g.log, zap.String("path", r.URL.Path))
 		panic(http.ErrAbortHandler)
--- a/entry/command/stream.go
+++ b/entry/command/stream.go
@@ -39,6 +39,12 @@
 	return err
 }
 
+// drop ends the stream without passing it on.
+func (s *stream) drop() {
+	_ = s.rest.Close()
+	s.ended(nil)
+}
+
 // readErr keeps the error of its reader apart from that of the writer.
 type readErr struct {
 	r   io.Reader
--- a/entry/instance/slots_test.go
+++ b/entry/instance/slots_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,12 +25,14 @@
 	running map[string]bool
 	most    int
 	started int
+	conns   int
+	manyCon int // the most connections open at a time
 	server  *httptest.Server
 }
 
 func newWorker(t testing.TB, run func(r *http.Request)) *worker {
 	w := &worker{running: map[string]bool{}}
-	w.server = httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	w.server = httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/healthz" {
 			return
 		}
@@ -44,10 +47,24 @@
 		delete(w.running, slot)
 		w.mu.Unlock()
 	}))
+	w.server.Config.ConnState = w.connState
+	w.server.Start()
 	t.Cleanup(w.server.Close)
 	return w
 }
 
+func (w *worker) connState(_ net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		w.conns++
+		w.manyCon = max(w.manyCon, w.conns)
+	case http.StateClosed, http.StateHijacked:
+		w.conns--
+	}
+}
+
 func (w *worker) figures() (most, started int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -130,6 +147,10 @@
 	assert.Equal(t, countA["0"]+countB["0"], started)
 	assert.Assert(t, countA["0"] > 100, "%v", countA)
 	assert.Assert(t, countB["0"] > 100, "%v", countB)
+	// 4 for each instance, one for each slot, and 8 for checks: 12 instances
+	// together stay below 64.
+	assert.Assert(t, w.manyCon <= 2*4+8+8, "%d connections", w.manyCon)
+	t.Logf("%d connections at most", w.manyCon)
 }
 
 // Guards against slots that stay lost when an entry instance dies with requests
