--- a/entry/command/exchange.go
+++ b/entry/command/exchange.go
@@ -54,6 +54,8 @@
 	switch {
 	case errors.Is(err, errTooManyConnections):
 		return refusal(result.New(result.Overloaded, "%v", err), overloadRetry), sample{sampleNoConnection, run}
+	case s.conn == nil && errors.Is(context.Cause(ctx), context.Canceled):
+		return refusal(result.New(result.CallerGone, "withdrawn before a connection was open"), 0), sample{sampleUnsent, run}
 	case s.conn == nil && ctx.Err() != nil:
 		return refusal(result.New(result.Deadline, "no connection to the target before the deadline"), 0), sample{sampleRefused, run}
 	case s.conn == nil || s.conn.unwritten():
