--- a/operator/replay/trace.go
+++ b/operator/replay/trace.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"strconv"
 	"time"
 
@@ -228,7 +229,7 @@
 			}
 			continue
 		}
-		*f.into = time.Duration(*f.value * float64(time.Millisecond))
+		*f.into = time.Duration(math.Round(*f.value * float64(time.Millisecond)))
 		if *f.value < 0 || *f.value > maxMS || (f.positive && *f.into <= 0) {
 			return r, fmt.Errorf("%s is out of range: %v", f.field, *f.value)
 		}
--- a/operator/replay/trace_test.go
+++ b/operator/replay/trace_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,6 +60,24 @@
 	assert.Equal(t, line.Line, 201)
 }
 
+// Guards against a nanosecond that is lost between the recorder and the reader.
+func TestTimesSurviveTheTraceFormat(t *testing.T) {
+	want := Trace{Targets: []Target{{ID: "t1", Slots: 1}}}
+	for i := range 1000 {
+		d := time.Duration(1_234_567 + 7_919*i)
+		want.Records = append(want.Records, Record{ID: fmt.Sprint(i), Caller: "c", Cohort: "c", Service: "s", At: d, Run: d})
+	}
+	var out bytes.Buffer
+	w, err := NewWriter(&out, want.Targets)
+	assert.NilError(t, err)
+	for _, r := range want.Records {
+		assert.NilError(t, w.Write(r))
+	}
+	got, err := Read(&out)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
 // Guards against another order at one instant than completions, arrivals,
 // dispatch, and against a cancelled or late request that runs.
 func TestReplayOrderAtOneInstant(t *testing.T) {
