Carry replies on the stream of the request and deliver results after the view

An idle leader spent more on pings and on a second connection for replies than on heartbeats. The heartbeat interval is 40 ms for each peer, at least 150 ms, so that seven replicas stay within 7 KB/s.

--- a/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
+++ b/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
@@ -66,9 +66,9 @@
 
 // ReplicationServiceClient is a client for the lacewingturn.replica.v1.ReplicationService service.
 type ReplicationServiceClient interface {
-	// Exchange carries messages in one direction over one long stream. Messages
-	// may be lost; the protocol sends them again.
-	Exchange(context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse]
+	// Exchange carries requests to a replica and its replies over one long
+	// stream. Messages may be lost; the protocol sends them again.
+	Exchange(context.Context) *connect.BidiStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse]
 	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context) *connect.ClientStreamForClient[v1.InstallSnapshotRequest, v1.InstallSnapshotResponse]
 	// Identify tells who answers at this address. It is used to form a new site.
@@ -125,8 +125,8 @@
 }
 
 // Exchange calls lacewingturn.replica.v1.ReplicationService.Exchange.
-func (c *replicationServiceClient) Exchange(ctx context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse] {
-	return c.exchange.CallClientStream(ctx)
+func (c *replicationServiceClient) Exchange(ctx context.Context) *connect.BidiStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse] {
+	return c.exchange.CallBidiStream(ctx)
 }
 
 // InstallSnapshot calls lacewingturn.replica.v1.ReplicationService.InstallSnapshot.
@@ -147,9 +147,9 @@
 // ReplicationServiceHandler is an implementation of the lacewingturn.replica.v1.ReplicationService
 // service.
 type ReplicationServiceHandler interface {
-	// Exchange carries messages in one direction over one long stream. Messages
-	// may be lost; the protocol sends them again.
-	Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Exchange carries requests to a replica and its replies over one long
+	// stream. Messages may be lost; the protocol sends them again.
+	Exchange(context.Context, *connect.BidiStream[v1.ExchangeRequest, v1.ExchangeResponse]) error
 	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context, *connect.ClientStream[v1.InstallSnapshotRequest]) (*connect.Response[v1.InstallSnapshotResponse], error)
 	// Identify tells who answers at this address. It is used to form a new site.
@@ -166,7 +166,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewReplicationServiceHandler(svc ReplicationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	replicationServiceMethods := v1.File_lacewingturn_replica_v1_replica_proto.Services().ByName("ReplicationService").Methods()
-	replicationServiceExchangeHandler := connect.NewClientStreamHandler(
+	replicationServiceExchangeHandler := connect.NewBidiStreamHandler(
 		ReplicationServiceExchangeProcedure,
 		svc.Exchange,
 		connect.WithSchema(replicationServiceMethods.ByName("Exchange")),
@@ -209,8 +209,8 @@
 // UnimplementedReplicationServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedReplicationServiceHandler struct{}
 
-func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Exchange is not implemented"))
+func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.BidiStream[v1.ExchangeRequest, v1.ExchangeResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Exchange is not implemented"))
 }
 
 func (UnimplementedReplicationServiceHandler) InstallSnapshot(context.Context, *connect.ClientStream[v1.InstallSnapshotRequest]) (*connect.Response[v1.InstallSnapshotResponse], error) {
--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -29,18 +30,57 @@
 	return replicav1connect.NewReplicationServiceHandler(h, options...)
 }
 
-// Exchange takes messages until the stream ends. Messages that find a full
-// mailbox are dropped.
-func (h Replication) Exchange(_ context.Context, stream *connect.ClientStream[replicav1.ExchangeRequest]) (*connect.Response[replicav1.ExchangeResponse], error) {
-	for stream.Receive() {
-		messages, err := fromWire(stream.Msg())
-		if err != nil {
-			event.EntryUndecodable.Log(h.r.log, zap.Error(err))
+// Exchange takes requests until the stream ends and sends the replies to them.
+// Messages that find a full mailbox are dropped.
+func (h Replication) Exchange(ctx context.Context, stream *connect.BidiStream[replicav1.ExchangeRequest, replicav1.ExchangeResponse]) error {
+	req, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	from, to := model.ReplicaID(req.From), model.ReplicaID(req.To)
+	if to != h.r.id {
+		return connect.NewError(connect.CodeNotFound, result.New(result.NotFound, "this replica is %s, not %s", h.r.id, to))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	out := make(outlet, senderQueue)
+	if err := h.r.port.Send(ctx, attached{from, out}); err != nil {
+		cancel()
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+	var replies sync.WaitGroup
+	replies.Go(func() { out.run(ctx, stream) })
+	defer func() {
+		cancel()
+		replies.Wait()
+		_ = h.r.port.Send(context.WithoutCancel(ctx), detached{from, out}) // fails only when the loop has ended
+	}()
+	for ; err == nil; req, err = stream.Receive() {
+		messages, bad := fromWire(from, to, req.Messages)
+		if bad != nil {
+			event.EntryUndecodable.Log(h.r.log, zap.Error(bad))
 			continue
 		}
 		h.r.port.TrySend(received{messages})
 	}
-	return connect.NewResponse(&replicav1.ExchangeResponse{}), nil
+	return nil
+}
+
+// outlet takes the replies for one incoming stream.
+type outlet chan []raft.Message
+
+// run sends replies until the stream ends.
+func (o outlet) run(ctx context.Context, stream *connect.BidiStream[replicav1.ExchangeRequest, replicav1.ExchangeResponse]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case messages := <-o:
+			list, err := toWire(messages)
+			if err != nil || stream.Send(&replicav1.ExchangeResponse{Messages: list}) != nil {
+				return
+			}
+		}
+	}
 }
 
 // InstallSnapshot takes a whole snapshot and answers once the machine has it.
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -42,6 +42,15 @@
 	joinRequest  struct{ member raft.Member }
 	bootstrap    struct{ members raft.Membership }
 	resign       struct{}
+	// attached and detached announce an incoming stream that takes replies.
+	attached struct {
+		peer model.ReplicaID
+		out  outlet
+	}
+	detached struct {
+		peer model.ReplicaID
+		out  outlet
+	}
 )
 
 // machine is the control state of a replica. It implements loop.Machine.
@@ -50,7 +59,8 @@
 	raft  raft.State
 	state model.State
 
-	waiting []*waiter // in the order of their first index
+	waiting  []*waiter // in the order of their first index
+	finished []*waiter // their results are delivered after the next publication
 	// queue holds writes for the next disk write; one is in flight at a time.
 	queue   job
 	writing bool
@@ -97,6 +107,10 @@
 		m.step(now, raft.Join{Member: msg.member})
 	case bootstrap:
 		m.step(now, raft.Bootstrap{Members: msg.members})
+	case attached:
+		m.r.senders.replies[msg.peer] = msg.out
+	case detached:
+		m.r.senders.detach(msg)
 	case resign:
 		m.step(now, raft.Resign{})
 	}
@@ -114,6 +128,7 @@
 	m.startWrite()
 	m.startSnapshot()
 	m.publish(now)
+	m.deliverResults()
 }
 
 // step lets the decisions take one input and carries out the effects.
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -116,11 +116,20 @@
 	}
 	w.results[e.Index-w.first] = res
 	if e.Index == w.last() {
-		w.reply <- w.results
+		m.finished = append(m.finished, w)
 		m.waiting = m.waiting[1:]
 	}
 }
 
+// deliverResults answers who waits. It comes after the view is published, so
+// that a proposer that reads the view sees its own change.
+func (m *machine) deliverResults() {
+	for _, w := range m.finished {
+		w.reply <- w.results
+	}
+	m.finished = nil
+}
+
 // abandon answers all waiters that nothing is known.
 func (m *machine) abandon() {
 	for _, w := range m.waiting {
--- a/replica/command/wire.go
+++ b/replica/command/wire.go
@@ -7,12 +7,12 @@
 	"lacewingturn.example/replica/storage"
 )
 
-// toWire encodes messages of one sender.
-func toWire(from model.ReplicaID, messages []raft.Message) (*replicav1.ExchangeRequest, error) {
-	req := &replicav1.ExchangeRequest{From: string(from), Messages: make([]*replicav1.RaftMessage, len(messages))}
+// toWire encodes messages. Their sender and receiver are known from the stream.
+func toWire(messages []raft.Message) ([]*replicav1.RaftMessage, error) {
+	list := make([]*replicav1.RaftMessage, len(messages))
 	for i, m := range messages {
 		w := &replicav1.RaftMessage{
-			Type: uint32(m.Type), To: string(m.To), Term: uint64(m.Term), Index: uint64(m.Index), LogTerm: uint64(m.LogTerm),
+			Type: uint32(m.Type), Term: uint64(m.Term), Index: uint64(m.Index), LogTerm: uint64(m.LogTerm),
 			Commit: uint64(m.Commit), Reject: m.Reject, RejectHint: uint64(m.Hint), Context: m.Context,
 		}
 		for _, e := range m.Entries {
@@ -24,17 +24,17 @@
 				Index: uint64(e.Index), Term: uint64(e.Term), Kind: uint32(e.Kind), Time: int64(e.Time), Data: data,
 			})
 		}
-		req.Messages[i] = w
+		list[i] = w
 	}
-	return req, nil
+	return list, nil
 }
 
 // fromWire decodes messages and the commands in them.
-func fromWire(req *replicav1.ExchangeRequest) ([]raft.Message, error) {
-	messages := make([]raft.Message, len(req.Messages))
-	for i, w := range req.Messages {
+func fromWire(from, to model.ReplicaID, list []*replicav1.RaftMessage) ([]raft.Message, error) {
+	messages := make([]raft.Message, len(list))
+	for i, w := range list {
 		m := raft.Message{
-			Type: raft.MessageType(w.Type), From: model.ReplicaID(req.From), To: model.ReplicaID(w.To), Term: model.Term(w.Term),
+			Type: raft.MessageType(w.Type), From: from, To: to, Term: model.Term(w.Term),
 			Index: model.Index(w.Index), LogTerm: model.Term(w.LogTerm), Commit: model.Index(w.Commit),
 			Reject: w.Reject, Hint: model.Index(w.RejectHint), Context: w.Context,
 		}
--- a/replica/raft/leader.go
+++ b/replica/raft/leader.go
@@ -90,7 +90,7 @@
 		m.becomeFollower(m.hard.Term)
 		return
 	}
-	m.heartbeatAt = m.now.Add(m.cfg.Heartbeat)
+	m.heartbeatAt = m.now.Add(max(m.cfg.Heartbeat, time.Duration(len(m.peers))*m.cfg.HeartbeatPerPeer))
 	for i := range m.peers {
 		p := &m.peers[i]
 		p.probed = false
--- a/replica/raft/types.go
+++ b/replica/raft/types.go
@@ -133,6 +133,9 @@
 	ID model.ReplicaID
 	// Heartbeat is the interval of messages from the leader.
 	Heartbeat time.Duration
+	// HeartbeatPerPeer raises the interval with the number of peers, so that the
+	// traffic of an idle leader stays within its limit.
+	HeartbeatPerPeer time.Duration
 	// ElectionMin and ElectionMax bound the random election timeout. A leader
 	// steps down after ElectionMin without contact to a quorum.
 	ElectionMin time.Duration
@@ -151,7 +154,8 @@
 // Defaults returns the constants of docs/design.md for the replica.
 func Defaults(id model.ReplicaID) Config {
 	return Config{
-		ID: id, Heartbeat: 150 * time.Millisecond, ElectionMin: 500 * time.Millisecond, ElectionMax: 900 * time.Millisecond,
+		ID: id, Heartbeat: 150 * time.Millisecond, HeartbeatPerPeer: 40 * time.Millisecond,
+		ElectionMin: 500 * time.Millisecond, ElectionMax: 900 * time.Millisecond,
 		ReplaceAfter: 3 * time.Second, MaxAppendBytes: 256 << 10, MaxInflight: 4096, MaxUncommitted: 8192,
 	}
 }
