Report the work of one worker in one command

Usage reports of single jobs renew one lease each. With 720 workers of four jobs they would be 576 commands a second. ReportWork carries everything that a worker has to say and renews all leases that it names; each part goes through the checks of the command of its own. The time between reports and the length of leases grow with the number of instances. WorkerChanges keeps for each worker the log index of the last change of what it is asked, for long polls.

--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -27,6 +27,7 @@
 	60: reflect.TypeFor[model.SubmitJob](), 61: reflect.TypeFor[model.CancelJob](), 62: reflect.TypeFor[model.CancelJobs](),
 	63: reflect.TypeFor[model.PlaceJob](), 64: reflect.TypeFor[model.JobStarted](), 65: reflect.TypeFor[model.JobReport](),
 	66: reflect.TypeFor[model.JobEnded](), 67: reflect.TypeFor[model.ExpireLease](), 68: reflect.TypeFor[model.ControlJob](),
+	69: reflect.TypeFor[model.ReportWork](),
 }
 
 var numbers = func() map[reflect.Type]uint16 {
@@ -64,7 +65,7 @@
 	if !ok {
 		return nil, fmt.Errorf("codec: command type %T has no number", env.Command)
 	}
-	payload, err := encoder.Marshal(env.Command)
+	payload, err := encoder.Marshal(toWire(env.Command))
 	if err != nil {
 		return nil, fmt.Errorf("codec: encode %T: %w", env.Command, err)
 	}
@@ -81,16 +82,27 @@
 	if !ok {
 		return model.Envelope{}, fmt.Errorf("codec: unknown command number %d", w.Kind)
 	}
-	v := reflect.New(t)
-	if err := decoder.Unmarshal(w.Payload, v.Interface()); err != nil {
+	command, err := decodeCommand(t, w.Payload)
+	if err != nil {
 		return model.Envelope{}, fmt.Errorf("codec: command %s: %w", t.Name(), err)
 	}
 	return model.Envelope{
 		RequestID: w.RequestID, Actor: w.Actor, Time: w.Time,
-		Fingerprint: fingerprint(w.Payload), Command: v.Elem().Interface().(model.Command),
+		Fingerprint: fingerprint(w.Payload), Command: command,
 	}, nil
 }
 
+func decodeCommand(t reflect.Type, payload []byte) (model.Command, error) {
+	if t == reflect.TypeFor[model.ReportWork]() {
+		var r workReport
+		err := decoder.Unmarshal(payload, &r)
+		return r.command(), err
+	}
+	v := reflect.New(t)
+	err := decoder.Unmarshal(payload, v.Interface())
+	return v.Elem().Interface().(model.Command), err
+}
+
 func fingerprint(payload []byte) uint64 {
 	h := fnv.New64a()
 	h.Write(payload)
--- a/api/codec/codec_test.go
+++ b/api/codec/codec_test.go
@@ -23,6 +23,21 @@
 	}
 }
 
+// Guards against a part of a worker's report that the compact form loses.
+func TestWorkReportSurvivesEncoding(t *testing.T) {
+	used := model.Resources{MilliCPU: 1, MemoryMB: 2, Accelerators: 3}
+	want := model.ReportWork{
+		Worker: "w", Held: []uint64{9, 4, 1 << 63, 17}, Started: []model.JobStarted{{ID: "a", Token: 4}},
+		Usage: []model.JobReport{{ID: "b", Token: 5, Used: used, Checkpoint: "c1"}},
+		Ended: []model.JobEnded{{ID: "c", Token: 6, Succeeded: true, Cancelled: true, Run: 7, Used: used, Reason: "r"}},
+	}
+	data, err := EncodeEnvelope(model.Envelope{Command: want})
+	assert.NilError(t, err)
+	got, err := DecodeEnvelope(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Command, want)
+}
+
 // Guards against a snapshot that loses a part of the state.
 func TestStateSurvivesEncoding(t *testing.T) {
 	s := model.State{}
--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -27,6 +27,7 @@
 	Jobs       []model.Job
 	Classes    []model.ClassEstimate
 	Workers    []model.WorkerRecord
+	Changes    []model.WorkerChange
 	Claims     []model.Claim
 	ClaimFloor model.Timestamp
 	Requests   []model.RequestRecord
@@ -38,7 +39,7 @@
 		Clock: s.Clock, Index: s.Index, Term: s.Term, Traffic: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
 		History: s.History.Values(), Instances: s.Instances.Values(), Waves: s.Waves.Values(), Moves: s.Moves.Values(),
 		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
-		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(),
+		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(), Changes: s.WorkerChanges.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
 	})
 }
@@ -52,20 +53,21 @@
 	jobs := table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID })
 	return model.State{
 		Clock: m.Clock, Index: m.Index, Term: m.Term, TrafficIndex: m.Traffic, Revision: m.Revision, Config: m.Config,
-		History:    table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
-		Instances:  table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
-		Waves:      table.FromValues(m.Waves, func(v model.Wave) model.WaveID { return v.ID }),
-		Moves:      table.FromValues(m.Moves, func(v model.Move) model.MoveID { return v.ID }),
-		Targets:    table.FromValues(m.Targets, func(v model.Target) model.TargetID { return v.ID }),
-		Entries:    table.FromValues(m.Entries, func(v model.EntryMember) model.EntryID { return v.ID }),
-		Replicas:   table.FromValues(m.Replicas, func(v model.ReplicaMember) model.ReplicaID { return v.ID }),
-		Jobs:       jobs,
-		JobIndex:   model.IndexJobs(jobs),
-		Classes:    table.FromValues(m.Classes, func(v model.ClassEstimate) string { return v.Class }),
-		Workers:    table.FromValues(m.Workers, func(v model.WorkerRecord) model.InstanceID { return v.Worker }),
-		Claims:     table.FromValues(m.Claims, func(v model.Claim) model.ClaimKey { return v.Key }),
-		ClaimFloor: m.ClaimFloor,
-		Requests:   table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
+		History:       table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
+		Instances:     table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
+		Waves:         table.FromValues(m.Waves, func(v model.Wave) model.WaveID { return v.ID }),
+		Moves:         table.FromValues(m.Moves, func(v model.Move) model.MoveID { return v.ID }),
+		Targets:       table.FromValues(m.Targets, func(v model.Target) model.TargetID { return v.ID }),
+		Entries:       table.FromValues(m.Entries, func(v model.EntryMember) model.EntryID { return v.ID }),
+		Replicas:      table.FromValues(m.Replicas, func(v model.ReplicaMember) model.ReplicaID { return v.ID }),
+		Jobs:          jobs,
+		JobIndex:      model.IndexJobs(jobs),
+		Classes:       table.FromValues(m.Classes, func(v model.ClassEstimate) string { return v.Class }),
+		Workers:       table.FromValues(m.Workers, func(v model.WorkerRecord) model.InstanceID { return v.Worker }),
+		WorkerChanges: table.FromValues(m.Changes, func(v model.WorkerChange) model.InstanceID { return v.Worker }),
+		Claims:        table.FromValues(m.Claims, func(v model.Claim) model.ClaimKey { return v.Key }),
+		ClaimFloor:    m.ClaimFloor,
+		Requests:      table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
 	}, nil
 }
 
--- a/core/command/fleet/fleet.go
+++ b/core/command/fleet/fleet.go
@@ -134,6 +134,7 @@
 		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
 	}
 	s.Instances = s.Instances.Delete(i.ID)
+	s.WorkerChanges = s.WorkerChanges.Delete(i.ID)
 	for id, w := range s.Waves.All() {
 		if !w.Phase.Ended() {
 			changeWave(s, id, func(w *model.Wave) { w.Pending = without(w.Pending, i.ID) })
--- a/core/command/job/job.go
+++ b/core/command/job/job.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// LeaseTerm is how long a lease lasts from its grant and from each report.
-	// Workers report every few seconds, so that several reports may be lost.
+	// LeaseTerm is how long a lease lasts from its grant, and the shortest time
+	// from a report; see Term.
 	LeaseTerm = 15 * time.Second
 	// Retention is how long an ended job is kept.
 	Retention = time.Hour
@@ -41,6 +41,8 @@
 		return report(s, env, c), true
 	case model.JobEnded:
 		return ended(s, env, c), true
+	case model.ReportWork:
+		return work(s, env, c), true
 	case model.ExpireLease:
 		return expire(s, env, c), true
 	case model.ControlJob:
@@ -52,6 +54,7 @@
 // store replaces a job and keeps the index in step.
 func store(s *model.State, old, j model.Job) {
 	s.Jobs = s.Jobs.Set(j.ID, j)
+	noteWorkers(s, old, j)
 	if old.Active() && j.Active() && old.Lease.Worker == j.Lease.Worker {
 		s.JobIndex = s.JobIndex.Renew(old, j)
 		return
@@ -62,6 +65,19 @@
 	s.JobIndex = s.JobIndex.Add(j)
 }
 
+// noteWorkers marks the workers for which the change is news.
+func noteWorkers(s *model.State, old, j model.Job) {
+	if old.Active() && j.Active() && old.Lease.Token == j.Lease.Token && old.Asked() == j.Asked() {
+		return
+	}
+	for _, of := range [...]model.Job{old, j} {
+		if of.Active() {
+			w := of.Lease.Worker
+			s.WorkerChanges = s.WorkerChanges.Set(w, model.WorkerChange{Worker: w, Index: s.Index})
+		}
+	}
+}
+
 // finish records the outcome of a job. It is called once for each job.
 func finish(s *model.State, env model.Envelope, old model.Job, phase model.JobPhase, reason string) {
 	j := old
@@ -86,7 +102,7 @@
 	if !ok {
 		return j, result.New(result.NotFound, "no job %q", id)
 	}
-	if j.Lease.Token != token {
+	if token == 0 || j.Lease.Token != token {
 		return j, result.New(result.StaleToken, "job %s has token %d, not %d", id, j.Lease.Token, token)
 	}
 	if j.Phase.Final() {
@@ -98,11 +114,8 @@
 // wanted tells the worker what to do with the job.
 func wanted(j model.Job) result.Result {
 	r := result.Result{Code: result.OK, Revision: j.Lease.Token}
-	switch {
-	case j.Cancelling:
-		r.Value = "cancel"
-	case j.Action != model.ActionNone:
-		r.Value = j.Action.String()
+	if asked := j.Asked(); asked != model.AskedRun {
+		r.Value = asked.String()
 	}
 	return r
 }
--- a/core/command/job/property_test.go
+++ b/core/command/job/property_test.go
@@ -38,6 +38,10 @@
 		if known && old.Phase.Final() {
 			assert.Equal(c.t, j.Phase, old.Phase, "second outcome of %s by %T", id, cmd)
 		}
+		if w, ok := cmd.(model.ReportWork); ok && j != old {
+			assert.Equal(c.t, old.Lease.Worker, w.Worker, "%s changed by a report of another worker", id)
+			assert.Assert(c.t, old.Active(), "%s changed without a lease", id)
+		}
 		assert.Assert(c.t, j.Lease.Token == 0 || j.Lease.Token == c.tokens[id], "lease of %s by %T", id, cmd)
 	}
 }
@@ -96,6 +100,23 @@
 					Run: time.Second, Used: size.Draw(rt, "used"),
 				})
 			},
+			"work": func(rt *rapid.T) {
+				cmd := model.ReportWork{Worker: worker.Draw(rt, "w")}
+				for _, j := range rapid.SliceOfN(id, 0, 4).Draw(rt, "ids") {
+					t := token(rt, j)
+					switch rapid.IntRange(0, 3).Draw(rt, "part") {
+					case 0:
+						cmd.Held = append(cmd.Held, t)
+					case 1:
+						cmd.Started = append(cmd.Started, model.JobStarted{ID: j, Token: t})
+					case 2:
+						cmd.Usage = append(cmd.Usage, model.JobReport{ID: j, Token: t, Used: size.Draw(rt, "used")})
+					case 3:
+						cmd.Ended = append(cmd.Ended, model.JobEnded{ID: j, Token: t, Succeeded: rapid.Bool().Draw(rt, "ok")})
+					}
+				}
+				c.apply(cmd)
+			},
 			"cancel": func(rt *rapid.T) { c.apply(model.CancelJob{ID: id.Draw(rt, "id")}) },
 			"cancel many": func(rt *rapid.T) {
 				c.apply(model.CancelJobs{IDs: rapid.SliceOfN(id, 0, 5).Draw(rt, "ids")})
--- a/core/command/job/report.go
+++ b/core/command/job/report.go
@@ -15,7 +15,7 @@
 	}
 	next := j
 	next.Phase, next.StartedAt = model.JobRunning, env.Time
-	next.Lease.ExpiresAt = env.Time.Add(LeaseTerm)
+	next.Lease.ExpiresAt = renewed(s, env, j)
 	store(s, j, next)
 	return wanted(next)
 }
@@ -28,7 +28,7 @@
 	}
 	next := j
 	next.Used = c.Used
-	next.Lease.ExpiresAt = env.Time.Add(LeaseTerm)
+	next.Lease.ExpiresAt = renewed(s, env, j)
 	if c.Checkpoint != "" {
 		next.Checkpoint = c.Checkpoint
 	}
--- a/core/model/commands_job.go
+++ b/core/model/commands_job.go
@@ -44,6 +44,18 @@
 	Reason    string
 }
 
+// ReportWork is everything that one worker reports at one time. It renews the
+// lease of every job that it names.
+type ReportWork struct {
+	Worker InstanceID
+	// Held lists the tokens of the jobs that the worker still holds and has
+	// nothing new to say about.
+	Held    []uint64
+	Started []JobStarted
+	Usage   []JobReport
+	Ended   []JobEnded
+}
+
 // ExpireLease returns a job to the queue after its lease ran out.
 type ExpireLease struct {
 	ID    JobID
@@ -82,5 +94,6 @@
 func (JobStarted) isCommand()  {}
 func (JobReport) isCommand()   {}
 func (JobEnded) isCommand()    {}
+func (ReportWork) isCommand()  {}
 func (ExpireLease) isCommand() {}
 func (ControlJob) isCommand()  {}
--- a/core/model/job.go
+++ b/core/model/job.go
@@ -93,6 +93,30 @@
 // Active reports whether the job holds a lease.
 func (j Job) Active() bool { return j.Phase == JobLeased || j.Phase == JobRunning }
 
+// Asked is what a worker is asked to do about a job that it holds.
+type Asked uint8
+
+// Requests to a worker, in the order in which one replaces another.
+const (
+	AskedRun        Asked = iota // run at full speed
+	AskedCheckpoint              // save progress, end, and continue later
+	AskedThrottle                // continue with half of the processors
+	AskedStop                    // end without delay
+	AskedCancel                  // end; the job is not wanted any more
+)
+
+func (a Asked) String() string {
+	return [...]string{"run", "checkpoint", "throttle", "stop", "cancel"}[min(int(a), 4)]
+}
+
+// Asked returns what the worker is asked to do about the job.
+func (j Job) Asked() Asked {
+	if j.Cancelling {
+		return AskedCancel
+	}
+	return Asked(j.Action)
+}
+
 // ClassKey names the class whose estimates apply to the job.
 func (j Job) ClassKey() string {
 	if j.Class != "" {
@@ -148,6 +172,13 @@
 	Generation uint64
 }
 
+// WorkerChange is the log index of the last change of what a worker is asked to
+// run: a lease granted or ended, or another request about a job.
+type WorkerChange struct {
+	Worker InstanceID
+	Index  Index
+}
+
 // WorkerLoad is what the leases on a worker take of it. It is derived from the jobs.
 type WorkerLoad struct {
 	Worker   InstanceID
--- a/core/model/job_index.go
+++ b/core/model/job_index.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"iter"
 	"math/bits"
+	"strings"
 
 	"lacewingturn.example/core/table"
 )
@@ -116,3 +118,15 @@
 	}
 	return x
 }
+
+// Worker iterates over the jobs that a worker holds.
+func (x JobIndex) Worker(w InstanceID) iter.Seq2[string, Job] {
+	prefix := WorkerPrefix(w)
+	return func(yield func(string, Job) bool) {
+		for key, j := range x.Active.From(prefix) {
+			if !strings.HasPrefix(key, prefix) || !yield(key, j) {
+				return
+			}
+		}
+	}
+}
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -30,6 +30,8 @@
 	Jobs    table.Table[JobID, Job]
 	Classes table.Table[string, ClassEstimate]
 	Workers table.Table[InstanceID, WorkerRecord]
+	// WorkerChanges tells workers whether what they are asked to run has changed.
+	WorkerChanges table.Table[InstanceID, WorkerChange]
 	// JobIndex is derived from Jobs and kept in step by command/job.
 	JobIndex JobIndex
 
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -93,6 +93,26 @@
 	Status      int
 	ContentType string
 	BodyOmitted bool
+	// Work answers the report of a worker; nil for other commands.
+	Work *Work
+}
+
+// Work tells a worker how long its leases last and what to do about its jobs.
+type Work struct {
+	// Lease is how long the leases named in the report last, and Next when the
+	// worker reports again; both in milliseconds.
+	LeaseMs uint32
+	NextMs  uint32
+	// Jobs answers starts, usage and ends, and those jobs without news that the
+	// worker is asked something about.
+	Jobs []WorkAnswer
+}
+
+// WorkAnswer is the result for one job of a report.
+type WorkAnswer struct {
+	Token uint64
+	Code  Code
+	Asked string // what the worker is asked to do; empty if nothing
 }
 
 // Conflict names the accepted change that a rejected one lost to.
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -184,7 +184,8 @@
 		return true
 	}
 	switch env.Command.(type) {
-	case model.Noop, model.ClaimRequest, model.SettleClaim, model.AnnounceTarget, model.RemoveTarget, model.RemoveEntry:
+	case model.Noop, model.ClaimRequest, model.SettleClaim, model.AnnounceTarget, model.RemoveTarget, model.RemoveEntry,
+		model.ReportWork:
 		return true
 	}
 	return false
