--- a/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
+++ b/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
@@ -62,6 +62,9 @@
 	// ReplicaQueryServiceStatusProcedure is the fully-qualified name of the ReplicaQueryService's
 	// Status RPC.
 	ReplicaQueryServiceStatusProcedure = "/lacewingturn.replica.v1.ReplicaQueryService/Status"
+	// ReplicaQueryServiceAssignmentsProcedure is the fully-qualified name of the ReplicaQueryService's
+	// Assignments RPC.
+	ReplicaQueryServiceAssignmentsProcedure = "/lacewingturn.replica.v1.ReplicaQueryService/Assignments"
 )
 
 // ReplicationServiceClient is a client for the lacewingturn.replica.v1.ReplicationService service.
@@ -329,6 +332,9 @@
 type ReplicaQueryServiceClient interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Assignments returns the jobs of one worker. It answers at once if they have
+	// changed since the index given, else after wait_ms.
+	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
 }
 
 // NewReplicaQueryServiceClient constructs a client for the
@@ -355,13 +361,20 @@
 			connect.WithSchema(replicaQueryServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		assignments: connect.NewClient[v1.AssignmentsRequest, v1.AssignmentsResponse](
+			httpClient,
+			baseURL+ReplicaQueryServiceAssignmentsProcedure,
+			connect.WithSchema(replicaQueryServiceMethods.ByName("Assignments")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // replicaQueryServiceClient implements ReplicaQueryServiceClient.
 type replicaQueryServiceClient struct {
-	follow *connect.Client[v1.FollowRequest, v1.FollowResponse]
-	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	follow      *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	assignments *connect.Client[v1.AssignmentsRequest, v1.AssignmentsResponse]
 }
 
 // Follow calls lacewingturn.replica.v1.ReplicaQueryService.Follow.
@@ -374,11 +387,19 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Assignments calls lacewingturn.replica.v1.ReplicaQueryService.Assignments.
+func (c *replicaQueryServiceClient) Assignments(ctx context.Context, req *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
+	return c.assignments.CallUnary(ctx, req)
+}
+
 // ReplicaQueryServiceHandler is an implementation of the
 // lacewingturn.replica.v1.ReplicaQueryService service.
 type ReplicaQueryServiceHandler interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Assignments returns the jobs of one worker. It answers at once if they have
+	// changed since the index given, else after wait_ms.
+	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
 }
 
 // NewReplicaQueryServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -400,12 +421,20 @@
 		connect.WithSchema(replicaQueryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaQueryServiceAssignmentsHandler := connect.NewUnaryHandler(
+		ReplicaQueryServiceAssignmentsProcedure,
+		svc.Assignments,
+		connect.WithSchema(replicaQueryServiceMethods.ByName("Assignments")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lacewingturn.replica.v1.ReplicaQueryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaQueryServiceFollowProcedure:
 			replicaQueryServiceFollowHandler.ServeHTTP(w, r)
 		case ReplicaQueryServiceStatusProcedure:
 			replicaQueryServiceStatusHandler.ServeHTTP(w, r)
+		case ReplicaQueryServiceAssignmentsProcedure:
+			replicaQueryServiceAssignmentsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -422,3 +451,7 @@
 func (UnimplementedReplicaQueryServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Status is not implemented"))
 }
+
+func (UnimplementedReplicaQueryServiceHandler) Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Assignments is not implemented"))
+}
