Serve workers over HTTP on every entry instance

POST /workers/{instance}/reports turns the report of a worker into one command and answers with the result for each job, the length of the leases and the time of the next report. GET /workers/{instance}/assignments is a long poll that is answered from the view of a control replica. Entry instances keep no state of jobs, so that workers may repeat a report at any of them.

--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -22,7 +22,7 @@
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newEntry),
+	fx.Provide(newEntry, newAssignments),
 	fx.Invoke(runEntry),
 )
 
@@ -48,11 +48,16 @@
 
 func newControlClient(s Settings, c *http.Client) entry.Control { return client.New(nearFirst(s), c) }
 
+func newAssignments(s Settings, c *http.Client) entry.Assignments {
+	return client.NewReader(nearFirst(s), c)
+}
+
 type entryParams struct {
 	fx.In
 
 	Settings Settings
 	Control  entry.Control
+	Workers  entry.Assignments
 	Client   *http.Client
 	Loop     *loop.Loop
 	Log      *zap.Logger
@@ -63,7 +68,7 @@
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
+		Control: p.Control, Assignments: p.Workers, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
--- a/core/query/assignments.go
+++ b/core/query/assignments.go
@@ -19,6 +19,14 @@
 	Asked       model.Asked
 }
 
+// Assigned answers the poll of a worker. Jobs is empty unless they have changed
+// since the index that the worker knows; Index is what it knows after it.
+type Assigned struct {
+	Index   model.Index
+	Changed bool
+	Jobs    []Assignment
+}
+
 // Assignments returns the jobs that a worker is asked to run and the log index
 // at which they last changed. The cost does not depend on the other jobs.
 func Assignments(s model.State, worker model.InstanceID) ([]Assignment, model.Index) {
--- /dev/null
+++ b/entry/command/worker/handler.go
@@ -0,0 +1,160 @@
+// Package worker takes the reports of workers: plain HTTP with a JSON body. One
+// report becomes one command; this half of the entry instance keeps no state of
+// jobs, so that a report may be sent again to any entry instance.
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command/job"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/entry"
+	"lacewingturn.example/node/event"
+)
+
+const (
+	// reportTimeout bounds the commit of a report. It outlives a failover of 2 s.
+	reportTimeout = 4 * time.Second
+	// maxReports bounds the reports in progress. 720 workers that report at once
+	// on a single entry instance are three times as many, and retry.
+	maxReports = 256
+	// retryAfter is when a worker repeats a report that was not committed.
+	retryAfter = time.Second
+)
+
+// Settings of the handler.
+type Settings struct {
+	Control entry.Control
+	Log     *zap.Logger
+	Metrics prometheus.Registerer
+	Tracer  trace.Tracer
+}
+
+// Handler takes the reports of workers.
+type Handler struct {
+	control entry.Control
+	log     *zap.Logger
+	tracer  trace.Tracer
+	results *prometheus.CounterVec
+	seconds prometheus.Histogram
+	fenced  prometheus.Counter
+	open    chan struct{} // holds one value for each report in progress
+}
+
+// New registers the metrics of the handler.
+func New(s Settings) *Handler {
+	h := &Handler{
+		control: s.Control, log: s.Log, tracer: s.Tracer, open: make(chan struct{}, maxReports),
+		results: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_worker_reports_total", Help: "Reports of workers by result code."}, []string{"code"}),
+		seconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lacewingturn_worker_report_seconds", Help: "Time to commit a report.", Buckets: prometheus.ExponentialBuckets(0.001, 4, 7),
+		}),
+		fenced: prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_worker_fenced_total", Help: "Jobs that workers were told to stop because their token is not valid."}),
+	}
+	s.Metrics.MustRegister(h.results, h.seconds, h.fenced)
+	return h
+}
+
+// Register adds the route.
+func (h *Handler) Register(r *mux.Router) {
+	r.HandleFunc("/workers/{instance}/reports", h.serve).Methods(http.MethodPost)
+}
+
+// Answer tells a worker what became of its report.
+type Answer struct {
+	Code   result.Code `json:"code"`
+	Name   string      `json:"name"`
+	Detail string      `json:"detail,omitempty"`
+	// LeaseMs is how long the leases named in the report last, counted from the
+	// moment the report was sent; 0 if it was not committed.
+	LeaseMs int64 `json:"lease_ms"`
+	// NextReportMs is when to report again unless there is news, or when to
+	// repeat a report that was not committed.
+	NextReportMs int64 `json:"next_report_ms"`
+	// UsageShare is the part by which usage has to change to be reported again:
+	// 8 stands for an eighth.
+	UsageShare int         `json:"usage_share"`
+	Jobs       []JobAnswer `json:"jobs"`
+}
+
+// JobAnswer is the result for one job. Asked is checkpoint, throttle, stop or
+// cancel, or empty if nothing is asked.
+type JobAnswer struct {
+	Job   model.JobID `json:"job"`
+	Token uint64      `json:"token"`
+	Code  result.Code `json:"code"`
+	Name  string      `json:"name"`
+	Asked string      `json:"asked,omitempty"`
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.tracer.Start(ctx, "entry.worker-report", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	worker := model.InstanceID(mux.Vars(r)["instance"])
+	report, err := Decode(r.Body)
+	var res result.Result
+	if err != nil {
+		res = result.New(result.InvalidInput, "%v", err)
+	} else {
+		res = h.commit(ctx, report.command(worker))
+	}
+	span.SetAttributes(attribute.Int("lacewingturn.result", int(res.Code)), attribute.String("lacewingturn.worker", string(worker)))
+	h.results.WithLabelValues(strconv.Itoa(int(res.Code))).Inc()
+	a := h.answer(worker, report, res)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(res.Code.Info().HTTP)
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+// commit proposes the report. It goes on when the worker goes away, so that a
+// report which is repeated finds its effect.
+func (h *Handler) commit(ctx context.Context, c model.ReportWork) result.Result {
+	select {
+	case h.open <- struct{}{}:
+		defer func() { <-h.open }()
+	default:
+		return result.New(result.Overloaded, "%d reports are in progress", maxReports)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	defer cancel()
+	begin := time.Now()
+	results, err := h.control.Propose(ctx, []model.Envelope{{Command: c}})
+	h.seconds.Observe(time.Since(begin).Seconds())
+	if err != nil || len(results) != 1 {
+		return result.New(result.Unknown, "the answer to the report was lost")
+	}
+	return results[0]
+}
+
+func (h *Handler) answer(worker model.InstanceID, report Report, r result.Result) Answer {
+	a := Answer{
+		Code: r.Code, Name: r.Code.String(), Detail: r.Detail, NextReportMs: retryAfter.Milliseconds(), UsageShare: job.UsageShare, Jobs: []JobAnswer{},
+	}
+	if r.Work == nil {
+		event.WorkReportLost.Log(h.log, zap.String("worker", string(worker)), zap.String("result", r.Error()))
+		return a
+	}
+	a.LeaseMs, a.NextReportMs = int64(r.Work.LeaseMs), int64(r.Work.NextMs)
+	names := report.names()
+	for _, j := range r.Work.Jobs {
+		a.Jobs = append(a.Jobs, JobAnswer{Job: names[j.Token], Token: j.Token, Code: j.Code, Name: j.Code.String(), Asked: j.Asked})
+		if j.Code == result.StaleToken {
+			h.fenced.Inc()
+			event.WorkFenced.Log(h.log, zap.String("worker", string(worker)), zap.String("job", string(names[j.Token])), zap.Uint64("token", j.Token))
+		}
+	}
+	return a
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -17,6 +17,13 @@
 	Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error)
 }
 
+// Assignments is the query half of the control replicas that workers need.
+type Assignments interface {
+	// Assignments returns the jobs of the worker as soon as they have changed
+	// since the index, or unchanged after wait.
+	Assignments(ctx context.Context, worker model.InstanceID, since model.Index, wait time.Duration) (query.Assigned, error)
+}
+
 // Messages that the control link posts to the entry machine.
 type (
 	// TrafficChanged carries a newer traffic view.
--- a/entry/instance/instance.go
+++ b/entry/instance/instance.go
@@ -17,7 +17,9 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/entry/command"
+	workercommand "lacewingturn.example/entry/command/worker"
 	"lacewingturn.example/entry/query"
+	workerquery "lacewingturn.example/entry/query/worker"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 )
@@ -32,6 +34,8 @@
 	Address string // host:port for other processes of the system
 	Domain  model.Domain
 	Control entry.Control
+	// Assignments answers the polls of workers.
+	Assignments entry.Assignments
 	// Loop owns the control state of the process. It must not run yet.
 	Loop       *loop.Loop
 	Log        *zap.Logger
@@ -50,7 +54,7 @@
 type Instance struct {
 	// Port leads to the machine; the control link posts its messages there.
 	Port loop.Port
-	// Traffic serves callers, targets and queries.
+	// Traffic serves callers, targets, workers and queries.
 	Traffic http.Handler
 	// PeerPath and Peers serve other entry instances.
 	PeerPath string
@@ -59,6 +63,7 @@
 	Source *query.Source
 
 	gateway    *command.Gateway
+	polls      *workerquery.Handler
 	log        *zap.Logger
 	withdrawal time.Duration
 	cancel     context.CancelFunc // ends what Run leaves behind
@@ -66,8 +71,8 @@
 
 // New checks the settings and builds an instance.
 func New(s Settings) (*Instance, error) {
-	if s.ID == "" || s.Control == nil || s.Loop == nil || s.Log == nil || s.Metrics == nil || s.Tracer == nil {
-		return nil, errors.New("instance: ID, Control, Loop, Log, Metrics and Tracer are needed")
+	if s.ID == "" || s.Control == nil || s.Assignments == nil || s.Loop == nil || s.Log == nil || s.Metrics == nil || s.Tracer == nil {
+		return nil, errors.New("instance: ID, Control, Assignments, Loop, Log, Metrics and Tracer are needed")
 	}
 	if s.Withdrawal == 0 {
 		s.Withdrawal = DefaultWithdrawal
@@ -92,7 +97,10 @@
 	query.Register(router, source)
 	g.RegisterTargets(router)
 	g.Register(router)
-	i := &Instance{Port: g.Port(), Traffic: router, Source: source, gateway: g, log: s.Log, withdrawal: s.Withdrawal, cancel: cancel}
+	workercommand.New(workercommand.Settings{Control: s.Control, Log: s.Log, Metrics: s.Metrics, Tracer: s.Tracer}).Register(router)
+	polls := workerquery.New(workerquery.Settings{Source: s.Assignments, Log: s.Log, Metrics: s.Metrics, Tracer: s.Tracer})
+	polls.Register(router)
+	i := &Instance{Port: g.Port(), Traffic: router, Source: source, gateway: g, polls: polls, log: s.Log, withdrawal: s.Withdrawal, cancel: cancel}
 	i.PeerPath, i.Peers = entryv1connect.NewEntryCommandServiceHandler(peers)
 	return i, nil
 }
@@ -119,5 +127,6 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	i.polls.Stop()
 	return i.gateway.Drain(ctx)
 }
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -33,6 +33,8 @@
 	ports  []loop.Port
 	hook   func(n int, apply func() []result.Result) ([]result.Result, error)
 	number int
+	// applied is closed when commands have been applied.
+	applied chan struct{}
 }
 
 func newControl(c model.Config, instances ...model.Instance) *fakeControl {
@@ -63,12 +65,40 @@
 		f.state = next
 		out = append(out, r)
 	}
+	if f.applied != nil {
+		close(f.applied)
+		f.applied = nil
+	}
 	if !before.Targets.Same(f.state.Targets) || !before.Entries.Same(f.state.Entries) {
 		f.publish()
 	}
 	return out
 }
 
+// Assignments implements entry.Assignments. It looks again when a command has
+// been applied.
+func (f *fakeControl) Assignments(ctx context.Context, worker model.InstanceID, since model.Index, wait time.Duration) (query.Assigned, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		f.mu.Lock()
+		jobs, index := query.Assignments(f.state, worker)
+		if f.applied == nil {
+			f.applied = make(chan struct{})
+		}
+		applied := f.applied
+		f.mu.Unlock()
+		if index > since {
+			return query.Assigned{Index: index, Changed: true, Jobs: jobs}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return query.Assigned{Index: since}, nil
+		case <-applied:
+		}
+	}
+}
+
 func (f *fakeControl) publish() {
 	for _, p := range f.ports {
 		_ = p.Send(context.Background(), entry.TrafficChanged{View: query.TrafficOf(f.state)})
@@ -130,7 +160,7 @@
 		tracer = noop.NewTracerProvider().Tracer("")
 	}
 	i, err := New(Settings{
-		ID: id, Control: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
+		ID: id, Control: control, Assignments: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
 	})
 	assert.NilError(t, err)
 	s := &site{Instance: i, control: control, metrics: reg}
