Run jobs on stand-in workers in the demo

The stand-in runs a job for its declared run time once its start is confirmed, reports usage that has changed, and obeys checkpoint, throttle, stop and cancel. The demo shows five outcomes of jobs.

--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -36,6 +36,7 @@
 	operator *client.Client
 	config   model.Config
 	caller   *caller
+	workers  []*Worker
 }
 
 // RunDemo runs the demo in a temporary folder; logs go to log.
@@ -63,6 +64,7 @@
 		{"start stand-in targets that announce themselves", d.startTargets},
 		{"play the recorded workload through all entry instances", d.playWorkload},
 		{"revise one answer while requests run", d.reviseAnswer},
+		{"run jobs on stand-in workers", d.runJobs},
 		{"drain an instance while requests run", d.drainInstance},
 		{"lose the leader", d.loseLeader},
 		{"stop everything gracefully", d.stopAll},
