--- a/cmd/internal/capacity/processes_test.go
+++ b/cmd/internal/capacity/processes_test.go
@@ -49,10 +49,7 @@
 // BenchmarkControlCost starts real processes, announces one target for each
 // worker, and measures what they spend while no caller sends anything.
 func BenchmarkControlCost(b *testing.B) {
-	binary := filepath.Join(b.TempDir(), "lacewingturnd")
-	if out, err := exec.Command("go", "build", "-o", binary, "lacewingturn.example/cmd/lacewingturnd").CombinedOutput(); err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
+	binary := buildDaemon(b)
 	for _, p := range []struct{ workers, entries int }{{50, 4}, {50, 12}, {360, 12}, {720, 12}} {
 		b.Run(fmt.Sprintf("workers=%d/entries=%d", p.workers, p.entries), func(b *testing.B) {
 			for b.Loop() {
@@ -62,6 +59,14 @@
 	}
 }
 
+func buildDaemon(b *testing.B) string {
+	binary := filepath.Join(b.TempDir(), "lacewingturnd")
+	if out, err := exec.Command("go", "build", "-o", binary, "lacewingturn.example/cmd/lacewingturnd").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
 func measure(b *testing.B, binary string, workers, entries int) {
 	g := &group{b: b, binary: binary}
 	defer g.stop()
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -37,6 +37,7 @@
 	config   model.Config
 	caller   *caller
 	workers  []*Worker
+	lasting  model.JobID // runs while the leader is lost
 }
 
 // RunDemo runs the demo in a temporary folder; logs go to log.
@@ -338,6 +339,7 @@
 // loseLeader ends the leader without notice and goes on with the other replicas.
 func (d *Demo) loseLeader(ctx context.Context) error {
 	id := client.NewRequestID()
+	runs := d.runsOf(d.lasting)
 	before := d.submit(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
 	leader := d.site.Leader()
 	if leader == nil {
@@ -360,10 +362,12 @@
 	held := d.inForce(ctx, 4)
 	d.outcomes.add(r.Code == result.Accepted && held, "a change accepted by the new leader is in force on every entry instance",
 		"%s, revision %d, in force on %d of %d", r.Code, r.Revision, d.countInForce(4), len(d.site.Entries))
+	d.endLasting(ctx, runs)
 	return nil
 }
 
 func (d *Demo) stopAll(ctx context.Context) error {
+	d.stopWorkers()
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	d.site.Targets = d.site.Targets[1:]
--- a/cmd/site/demo_test.go
+++ b/cmd/site/demo_test.go
@@ -15,5 +15,5 @@
 	for _, o := range outcomes {
 		assert.Assert(t, o.Holds, "%s: %s", o.Stated, o.Observed)
 	}
-	assert.Assert(t, len(outcomes) >= 22, "only %d outcomes were checked", len(outcomes))
+	assert.Assert(t, len(outcomes) >= 23, "only %d outcomes were checked", len(outcomes))
 }
--- a/cmd/site/jobs.go
+++ b/cmd/site/jobs.go
@@ -23,7 +23,6 @@
 // can never fit, one that is cancelled and an urgent one.
 func (d *Demo) runJobs(ctx context.Context) error {
 	d.startWorkers(ctx)
-	defer d.stopWorkers()
 	long, err := d.submitJobs(ctx, len(d.workers), model.Job{ID: "ledger", Team: "ledger", Declared: processors(12), DeclaredRun: longRun, Class: "ledger"})
 	if err != nil {
 		return err
@@ -42,13 +41,26 @@
 	if err := d.runUrgent(ctx, long[1:]); err != nil {
 		return err
 	}
-	r := d.submit(ctx, client.NewRequestID(), model.CancelJobs{IDs: append(long, "ledger-again")})
-	if !r.Code.OK() || !d.awaitPhase(ctx, model.JobCancelled, append(long[1:], "ledger-again")...) {
+	last := len(long) - 1
+	d.lasting = long[last]
+	rest := append(long[:last:last], "ledger-again")
+	r := d.submit(ctx, client.NewRequestID(), model.CancelJobs{IDs: rest})
+	if !r.Code.OK() || !d.awaitPhase(ctx, model.JobCancelled, rest...) {
 		return trace.LimitExceeded("jobs were not cancelled: %s", r.Error())
 	}
 	return nil
 }
 
+// endLasting checks that the job which ran while the leader was lost has gone
+// on, and that its worker learns of the cancellation from the other replicas.
+func (d *Demo) endLasting(ctx context.Context, before []run) {
+	after := d.runsOf(d.lasting)
+	r := d.submit(ctx, client.NewRequestID(), model.CancelJob{ID: d.lasting})
+	ended := d.awaitPhase(ctx, model.JobCancelled, d.lasting)
+	d.outcomes.add(len(before) == len(after) && r.Code == result.Accepted && ended, "a job goes on while the leader is lost, and the new leader ends it",
+		"%d runs before, %d after; %s, then %s", len(before), len(after), r.Code, d.job(d.lasting).Phase)
+}
+
 func processors(n int64) model.Resources {
 	return model.Resources{MilliCPU: n * 1000, MemoryMB: n * 1024}
 }
--- a/core/command/job/work_test.go
+++ b/core/command/job/work_test.go
@@ -92,3 +92,32 @@
 		assert.Assert(t, job.Term(n) >= 3*job.Pace(n), n)
 	}
 }
+
+// Guards against a job that is lost with its worker, and against a worker that
+// comes back and goes on with it.
+func TestJobOfADeadWorkerRunsElsewhere(t *testing.T) {
+	w := newWorld(t, 2)
+	w.submit("a", func(j *model.Job) { j.Declared = cores(8) })
+	w.reconcile()
+	first := w.job("a").Lease
+	w.must(model.ReportWork{Worker: first.Worker, Started: []model.JobStarted{{ID: "a", Token: first.Token}},
+		Usage: []model.JobReport{{ID: "a", Token: first.Token, Used: cores(8), Checkpoint: "half"}}})
+	i, _ := w.s.Instances.Get(first.Worker)
+	i.Phase = model.PhaseLost
+	w.s.Instances = w.s.Instances.Set(i.ID, i)
+	w.pass(job.Term(2) - time.Millisecond)
+	w.reconcile()
+	assert.Equal(t, w.job("a").Lease, first, "the worker may still run it")
+	w.pass(time.Millisecond)
+	w.reconcile()
+	w.reconcile()
+	second := w.job("a").Lease
+	assert.Assert(t, second.Worker != first.Worker && second.Token > first.Token)
+	list, _ := query.Assignments(w.s, second.Worker)
+	assert.Equal(t, list[0].Checkpoint, "half")
+	list, _ = query.Assignments(w.s, first.Worker)
+	assert.Equal(t, len(list), 0)
+	r := w.must(model.ReportWork{Worker: first.Worker, Ended: []model.JobEnded{{ID: "a", Token: first.Token, Succeeded: true}}})
+	assert.DeepEqual(t, r.Work.Jobs, []result.WorkAnswer{{Token: first.Token, Code: result.StaleToken, Asked: "stop"}})
+	assert.Equal(t, w.job("a").Phase, model.JobLeased)
+}
