--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -38,6 +38,8 @@
 	operator *client.Client
 	config   model.Config
 	caller   *caller
+	workers  []*Worker
+	lasting  model.JobID // runs while the leader is lost
 }
 
 // RunDemo runs the demo in a temporary folder; logs go to log.
@@ -69,6 +71,7 @@
 		{"start stand-in targets that announce themselves", d.startTargets},
 		{"play the recorded workload through all entry instances", d.playWorkload},
 		{"revise one answer while requests run", d.reviseAnswer},
+		{"run jobs on stand-in workers", d.runJobs},
 		{"drain an instance while requests run", d.drainInstance},
 		{"maintain instances of a pool in a wave while requests run", d.runWave},
 		{"lose the leader", d.loseLeader},
@@ -396,6 +399,7 @@
 // loseLeader ends the leader without notice and goes on with the other replicas.
 func (d *Demo) loseLeader(ctx context.Context) error {
 	id := client.NewRequestID()
+	runs := d.runsOf(d.lasting)
 	before := d.submit(ctx, id, model.AcceptConfig{Base: 2, Config: d.config})
 	leader := d.site.Leader()
 	if leader == nil {
@@ -418,10 +422,12 @@
 	held := d.inForce(ctx, 4)
 	d.outcomes.add(r.Code == result.Accepted && held, "a change accepted by the new leader is in force on every entry instance",
 		"%s, revision %d, in force on %d of %d", r.Code, r.Revision, d.countInForce(4), len(d.site.Entries))
+	d.endLasting(ctx, runs)
 	return nil
 }
 
 func (d *Demo) stopAll(ctx context.Context) error {
+	d.stopWorkers()
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	d.site.Targets = d.site.Targets[1:]
