--- a/entry/instance/worker_test.go
+++ b/entry/instance/worker_test.go
@@ -180,16 +180,3 @@
 	assert.NilError(t, s.Stop(t.Context()))
 	assert.Equal(t, (<-polled).Code, result.Stopping)
 }
-
-func (s *site) gauge(t *testing.T, name string) float64 {
-	t.Helper()
-	families, err := s.metrics.Gather()
-	assert.NilError(t, err)
-	for _, f := range families {
-		if f.GetName() == name {
-			return f.GetMetric()[0].GetGauge().GetValue()
-		}
-	}
-	t.Fatalf("no metric %s", name)
-	return 0
-}
