End the quarantine of an instance with its maintenance; read leases from the job index

Nothing ended a quarantine before (TestMaintenanceEndsQuarantine failed). The reconciler scanned every job in each pass to count the leases of an instance; it reads the index by worker now.

--- a/core/command/fleet/phase.go
+++ b/core/command/fleet/phase.go
@@ -60,10 +60,8 @@
 }
 
 func leasedTo(s *model.State, id model.InstanceID) (model.JobID, bool) {
-	for _, j := range s.Jobs.All() {
-		if j.Lease.Worker == id && (j.Phase == model.JobLeased || j.Phase == model.JobRunning) {
-			return j.ID, true
-		}
+	for _, j := range s.JobIndex.Worker(id) {
+		return j.ID, true
 	}
 	return "", false
 }
@@ -75,6 +73,7 @@
 		return result.New(result.OperationPending, "operation %s on instance %s has not ended", i.Operation, i.ID)
 	}
 	i.Generation++
+	i.Quarantined, i.Failures = false, 0 // the restart may have ended what made its jobs fail
 	if id, held := i.HeldByWave(); held {
 		i.Maintained, i.MaintainedBy = s.Clock, id
 		changeWave(s, id, func(w *model.Wave) { w.Running, w.Done = without(w.Running, i.ID), with(w.Done, i.ID) })
--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -33,7 +33,6 @@
 	policy  model.WavePolicy
 	all     []model.Instance // walking the table once is cheaper than in each part
 	usage   map[model.PoolName]*budget.Usage
-	leases  map[model.InstanceID]int  // built when first needed
 	targets map[model.InstanceID]bool // built when first needed
 	out     model.Decision
 }
--- a/core/command/fleet/reconcile_test.go
+++ b/core/command/fleet/reconcile_test.go
@@ -154,3 +154,14 @@
 	assert.DeepEqual(t, w.wave(t, "w").Done, []model.InstanceID{"a0"})
 	assert.Equal(t, len(w.wave(t, "w").Pending), 5)
 }
+
+// Guards against an instance that stays quarantined for ever because nothing
+// ends the quarantine, not even its maintenance.
+func TestMaintenanceEndsQuarantine(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.set("a1", func(i *model.Instance) { i.Quarantined, i.Failures = true, 5 })
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.wave(t, "w").Phase == model.WaveDone })
+	assert.Assert(t, !w.instance("a1").Quarantined)
+	assert.Equal(t, w.instance("a1").Failures, 0)
+}
