--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -9,12 +9,14 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"lacewingturn.example/cmd/internal/instance"
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
 )
 
@@ -32,11 +34,18 @@
 	Targets  []*Target
 	replicas []instance.Replica
 	log      io.Writer
+
+	platform     *server.Server
+	stopPlatform context.CancelFunc
 }
 
-// New starts control replicas and entry instances that keep their data below folder.
-func New(ctx context.Context, folder string, log io.Writer) (*Site, error) {
+// New starts a stub of the platform with the instances, control replicas and
+// entry instances. They keep their data below folder.
+func New(ctx context.Context, folder string, instances []model.InstanceSpec, log io.Writer) (*Site, error) {
 	s := &Site{Folder: folder, log: log}
+	if err := s.startPlatform(ctx, instances); err != nil {
+		return nil, err
+	}
 	for i := range dataCenters {
 		address, err := freeAddress()
 		if err != nil {
@@ -77,7 +86,7 @@
 func (s *Site) settings(name string, role instance.Role, i int) (instance.Settings, error) {
 	out := instance.Settings{
 		Name: name, Roles: []instance.Role{role}, Domain: domain(i), Replicas: s.replicas,
-		DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
+		RecordFolder: s.Folder, DrainTimeout: 20 * time.Second, Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
 	var err error
 	if out.InternalAddress, err = freeAddress(); err != nil {
@@ -85,6 +94,7 @@
 	}
 	if role == instance.RoleControl {
 		out.InternalAddress = s.replicas[i].Address
+		out.PlatformURL = "http://" + s.platform.Address()
 		out.DataFolder = filepath.Join(s.Folder, name)
 		out.OperatorAddress, err = freeAddress()
 	} else {
@@ -184,18 +194,24 @@
 	return out
 }
 
-// Stop shuts the site down gracefully: targets, entry instances, replicas.
+// Stop shuts the site down gracefully: targets, entry instances, replicas. The
+// processes of one kind stop at the same time.
 func (s *Site) Stop(ctx context.Context) error {
-	var errs []error
-	for _, t := range s.Targets {
-		errs = append(errs, t.Leave(ctx))
-	}
-	for _, e := range s.Entries {
-		errs = append(errs, e.Stop(ctx))
-	}
-	for _, c := range s.Controls {
-		errs = append(errs, c.Stop(ctx))
+	targets := stopAll(s.Targets, func(t *Target) error { return t.Leave(ctx) })
+	entries := stopAll(s.Entries, func(p *instance.Process) error { return p.Stop(ctx) })
+	controls := stopAll(s.Controls, func(p *instance.Process) error { return p.Stop(ctx) })
+	platform := s.platform.Stop(ctx)
+	s.stopPlatform()
+	return trace.NewAggregate(targets, entries, controls, platform)
+}
+
+func stopAll[T any](list []T, stop func(T) error) error {
+	errs := make([]error, len(list))
+	var all sync.WaitGroup
+	for i, v := range list {
+		all.Go(func() { errs[i] = stop(v) })
 	}
+	all.Wait()
 	return trace.NewAggregate(errs...)
 }
 
--- a/core/model/commands_job.go
+++ b/core/model/commands_job.go
@@ -15,6 +15,8 @@
 type PlaceJob struct {
 	ID     JobID
 	Worker InstanceID
+	// Borrow allows the team to exceed its quota with idle capacity.
+	Borrow bool
 }
 
 // JobStarted is reported by the worker.
@@ -42,17 +44,31 @@
 	Reason    string
 }
 
+// ReportWork is everything that one worker reports at one time. It renews the
+// lease of every job that it names.
+type ReportWork struct {
+	Worker InstanceID
+	// Held lists the tokens of the jobs that the worker still holds and has
+	// nothing new to say about.
+	Held    []uint64
+	Started []JobStarted
+	Usage   []JobReport
+	Ended   []JobEnded
+}
+
 // ExpireLease returns a job to the queue after its lease ran out.
 type ExpireLease struct {
 	ID    JobID
 	Token uint64
 }
 
-// ControlJob asks the worker to checkpoint, throttle or stop a job.
+// ControlJob asks the worker to checkpoint, throttle or stop a job, or with
+// ActionNone to run it at full speed again.
 type ControlJob struct {
 	ID     JobID
 	Token  uint64
 	Action JobAction
+	For    JobID // the job that room is made for
 	Reason string
 }
 
@@ -61,11 +77,16 @@
 
 // Actions on a running job.
 const (
-	ActionCheckpoint JobAction = iota + 1
-	ActionThrottle
-	ActionStop
+	ActionNone       JobAction = iota
+	ActionCheckpoint           // save progress, end, and continue later
+	ActionThrottle             // continue with half of the processors
+	ActionStop                 // end; progress since the last checkpoint is lost
 )
 
+func (a JobAction) String() string {
+	return [...]string{"none", "checkpoint", "throttle", "stop"}[min(int(a), 3)]
+}
+
 func (SubmitJob) isCommand()   {}
 func (CancelJob) isCommand()   {}
 func (CancelJobs) isCommand()  {}
@@ -73,5 +94,6 @@
 func (JobStarted) isCommand()  {}
 func (JobReport) isCommand()   {}
 func (JobEnded) isCommand()    {}
+func (ReportWork) isCommand()  {}
 func (ExpireLease) isCommand() {}
 func (ControlJob) isCommand()  {}
--- a/entry/command/announcements.go
+++ b/entry/command/announcements.go
@@ -8,15 +8,13 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/credit"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry/command/announce"
 	"lacewingturn.example/node/event"
 )
 
-// HeartbeatEvery is the time between heartbeats that targets are asked for.
-const HeartbeatEvery = 500 * time.Millisecond
-
 // announceTimeout bounds the commit of an announcement. It leaves a target
 // time to try another entry instance before 3 s have passed.
 const announceTimeout = 1200 * time.Millisecond
@@ -85,7 +83,8 @@
 		g.announced(w, bad)
 		return
 	}
-	if !g.port.TrySend(heartbeat{target: id, Heartbeat: h}) {
+	beat := credit.Heartbeat{Key: credit.Key{Target: id, Generation: h.Generation}, Sequence: h.Sequence, Running: slotsByMember(h.Running)}
+	if !g.port.TrySend(heartbeat{Heartbeat: beat}) {
 		g.announced(w, result.New(result.Overloaded, "the mailbox is full"))
 		return
 	}
@@ -159,5 +158,14 @@
 	info := r.Code.Info()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(info.HTTP)
-	_ = json.NewEncoder(w).Encode(announced{Code: r.Code, Name: info.Name, Detail: r.Detail, HeartbeatMs: HeartbeatEvery.Milliseconds()})
+	_ = json.NewEncoder(w).Encode(announced{Code: r.Code, Name: info.Name, Detail: r.Detail, HeartbeatMs: g.pace().Milliseconds()})
+}
+
+// pace returns the time between heartbeats that targets are asked for.
+func (g *Gateway) pace() time.Duration {
+	v := g.source.View()
+	if v == nil {
+		return credit.Pace(0, 1)
+	}
+	return credit.Pace(v.Traffic.Targets.Len(), v.Traffic.Entries.Len())
 }
--- a/entry/command/claims.go
+++ b/entry/command/claims.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -18,6 +18,10 @@
 	proposeBackoff = 50 * time.Millisecond
 	// claimPatience is how long a request waits for a leader; it outlives a failover of 2 s.
 	claimPatience = 3 * time.Second
+	// settleLinger is how long outcomes alone wait for a claim to be proposed
+	// with, so that the next claim does not wait behind their proposal. It exceeds
+	// a commit on a slow disk.
+	settleLinger = 25 * time.Millisecond
 	// settleKeep is how long an outcome that could not be recorded is proposed again.
 	settleKeep = time.Minute
 )
@@ -29,6 +33,7 @@
 	until    time.Time
 	maybe    bool // an earlier proposal may have been committed
 	reply    chan claimReply
+	ended    func() // called when the task has ended; may be nil
 }
 
 // claimReply is the result of the last command. If certain is false, the
@@ -46,7 +51,6 @@
 	metrics *Metrics
 	tasks   chan *claimTask
 	done    chan struct{}
-	open    sync.WaitGroup // tasks that have not ended
 }
 
 func newClaimer(id model.EntryID, c entry.Control, m *Metrics) *claimer {
@@ -56,7 +60,6 @@
 // submit hands a task to the claimer. It waits if the queue is full; the number
 // of senders is bounded by the requests in flight.
 func (c *claimer) submit(t *claimTask) {
-	c.open.Add(1)
 	select {
 	case c.tasks <- t:
 	case <-c.done:
@@ -68,7 +71,9 @@
 	if t.reply != nil {
 		t.reply <- r
 	}
-	c.open.Done()
+	if t.ended != nil {
+		t.ended()
+	}
 }
 
 // run proposes until ctx ends.
@@ -100,15 +105,37 @@
 			return nil, false
 		}
 	}
+	return c.linger(ctx, c.gather(batch)), true
+}
+
+// gather adds what is waiting.
+func (c *claimer) gather(batch []*claimTask) []*claimTask {
 	for len(batch) < maxClaimBatch {
 		select {
 		case t := <-c.tasks:
 			batch = append(batch, t)
 		default:
-			return batch, true
+			return batch
+		}
+	}
+	return batch
+}
+
+// linger holds back a batch that nobody waits for until somebody does.
+func (c *claimer) linger(ctx context.Context, batch []*claimTask) []*claimTask {
+	timer := time.NewTimer(settleLinger)
+	defer timer.Stop()
+	for len(batch) < maxClaimBatch && !slices.ContainsFunc(batch, func(t *claimTask) bool { return t.reply != nil }) {
+		select {
+		case t := <-c.tasks:
+			batch = c.gather(append(batch, t))
+		case <-timer.C:
+			return batch
+		case <-ctx.Done():
+			return batch
 		}
 	}
-	return batch, true
+	return batch
 }
 
 // propose sends a batch and returns the tasks to be proposed again.
--- a/entry/command/gateway.go
+++ b/entry/command/gateway.go
@@ -24,6 +24,7 @@
 // goroutines of requests; they read the published view and send messages to
 // the machine.
 type Gateway struct {
+	ctx     context.Context // ends with the instance
 	id      model.EntryID
 	log     *zap.Logger
 	metrics *Metrics
@@ -48,6 +49,10 @@
 	a := g.answer(ctx, r)
 	span.SetAttributes(attribute.Int("lacewingturn.result", int(a.result.Code)), attribute.String("lacewingturn.outcome", a.outcome.String()))
 	g.metrics.results.WithLabelValues(codeLabel(a.result.Code)).Inc()
+	if a.stream != nil && a.stream.length < 0 && !r.ProtoAtLeast(1, 1) {
+		a.stream.drop()
+		a = refusal(result.New(result.TargetTruncated, "an answer without a length cannot be passed on whole to an HTTP/1.0 caller"), 0)
+	}
 	if err := a.write(w); errors.Is(err, errAborted) {
 		event.AnswerAborted.Log(g.log, zap.String("path", r.URL.Path))
 		panic(http.ErrAbortHandler)
@@ -101,7 +106,12 @@
 	if g.port.Send(context.WithoutCancel(ctx), cancellation{a.id}) != nil {
 		return a.id, decision{code: result.Stopping, detail: "the instance has stopped"}
 	}
-	d := <-a.reply
+	var d decision
+	select {
+	case d = <-a.reply:
+	case <-g.ctx.Done():
+		return a.id, decision{code: result.Stopping, detail: "the instance has stopped"}
+	}
 	switch {
 	case d.code == result.OK:
 		g.finish(a.id, sample{kind: sampleUnsent})
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,8 @@
 	ports  []loop.Port
 	hook   func(n int, apply func() []result.Result) ([]result.Result, error)
 	number int
+	// applied is closed when commands have been applied.
+	applied chan struct{}
 }
 
 func newControl(c model.Config, instances ...model.Instance) *fakeControl {
@@ -63,12 +66,47 @@
 		f.state = next
 		out = append(out, r)
 	}
+	if f.applied != nil {
+		close(f.applied)
+		f.applied = nil
+	}
 	if !before.Targets.Same(f.state.Targets) || !before.Entries.Same(f.state.Entries) {
 		f.publish()
 	}
 	return out
 }
 
+// cutOff ends the messages to one instance.
+func (f *fakeControl) cutOff(port loop.Port) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ports = slices.DeleteFunc(f.ports, func(p loop.Port) bool { return p == port })
+}
+
+// Assignments implements entry.Assignments. It looks again when a command has
+// been applied.
+func (f *fakeControl) Assignments(ctx context.Context, worker model.InstanceID, since model.Index, wait time.Duration) (query.Assigned, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		f.mu.Lock()
+		jobs, index := query.Assignments(f.state, worker)
+		if f.applied == nil {
+			f.applied = make(chan struct{})
+		}
+		applied := f.applied
+		f.mu.Unlock()
+		if index > since {
+			return query.Assigned{Index: index, Changed: true, Jobs: jobs}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return query.Assigned{Index: since}, nil
+		case <-applied:
+		}
+	}
+}
+
 func (f *fakeControl) publish() {
 	for _, p := range f.ports {
 		_ = p.Send(context.Background(), entry.TrafficChanged{View: query.TrafficOf(f.state)})
@@ -83,6 +121,13 @@
 	f.publish()
 }
 
+// set installs a hook, which may lose answers.
+func (f *fakeControl) set(hook func(n int, apply func() []result.Result) ([]result.Result, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hook = hook
+}
+
 func (f *fakeControl) claim(key model.RequestID, caller model.CallerID) (model.Claim, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -112,6 +157,9 @@
 	control *fakeControl
 	server  *httptest.Server
 	metrics *prometheus.Registry
+	epoch   uint64
+	stop    func()
+	letGo   func() // ends the renewal of the lease
 }
 
 // startEntry joins an entry instance and keeps its lease valid.
@@ -123,10 +171,14 @@
 		tracer = noop.NewTracerProvider().Tracer("")
 	}
 	i, err := New(Settings{
-		ID: id, Control: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
+		ID: id, Control: control, Assignments: control, Loop: l, Log: zap.NewNop(), Metrics: reg, Tracer: tracer, Withdrawal: time.Millisecond,
 	})
 	assert.NilError(t, err)
-	s := &site{Instance: i, control: control, server: httptest.NewServer(i.Traffic), metrics: reg}
+	s := &site{Instance: i, control: control, metrics: reg}
+	handler := http.NewServeMux()
+	handler.Handle("/", i.Traffic)
+	handler.Handle(i.PeerPath, i.Peers)
+	s.server = httptest.NewServer(handler)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { l.Run(ctx) })
@@ -136,13 +188,16 @@
 	control.mu.Unlock()
 	results, err := control.Propose(ctx, []model.Envelope{{Command: model.JoinEntry{ID: id, Address: s.server.Listener.Addr().String()}}})
 	assert.NilError(t, err)
-	s.lease(results[0].Revision, time.Hour)
+	s.epoch = results[0].Revision
+	s.keepLease()
 	s.until(t, func() bool { ok, _ := s.Source.View().Ready(time.Now()); return ok })
-	t.Cleanup(func() {
-		s.server.Close()
+	s.stop = sync.OnceFunc(func() {
+		s.letGo()
 		cancel()
+		s.server.Close()
 		done.Wait()
 	})
+	t.Cleanup(s.stop)
 	return s
 }
 
@@ -158,10 +213,41 @@
 	t.Fatal("state not reached within 10 s")
 }
 
-func (s *site) lease(epoch uint64, valid time.Duration) {
-	now := time.Now()
-	_ = s.Port.Send(context.Background(), entry.LeaseRenewed{Until: now.Add(valid), Epoch: epoch})
-	_ = s.Port.Send(context.Background(), entry.ControlContact{At: now.Add(valid)})
+// keepLease renews the lease and the contact as the control link does.
+func (s *site) keepLease() {
+	held := make(chan struct{})
+	s.letGo = sync.OnceFunc(func() { close(held) })
+	renew := func() {
+		now := time.Now()
+		_ = s.Port.Send(context.Background(), entry.LeaseRenewed{Until: now.Add(entry.StaleAfter), Epoch: s.epoch})
+		_ = s.Port.Send(context.Background(), entry.ControlContact{At: now})
+	}
+	renew()
+	go func() {
+		ticker := time.NewTicker(500 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				renew()
+			case <-held:
+				return
+			}
+		}
+	}()
+}
+
+// loseTouch ends the renewals and the changes of the traffic view.
+func (s *site) loseTouch() {
+	s.control.cutOff(s.Port)
+	s.letGo()
+}
+
+// kill ends an instance without a graceful shutdown.
+func (s *site) kill() {
+	s.loseTouch()
+	s.server.CloseClientConnections()
+	s.stop()
 }
 
 // target starts a back end and announces it.
@@ -169,11 +255,16 @@
 	t.Helper()
 	back := httptest.NewServer(h)
 	t.Cleanup(back.Close)
+	s.join(t, id, back.Listener.Addr().String())
+	return back
+}
+
+func (s *site) join(t testing.TB, id, address string) {
+	t.Helper()
 	status, body := s.announce(t, id, "join", fmt.Sprintf(`{"instance":%q,"service":%q,"address":%q,"generation":1}`,
-		strings.Replace(id, "t", "w", 1), service, back.Listener.Addr()))
+		strings.Replace(id, "t", "w", 1), service, address))
 	assert.Equal(t, status, http.StatusOK, body)
 	s.until(t, func() bool { return s.Source.View().Traffic.Targets.Has(model.TargetID(id)) })
-	return back
 }
 
 func (s *site) announce(t testing.TB, id, what, body string) (int, string) {
