Test losses of control replicas end to end with real processes

Cause: killed, frozen and replaced replicas were tested inside one process or without entry instances.

--- /dev/null
+++ b/cmd/internal/faults/caller.go
@@ -0,0 +1,89 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lacewingturn.example/cmd/site"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// callTimeout bounds a call as a caller would; the service answers within 10 s.
+const callTimeout = 15 * time.Second
+
+// Call is one request of a caller.
+type Call struct {
+	Key string // idempotency key; empty for an idempotent request
+	ID  string // body of the request, repeated in the answer
+	Run time.Duration
+}
+
+// Once returns a non-idempotent call with a new key.
+func Once(id string, run time.Duration) Call {
+	return Call{Key: string(client.NewRequestID()), ID: id, Run: run}
+}
+
+// Reply is what the caller got. Without an answer only Err is set.
+type Reply struct {
+	Code    result.Code
+	Outcome string
+	Body    string
+	Whole   bool // the body is the complete answer to this very call
+	Err     error
+}
+
+func (r Reply) String() string {
+	return fmt.Sprintf("%s (%d) outcome %q body %q error %v", r.Code, r.Code, r.Outcome, r.Body, r.Err)
+}
+
+// NotRun reports whether the caller was told that the work did not run.
+func (r Reply) NotRun() bool { return r.Err == nil && r.Outcome == result.OutcomeNotRun.String() }
+
+// Done reports whether the caller was told that the work ran.
+func (r Reply) Done() bool { return r.Err == nil && r.Outcome == result.OutcomeDone.String() }
+
+// Send sends a call to an entry instance.
+func (s *Site) Send(ctx context.Context, client *http.Client, entry *Process, c Call) Reply {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	method := http.MethodGet
+	if c.Key != "" {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s/services/%s/work", entry.Address, s.Config.Services[0].Name)
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(c.ID))
+	if err != nil {
+		return Reply{Err: err}
+	}
+	req.Header.Set("Lacewingturn-Caller", "counter")
+	req.Header.Set(site.HeaderRun, strconv.FormatInt(c.Run.Milliseconds(), 10))
+	if c.Key != "" {
+		req.Header.Set("Idempotency-Key", c.Key)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return Reply{Err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	r := Reply{Outcome: resp.Header.Get("Lacewingturn-Outcome"), Body: string(body), Err: err}
+	if code, err := strconv.Atoi(resp.Header.Get("Lacewingturn-Result")); err == nil {
+		r.Code = result.Code(code)
+	}
+	r.Whole = err == nil && resp.StatusCode == http.StatusOK && strings.HasSuffix(r.Body, fmt.Sprintf("did %s /work %s", method, c.ID))
+	return r
+}
+
+// Runs returns how often the targets ran a key.
+func (s *Site) Runs(key string) (n int) {
+	for _, t := range s.Targets {
+		n += t.Runs()[key]
+	}
+	return n
+}
--- /dev/null
+++ b/cmd/internal/faults/load_test.go
@@ -0,0 +1,250 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	RemoveBinary()
+	os.Exit(code)
+}
+
+// answered is a call and the reply to it.
+type answered struct {
+	call  Call
+	entry *Process
+	reply Reply
+}
+
+// load sends calls until it is stopped.
+type load struct {
+	site   *Site
+	http   *http.Client
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+	count  atomic.Int64
+
+	mu      sync.Mutex
+	replies []answered
+}
+
+// startLoad sends calls with a number of senders for each entry instance. A
+// sender that gets no answer goes on with the next call.
+func startLoad(s *Site, senders int, once bool, run time.Duration, entries ...*Process) *load {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	l := &load{site: s, cancel: cancel, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders}}}
+	for _, e := range entries {
+		for i := range senders {
+			l.all.Go(func() { l.send(ctx, e, i, once, run) })
+		}
+	}
+	return l
+}
+
+func (l *load) send(ctx context.Context, e *Process, sender int, once bool, run time.Duration) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c := Call{ID: fmt.Sprintf("%s-%d-%d", e.Name, sender, n), Run: run}
+		if once {
+			c = Once(c.ID, run)
+		}
+		r := l.site.Send(context.WithoutCancel(ctx), l.http, e, c)
+		l.mu.Lock()
+		l.replies = append(l.replies, answered{c, e, r})
+		l.mu.Unlock()
+		if r.Whole {
+			l.count.Add(1)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// progress waits until n more calls were answered whole.
+func (l *load) progress(n int64) {
+	l.site.t.Helper()
+	from := l.count.Load()
+	l.site.Until(fmt.Sprintf("%d more calls are answered", n), func() bool { return l.count.Load() >= from+n })
+}
+
+// stop returns all replies.
+func (l *load) stop() []answered {
+	l.cancel()
+	l.all.Wait()
+	l.http.CloseIdleConnections()
+	return l.replies
+}
+
+// checkOnce checks the replies to non-idempotent calls against what the targets
+// ran, then resends each call to another entry instance and compares.
+func checkOnce(s *Site, replies []answered, others ...*Process) (done, notRun, unknown int) {
+	t := s.t
+	t.Helper()
+	check := func(a answered) {
+		runs := s.Runs(a.call.Key)
+		switch {
+		case a.reply.Done():
+			assert.Check(t, a.reply.Whole && runs == 1, "%s: %d runs", a.reply, runs)
+			done++
+		case a.reply.NotRun():
+			assert.Check(t, runs == 0, "%s: %d runs", a.reply, runs)
+			notRun++
+		default:
+			assert.Check(t, runs <= 1, "%s: %d runs", a.reply, runs)
+			unknown++
+		}
+	}
+	for _, a := range replies {
+		check(a)
+	}
+	c := &http.Client{}
+	var all sync.WaitGroup
+	turns := make(chan struct{}, 8)
+	for i, a := range replies {
+		if i%max(1, len(replies)/100) != 0 && a.reply.Done() {
+			continue // resend all calls without a recorded outcome and a hundred others
+		}
+		turns <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turns }()
+			again := s.Send(t.Context(), c, others[i%len(others)], a.call)
+			runs := s.Runs(a.call.Key)
+			assert.Check(t, runs <= 1, "%s after %s: %d runs", again, a.reply, runs)
+			if a.reply.Done() {
+				assert.Check(t, again.Code == result.Recorded && again.Body == a.reply.Body, "first %s, then %s", a.reply, again)
+			}
+			if again.Done() {
+				assert.Check(t, runs == 1, "%s after %s: %d runs", again, a.reply, runs)
+			}
+		})
+	}
+	all.Wait()
+	c.CloseIdleConnections()
+	return done, notRun, unknown
+}
+
+// change is an operator command and its result.
+type change struct {
+	id      model.RequestID
+	command model.AcceptConfig
+	result  result.Result
+}
+
+// changes submits configurations one after the other until it is stopped.
+type changes struct {
+	site   *Site
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+	count  atomic.Int64
+	list   []change // read after stop
+}
+
+func startChanges(s *Site) *changes {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	c := &changes{site: s, cancel: cancel}
+	operator := s.Operator("stream")
+	c.all.Go(func() {
+		base := model.Revision(1)
+		for n := 0; ctx.Err() == nil; n++ {
+			next := change{id: client.NewRequestID(), command: model.AcceptConfig{Base: base, Config: s.Named(fmt.Sprintf("stream-%d", n))}}
+			call, done := context.WithTimeout(context.WithoutCancel(ctx), patience)
+			next.result = operator.Submit(call, next.id, next.command)
+			done()
+			c.list = append(c.list, next)
+			if next.result.Code != result.Accepted {
+				return
+			}
+			base = model.Revision(next.result.Revision)
+			c.count.Add(1)
+		}
+	})
+	return c
+}
+
+func (c *changes) progress(n int64) {
+	c.site.t.Helper()
+	from := c.count.Load()
+	c.site.Until(fmt.Sprintf("%d more changes are accepted", n), func() bool { return c.count.Load() >= from+n })
+}
+
+// stop checks that every change was accepted once and that a resend gets the
+// first result, and returns the newest revision.
+func (c *changes) stop() uint64 {
+	t := c.site.t
+	t.Helper()
+	c.cancel()
+	c.all.Wait()
+	operator := c.site.Operator("stream")
+	newest := uint64(1)
+	for i, x := range c.list {
+		assert.Equal(t, x.result.Code, result.Accepted, "%s", x.result.Error())
+		assert.Equal(t, x.result.Revision, newest+1, "a change was lost or applied twice")
+		newest = x.result.Revision
+		if i%max(1, len(c.list)/50) == 0 || i == len(c.list)-1 {
+			again := operator.Submit(t.Context(), x.id, x.command)
+			assert.DeepEqual(t, again, x.result)
+		}
+	}
+	return newest
+}
+
+// watch records the revisions that entry instances show and fails when one
+// shows an older revision than before.
+type watch struct {
+	site   *Site
+	cancel context.CancelFunc
+	all    sync.WaitGroup
+	looks  atomic.Int64
+	failed atomic.Pointer[string]
+}
+
+func startWatch(s *Site, entries ...*Process) *watch {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	w := &watch{site: s, cancel: cancel}
+	for _, e := range entries {
+		w.all.Go(func() {
+			var held Readiness
+			for ctx.Err() == nil {
+				if r, ok := s.Readiness(e); ok {
+					if r.Revision < held.Revision || r.Index < held.Index {
+						text := fmt.Sprintf("%s went from revision %d index %d to %d and %d", e.Name, held.Revision, held.Index, r.Revision, r.Index)
+						w.failed.Store(&text)
+					}
+					held = r
+					w.looks.Add(1)
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(5 * time.Millisecond):
+				}
+			}
+		})
+	}
+	return w
+}
+
+func (w *watch) stop() {
+	w.site.t.Helper()
+	w.cancel()
+	w.all.Wait()
+	if text := w.failed.Load(); text != nil {
+		w.site.t.Error(*text)
+	}
+	assert.Check(w.site.t, w.looks.Load() > 0)
+}
--- /dev/null
+++ b/cmd/internal/faults/replicas_test.go
@@ -0,0 +1,201 @@
+package faults
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// Guards against acknowledged changes or claims that are lost, and work that
+// runs twice, when replicas are killed one after the other under load.
+func TestKilledReplicasLoseNothingAcknowledged(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 2)
+	s.AddTarget(s.Entries...)
+	s.AddTarget(s.Entries...)
+	calls, stream := startLoad(s, 3, true, 2*time.Millisecond, s.Entries...), startChanges(s)
+	kill := func(i int) {
+		s.Controls[i].Kill()
+		stream.progress(10)
+		calls.progress(20)
+	}
+	restart := func(i int) {
+		newest := s.Status(s.Leader(s.Controls[i])).Index
+		s.Controls[i].Start()
+		s.Until("the restarted replica has caught up", func() bool { st := s.Status(i); return st != nil && st.Index >= newest })
+	}
+	stream.progress(5)
+	calls.progress(20)
+	leader := s.Leader()
+	kill(leader)
+	restart(leader)
+	follower := (s.Leader() + 1) % replicaCount
+	kill(follower)
+	restart(follower)
+	leader = s.Leader()
+	kill(leader)
+	restart(leader)
+	replies := calls.stop()
+	newest := stream.stop()
+	s.Until("the newest revision is in force", func() bool { return s.AllHold(newest, s.Entries...) })
+	done, notRun, unknown := checkOnce(s, replies, s.Entries...)
+	t.Logf("%d changes accepted; %d calls done, %d not run, %d unknown", newest-1, done, notRun, unknown)
+}
+
+// frozenFor is how long a frozen process stays so: longer than the lease of 2.5 s.
+const frozenFor = 3 * time.Second
+
+// Guards against a leader that goes on as such after it was frozen for longer
+// than its lease, and against older state that it then spreads.
+func TestFrozenLeaderStepsDownAndRevertsNothing(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 3)
+	s.AddTarget(s.Entries...)
+	calls, stream, looks := startLoad(s, 2, true, 2*time.Millisecond, s.Entries...), startChanges(s), startWatch(s, s.Entries...)
+	stream.progress(5)
+	old := s.Leader()
+	before := s.Status(old)
+	s.Controls[old].Signal(syscall.SIGSTOP)
+	thaw := time.After(frozenFor)
+	next := s.Leader(s.Controls[old])
+	stream.progress(20)
+	<-thaw
+	accepted := uint64(stream.count.Load())
+	asked := s.OperatorAt("late", s.Controls[old].Address)
+	s.Controls[old].Signal(syscall.SIGCONT)
+	// A change made from the revision that the old leader holds must lose.
+	r := asked.Submit(t.Context(), client.NewRequestID(), model.AcceptConfig{Base: 1, Config: s.Named("reverted")})
+	assert.Check(t, r.Code == result.Conflicting && r.Conflict.Revision > 1, "%s", r.Error())
+	s.Until("the old leader follows", func() bool {
+		st := s.Status(old)
+		return st != nil && !st.Leader && st.Term > before.Term && st.Index >= s.Status(next).Index-1
+	})
+	stream.progress(10)
+	calls.progress(10)
+	replies := calls.stop()
+	newest := stream.stop()
+	assert.Check(t, newest > accepted)
+	s.Until("the newest revision is in force", func() bool { return s.AllHold(newest, s.Entries...) })
+	looks.stop()
+	for i := range s.Controls {
+		s.Until("every replica has the newest revision", func() bool { return revisionOf(s, i) == newest })
+	}
+	checkOnce(s, replies, s.Entries...)
+	t.Logf("leader %s, then %s; revision %d", s.Controls[old].Name, s.Controls[next].Name, newest)
+}
+
+// revisionOf returns the configuration in force on one replica.
+func revisionOf(s *Site, i int) uint64 {
+	var v query.HistoryView
+	if _, err := s.OperatorAt("reader", s.Controls[i].Address).Read(s.t.Context(), operatorv1.View_VIEW_HISTORY, "", &v); err != nil {
+		return 0
+	}
+	return v.Revision
+}
+
+// accept commits n configurations and returns the newest revision.
+func accept(s *Site, base uint64, n int) uint64 {
+	s.t.Helper()
+	operator := s.Operator("accept")
+	for range n {
+		r := operator.Submit(s.t.Context(), client.NewRequestID(), model.AcceptConfig{Base: model.Revision(base), Config: s.Named("after-" + string(client.NewRequestID()))})
+		if r.Code != result.Accepted {
+			s.t.Fatal(r.Error())
+		}
+		base = r.Revision
+	}
+	return base
+}
+
+// Guards against a replica that lost its disk and votes as if it had not, and
+// against a folder restored from a copy that takes accepted changes back.
+func TestLostFolderRejoinsAndOlderCopyIsRefused(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 1)
+	revision := accept(s, 1, 5)
+	lost := (s.Leader() + 1) % replicaCount
+	p := s.Controls[lost]
+	p.Kill()
+	copied := p.Folder + "-copy"
+	assert.NilError(t, os.CopyFS(copied, os.DirFS(p.Folder)))
+	assert.NilError(t, os.RemoveAll(p.Folder))
+	revision = accept(s, revision, 5)
+	p.Start()
+	s.Until("the replica has rejoined", func() bool { return revisionOf(s, lost) == revision })
+	id := s.Status(lost).ReplicaId
+	assert.Check(t, strings.HasPrefix(id, p.Name), id)
+
+	// The new member counts: with another replica gone, it is needed for a quorum.
+	s.Until("the new member votes", func() bool { return replicaState(s, id).Voter })
+	other := replicaCount - lost - s.Leader()
+	s.Controls[other].Kill()
+	revision = accept(s, revision, 5)
+	s.Controls[other].Start()
+	s.Until("the other replica is back", func() bool { return revisionOf(s, other) == revision })
+
+	// An older copy put back in place of the folder is refused.
+	p.Kill()
+	assert.NilError(t, os.Rename(p.Folder, p.Folder+"-newer"))
+	assert.NilError(t, os.Rename(copied, p.Folder))
+	p.Start()
+	assert.Check(t, p.Wait() != nil)
+	assert.Check(t, strings.Contains(p.Log(), "data folder copied"), p.Log())
+	revision = accept(s, revision, 1)
+
+	// The files of the older log in the genuine folder are refused by the leader.
+	assert.NilError(t, os.RemoveAll(p.Folder))
+	assert.NilError(t, os.Rename(p.Folder+"-newer", p.Folder))
+	kept := t.TempDir()
+	assert.NilError(t, os.CopyFS(kept, os.DirFS(p.Folder)))
+	p.Start()
+	s.Until("the replica is back", func() bool { return revisionOf(s, lost) == revision })
+	revision = accept(s, revision, 5)
+	s.Until("the replica holds the newest revision", func() bool { return revisionOf(s, lost) == revision })
+	p.Kill()
+	overwrite(t, kept, p.Folder)
+	p.Start()
+	s.Until("the leader refuses the older log", func() bool { return strings.Contains(p.Log(), "refused by leader") })
+	revision = accept(s, revision, 5)
+	s.Until("the entry instance has the newest revision", func() bool { return s.AllHold(revision, s.Entries...) })
+}
+
+// replicaState returns what the leader reports about a replica.
+func replicaState(s *Site, id string) query.ReplicaState {
+	var v query.StatusView
+	if _, err := s.Operator("reader").Read(s.t.Context(), operatorv1.View_VIEW_STATUS, "", &v); err == nil {
+		for _, r := range v.Replicas {
+			if string(r.ID) == id {
+				return r
+			}
+		}
+	}
+	return query.ReplicaState{}
+}
+
+// overwrite writes older contents into the files of a folder, which keep their
+// identity, and removes the files that the older state did not have.
+func overwrite(t *testing.T, from, to string) {
+	t.Helper()
+	newer, err := os.ReadDir(to)
+	assert.NilError(t, err)
+	for _, f := range newer {
+		data, err := os.ReadFile(filepath.Join(from, f.Name()))
+		if os.IsNotExist(err) {
+			assert.NilError(t, os.Remove(filepath.Join(to, f.Name())))
+			continue
+		}
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(filepath.Join(to, f.Name()), data, 0o600))
+	}
+}
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -163,7 +164,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	l, err := server.ListenCounted(s.InternalAddress, mux, config, t)
+	l, err := server.ListenCounted(cmp.Or(s.InternalListen, s.InternalAddress), mux, config, t)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/cmd/internal/instance/settings.go
+++ b/cmd/internal/instance/settings.go
@@ -36,6 +36,9 @@
 	Domain model.Domain
 	// InternalAddress serves other processes of the system.
 	InternalAddress string
+	// InternalListen is the address to listen on when others reach the internal
+	// address through a forwarder; empty for the internal address itself.
+	InternalListen string
 	// PublicAddress serves callers and targets; role entry only.
 	PublicAddress string
 	// OperatorAddress serves operators; role control only.
--- a/cmd/lacewingturnd/settings.go
+++ b/cmd/lacewingturnd/settings.go
@@ -26,6 +26,7 @@
 	DataCenter      string   `help:"Data centre of this instance." env:"LACEWINGTURN_DATA_CENTER"`
 	Rack            string   `help:"Rack of this instance." default:"r0" env:"LACEWINGTURN_RACK"`
 	InternalAddress string   `help:"IP number and port for other processes of the system." default:"127.0.0.1:7400" env:"LACEWINGTURN_INTERNAL_ADDRESS"`
+	InternalListen  string   `help:"Address to listen on instead of the internal address, when others reach this instance through a forwarder." env:"LACEWINGTURN_INTERNAL_LISTEN"`
 	PublicAddress   string   `help:"IP number and port for callers and targets (role entry)." default:"127.0.0.1:7480" env:"LACEWINGTURN_PUBLIC_ADDRESS"`
 	OperatorAddress string   `help:"IP number and port for operators (role control)." default:"127.0.0.1:7490" env:"LACEWINGTURN_OPERATOR_ADDRESS"`
 	DataFolder      string   `help:"Folder of the durable state (role control)." env:"LACEWINGTURN_DATA_FOLDER"`
@@ -66,6 +67,9 @@
 		TraceEndpoint: f.TraceEndpoint,
 		RecordFolder:  f.Record,
 	}
+	if f.InternalListen != "" {
+		s.InternalListen = c.Address("internal-listen", f.InternalListen)
+	}
 	if s.Has(instance.RoleEntry) {
 		s.PublicAddress = c.Address("public-address", f.PublicAddress)
 	}
--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -33,12 +33,16 @@
 	Service  model.ServiceName
 	// Entries gives the base URLs to announce to, as a balancer would.
 	Entries func() []string
+	// Forwarded returns the address to announce for the one that the target
+	// listens on; nil announces the latter.
+	Forwarded func(address string) string
 
 	server  *server.Server
 	client  *http.Client
 	running atomic.Int64
 	peak    atomic.Int64
 	served  atomic.Int64
+	arrived atomic.Int64 // Unix time in nanoseconds
 	turn    atomic.Int64
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -59,8 +63,12 @@
 	}
 	t.server = s
 	s.Start()
+	address := s.Address()
+	if t.Forwarded != nil {
+		address = t.Forwarded(address)
+	}
 	if err := t.announce(ctx, "join", join{
-		Instance: t.Instance, Service: t.Service, Address: s.Address(), Generation: 1, Slots: 8, Connections: 64,
+		Instance: t.Instance, Service: t.Service, Address: address, Generation: 1, Slots: 8, Connections: 64,
 	}); err != nil {
 		return err
 	}
@@ -70,9 +78,14 @@
 	return nil
 }
 
+// Leaving announces that the target leaves; it goes on serving.
+func (t *Target) Leaving(ctx context.Context) error {
+	return t.announce(ctx, "leaving", leaving{Generation: 1})
+}
+
 // Leave announces that the target leaves, waits for what is in flight, and stops.
 func (t *Target) Leave(ctx context.Context) error {
-	err := t.announce(ctx, "leaving", leaving{Generation: 1})
+	err := t.Leaving(ctx)
 	t.cancel()
 	<-t.done
 	return trace.NewAggregate(err, t.server.Stop(ctx))
@@ -99,6 +112,12 @@
 // Served returns the number of requests that the target has taken.
 func (t *Target) Served() int { return int(t.served.Load()) }
 
+// Running returns the number of requests that run now.
+func (t *Target) Running() int { return int(t.running.Load()) }
+
+// LastArrival returns when the latest request arrived.
+func (t *Target) LastArrival() time.Time { return time.Unix(0, t.arrived.Load()) }
+
 // Peak returns the largest number of requests that ran at the same time.
 func (t *Target) Peak() int { return int(t.peak.Load()) }
 
@@ -106,6 +125,7 @@
 	now := t.running.Add(1)
 	defer t.running.Add(-1)
 	t.served.Add(1)
+	t.arrived.Store(time.Now().UnixNano())
 	for old := t.peak.Load(); now > old && !t.peak.CompareAndSwap(old, now); old = t.peak.Load() {
 	}
 	body, err := io.ReadAll(r.Body)
