Begin operator commands at the replica that answered last

Cause: a client began every command at the first address. While that replica was frozen, each of a stream of commands spent an attempt timeout of 1.5 s on it.

Conclusion: only the first command after a freeze waits for the timeout.

--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,6 +46,9 @@
 type Client struct {
 	settings Settings
 	http     *http.Client
+	// first is the position of the address that answered last. Beginning there
+	// spares every command an attempt timeout while another replica is silent.
+	first atomic.Int32
 }
 
 // New returns a client.
@@ -59,13 +63,19 @@
 // NewRequestID returns a request ID, which contains the time of issue.
 func NewRequestID() model.RequestID { return model.RequestID(uuid.Must(uuid.NewV7()).String()) }
 
-// rounds calls try for each replica in turn until it reports that it is done or
-// ctx ends.
+// rounds calls try for each replica in turn, beginning with the one that answered
+// last, until it reports that it is done or ctx ends.
 func (c *Client) rounds(ctx context.Context, try func(address string) (done bool)) {
 	backoff := minBackoff
 	for {
-		for _, address := range c.settings.Addresses {
-			if try(address) || ctx.Err() != nil {
+		first := int(c.first.Load())
+		for i := range c.settings.Addresses {
+			n := (first + i) % len(c.settings.Addresses)
+			if try(c.settings.Addresses[n]) {
+				c.first.Store(int32(n))
+				return
+			}
+			if ctx.Err() != nil {
 				return
 			}
 		}
