End credits with the lease of their holder and grant none for leaving targets

Cause: an entry instance that was cut off from all replicas but reached other entry instances still got credits for a target that had left. The owner of the target knew of the departure but went on granting, and the holder used credits of 1 s beyond its own lease of 2.5 s.

The owner now counts no slots for a target that is not ready, and a holder ends its credits with its lease. The simulated site of the credit tests renews the holder together with the owner, as the machine does; its checks are unchanged.

Also tests lost entry instances, silent connections, returning instances, racing operators and graceful stops.

--- a/cmd/internal/faults/caller.go
+++ b/cmd/internal/faults/caller.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -19,9 +20,10 @@
 
 // Call is one request of a caller.
 type Call struct {
-	Key string // idempotency key; empty for an idempotent request
-	ID  string // body of the request, repeated in the answer
-	Run time.Duration
+	Caller string // "counter" if empty
+	Key    string // idempotency key; empty for an idempotent request
+	ID     string // body of the request, repeated in the answer
+	Run    time.Duration
 }
 
 // Once returns a non-idempotent call with a new key.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return Reply{Err: err}
 	}
-	req.Header.Set("Lacewingturn-Caller", "counter")
+	req.Header.Set("Lacewingturn-Caller", cmp.Or(c.Caller, "counter"))
 	req.Header.Set(site.HeaderRun, strconv.FormatInt(c.Run.Milliseconds(), 10))
 	if c.Key != "" {
 		req.Header.Set("Idempotency-Key", c.Key)
--- /dev/null
+++ b/cmd/internal/faults/entries_test.go
@@ -0,0 +1,149 @@
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// slotsPerTarget is what a worker offers, from docs/design.md.
+const slotsPerTarget = 8
+
+// Guards against work that runs again on a resend after its entry instance has
+// died, and against slots that stay lost or are given out twice.
+func TestKilledEntryLeavesUnknownAndReturnsItsSlots(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 2)
+	dying, other := s.Entries[0], s.Entries[1]
+	target := s.AddTarget(other)
+	calls := startLoad(s, 2*slotsPerTarget, true, 300*time.Millisecond, dying)
+	s.Until("the target runs 8 requests", func() bool { return target.Running() == slotsPerTarget })
+	dying.Kill()
+	lost := 0
+	var resends sync.WaitGroup
+	var unknown atomic.Int64
+	for _, a := range calls.stop() {
+		if a.reply.Done() || notConnected(a.reply.Err) {
+			continue
+		}
+		lost++
+		resends.Go(func() {
+			r := s.Send(t.Context(), http.DefaultClient, other, a.call)
+			runs := s.Runs(a.call.Key)
+			switch {
+			case r.Code == result.ClaimantLost && r.Outcome == result.OutcomeUnknown.String():
+				unknown.Add(int64(runs))
+				assert.Check(t, runs <= 1, "%s: %d runs", r, runs)
+			case r.Done(): // recorded before the end, or never claimed and run now
+				assert.Check(t, runs == 1, "%s: %d runs", r, runs)
+			default:
+				t.Errorf("%s: %d runs", r, runs)
+			}
+		})
+	}
+	resends.Wait()
+	assert.Check(t, unknown.Load() > 0, "of %d calls without an answer none was running", lost)
+	calling := startLoad(s, 2*slotsPerTarget, false, 100*time.Millisecond, other)
+	s.Until("the target runs 8 requests again", func() bool { return target.Running() == slotsPerTarget })
+	calling.progress(5 * slotsPerTarget)
+	calling.stop()
+	assert.Equal(t, target.Peak(), slotsPerTarget)
+}
+
+// Guards against an entry instance that comes back after a long time and serves
+// with old state, or shows intermediate states as if they were in force. The
+// replica of its own data centre is frozen during the changes and offers old
+// state first.
+func TestReturningEntryIsReadyOnlyWithNewestRevision(t *testing.T) {
+	t.Parallel()
+	const missed = 500
+	s := Start(t, 3)
+	leader := s.Leader()
+	lagging := (leader + 1) % replicaCount
+	returning := s.Entries[lagging] // in the data centre of the replica
+	witness := s.Entries[leader]
+	returning.Kill()
+	s.Controls[lagging].Signal(syscall.SIGSTOP)
+	operator, base := s.OperatorAt("stream", s.Controls[leader].Address), model.Revision(1)
+	target := s.AddTarget(witness)
+	for i := range missed {
+		if i%5 == 4 { // each fifth change is one of a target
+			assert.NilError(t, target.Leaving(t.Context()))
+			continue
+		}
+		r := operator.Submit(t.Context(), client.NewRequestID(), model.AcceptConfig{Base: base, Config: s.Named(fmt.Sprintf("missed-%d", i))})
+		assert.Equal(t, r.Code, result.Accepted, "%s", r.Error())
+		base = model.Revision(r.Revision)
+	}
+	s.Until("the witness has the newest revision", func() bool { return s.AllHold(uint64(base), witness) })
+	newest, _ := s.Readiness(witness)
+	looks := startWatch(s, returning)
+	s.Controls[lagging].Signal(syscall.SIGCONT)
+	returning.Start()
+	s.Until("the entry instance is ready", func() bool {
+		r, ok := s.Readiness(returning)
+		assert.Check(t, !ok || !r.Ready || r.Revision >= newest.Revision && r.Index >= newest.Index, "%+v is older than %+v", r, newest)
+		return ok && r.Ready
+	})
+	looks.stop()
+}
+
+// Guards against requests that are cut by a planned stop.
+func TestGracefulStopsCutNoRequest(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 3)
+	s.AddTarget(s.Entries...)
+	s.AddTarget(s.Entries...)
+	plain := startLoad(s, 2, false, 50*time.Millisecond, s.Entries...)
+	once := startLoad(s, 2, true, 50*time.Millisecond, s.Entries...)
+	stream := startChanges(s)
+	plain.progress(30)
+	once.progress(30)
+	s.Entries[0].Signal(syscall.SIGTERM)
+	assert.Check(t, s.Entries[0].Wait(), s.Entries[0].Log())
+	plain.progress(30)
+	leader := s.Controls[s.Leader()]
+	leader.Signal(syscall.SIGTERM)
+	assert.Check(t, leader.Wait(), leader.Log())
+	stream.progress(5)
+	once.progress(30)
+	replies := append(plain.stop(), once.stop()...)
+	stream.stop()
+	refused := 0
+	for _, a := range replies {
+		if !a.reply.Whole {
+			refused++
+		}
+		assert.Check(t, a.reply.Whole || a.reply.NotRun() || notConnected(a.reply.Err), "%s: %s", a.entry.Name, a.reply)
+	}
+	checkOnce(s, onceOnly(replies), s.Entries[1:]...)
+	t.Logf("%d requests, %d refused by the instance that had stopped, none cut", len(replies), refused)
+}
+
+// notConnected reports whether the request found no listener, which a balancer
+// answers by choosing another entry instance.
+func notConnected(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func onceOnly(list []answered) (out []answered) {
+	for _, a := range list {
+		if a.call.Key != "" {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/faults/operators_test.go
@@ -0,0 +1,86 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	operatorv1 "lacewingturn.example/api/gen/lacewingturn/operator/v1"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// phases returns the phase of each target on an entry instance.
+func phases(s *Site, e *Process) map[string]string {
+	out := map[string]string{}
+	resp, err := http.Get("http://" + e.Address + "/targets")
+	if err != nil {
+		return out
+	}
+	defer resp.Body.Close()
+	var list []struct{ ID, Phase string }
+	assert.Check(s.t, json.NewDecoder(resp.Body).Decode(&list))
+	for _, x := range list {
+		out[x.ID] = x.Phase
+	}
+	assert.Check(s.t, len(out) == len(s.Targets), "%v", out)
+	return out
+}
+
+// Guards against two accepted changes from one revision, a loser that is not
+// told what it lost to, and a resend that is applied a second time. The
+// answers to one of the two operators are lost on the way.
+func TestRacingOperatorsHaveOneWinnerAndResendsItsResult(t *testing.T) {
+	t.Parallel()
+	const rounds = 20
+	s := Start(t, 1)
+	deaf, err := NewRelay(FreeAddress(t), s.Controls[s.Leader()].Address, s.PIDs)
+	assert.NilError(t, err)
+	defer deaf.Close()
+	deaf.Cut(ToClient)
+	type entrant struct {
+		name   string
+		client *client.Client
+		change
+	}
+	for round := range rounds {
+		base := model.Revision(round + 1)
+		// Every fifth round the first answer to bob is lost; his client resends.
+		addresses := []string{s.Controls[0].Address, s.Controls[1].Address, s.Controls[2].Address}
+		if round%5 == 0 {
+			addresses = append([]string{deaf.Address()}, addresses...)
+		}
+		both := []*entrant{{name: "ann", client: s.Operator("ann")}, {name: "bob", client: s.OperatorAt("bob", addresses...)}}
+		var all sync.WaitGroup
+		for _, e := range both {
+			e.id, e.command = client.NewRequestID(), model.AcceptConfig{Base: base, Config: s.Named(fmt.Sprintf("%s-%d", e.name, round))}
+			all.Go(func() { e.result = e.client.Submit(t.Context(), e.id, e.command) })
+		}
+		all.Wait()
+		winner, loser := both[0], both[1]
+		if winner.result.Code != result.Accepted {
+			winner, loser = loser, winner
+		}
+		assert.Equal(t, winner.result.Code, result.Accepted, "%s", winner.result.Error())
+		assert.Equal(t, winner.result.Revision, uint64(base)+1)
+		assert.Equal(t, loser.result.Code, result.Conflicting, "%s", loser.result.Error())
+		conflict := loser.result.Conflict
+		assert.Assert(t, conflict != nil)
+		assert.Equal(t, conflict.Revision, winner.result.Revision)
+		assert.Equal(t, conflict.Actor, winner.name+" (local)")
+		assert.Check(t, len(conflict.Difference) > 0)
+		for _, e := range both {
+			assert.DeepEqual(t, s.Operator(e.name).Submit(t.Context(), e.id, e.command), e.result)
+		}
+	}
+	var history query.HistoryView
+	_, err = s.Operator("reader").Read(t.Context(), operatorv1.View_VIEW_HISTORY, "", &history)
+	assert.NilError(t, err)
+	assert.Equal(t, history.Revision, uint64(rounds+1))
+}
--- /dev/null
+++ b/cmd/internal/faults/silence_test.go
@@ -0,0 +1,76 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against traffic that stops, and targets that are declared lost, when
+// open connections go silent for good while new ones work.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 2)
+	s.AddTarget(s.Entries...)
+	s.AddTarget(s.Entries...)
+	looks := startWatch(s, s.Entries...)
+	plain, once := startLoad(s, 4, false, 5*time.Millisecond, s.Entries...), startLoad(s, 2, true, 5*time.Millisecond, s.Entries...)
+	plain.progress(100)
+	once.progress(20)
+	for _, r := range s.Workers {
+		assert.Check(t, r.SilenceOpen() > 0)
+	}
+	plain.progress(200)
+	once.progress(20)
+	for _, r := range s.Replicas {
+		assert.Check(t, r.SilenceOpen() > 0)
+	}
+	newest := accept(s, 1, 3)
+	s.Until("a change is in force after the silence", func() bool { return s.AllHold(newest, s.Entries...) })
+	plain.progress(200)
+	once.progress(20)
+	served := []int{s.Targets[0].Served(), s.Targets[1].Served()}
+	s.Until("both targets get new work", func() bool { return s.Targets[0].Served() > served[0] && s.Targets[1].Served() > served[1] })
+	for _, e := range s.Entries {
+		for id, phase := range phases(s, e) {
+			assert.Equal(t, phase, "ready", "%s on %s", id, e.Name)
+		}
+	}
+	for _, a := range plain.stop() {
+		assert.Check(t, a.reply.Whole, "%s: %s", a.entry.Name, a.reply)
+	}
+	checkOnce(s, once.stop(), s.Entries...)
+	looks.stop()
+}
+
+// Guards against a change that is applied although its answer and every
+// heartbeat of the leader are lost, and then reverts: one direction of all
+// connections to the leader is cut.
+func TestLeaderThatIsNotHeardAcknowledgesNothing(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 2)
+	stream, looks := startChanges(s), startWatch(s, s.Entries...)
+	stream.progress(5)
+	old := s.Leader()
+	s.Replicas[old].Cut(ToClient)
+	pid := s.Controls[old].PID()
+	for i, r := range s.Replicas {
+		if i != old {
+			r.CutFrom(pid, ToServer)
+		}
+	}
+	next := s.Leader(s.Controls[old])
+	assert.Check(t, next != old)
+	stream.progress(10)
+	for _, r := range s.Replicas {
+		r.Heal()
+	}
+	stream.progress(10)
+	newest := stream.stop()
+	s.Until("the newest revision is in force", func() bool { return s.AllHold(newest, s.Entries...) })
+	looks.stop()
+	for i := range s.Controls {
+		s.Until("every replica has the newest revision", func() bool { return revisionOf(s, i) == newest })
+	}
+}
--- a/core/command/credit/holder.go
+++ b/core/command/credit/holder.go
@@ -19,6 +19,7 @@
 // Holder is the state of an entry instance as user of slots.
 type Holder struct {
 	self     Member
+	lease    time.Time // credits end with it; zero before the first renewal
 	sequence uint64
 	targets  map[Key]*held
 	owners   map[Member]*peer
@@ -59,7 +60,7 @@
 	if self == h.self {
 		return
 	}
-	h.self = self
+	h.self, h.lease = self, time.Time{}
 	h.owners = map[Member]*peer{}
 	for _, t := range h.targets {
 		t.granted, t.until, t.told = 0, time.Time{}, false
@@ -67,6 +68,14 @@
 	}
 }
 
+// Renew extends the lease of the holder. A holder that is cut off from the
+// control state may still reach owners, and must start nothing after its lease.
+func (h *Holder) Renew(until time.Time) {
+	if until.After(h.lease) {
+		h.lease = until
+	}
+}
+
 // Change follows a new view.
 func (h *Holder) Change(v View) {
 	for key := range v.Slots {
--- /dev/null
+++ b/core/command/credit/lease_test.go
@@ -0,0 +1,31 @@
+package credit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query/ownership"
+)
+
+// Guards against a holder that is cut off from the control state, still reaches
+// an owner, and starts work under its credits after its own lease has ended.
+func TestCreditsEndWithTheLeaseOfTheirHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	key, owner, self := Key{"t", 1}, Member{"a", 1}, Member{"b", 2}
+	var members ownership.Members
+	members = members.Set("a", model.EntryMember{ID: "a", Epoch: 1})
+	h := NewHolder()
+	h.Become(self)
+	h.Renew(now.Add(400 * time.Millisecond))
+	h.Change(View{Members: members, Slots: map[Key]int{key: 8}})
+	Want([]*Account{h.Account(key)}, 8, 3, 0)
+	reports := h.Reports(now.Add(time.Millisecond))
+	assert.Equal(t, len(reports), 1)
+	assert.Equal(t, reports[0].To, owner)
+	h.Answer(now.Add(2*time.Millisecond), reports[0], []Grant{{Key: key, Granted: 3, Valid: Valid}})
+	assert.Equal(t, h.Account(key).Usable(now.Add(399*time.Millisecond)), 3)
+	assert.Equal(t, h.Account(key).Usable(now.Add(400*time.Millisecond)), 0)
+}
--- a/core/command/credit/report.go
+++ b/core/command/credit/report.go
@@ -131,6 +131,9 @@
 			t.cut, t.peak = now, t.inUse
 		}
 		t.granted, t.until = g.Granted, p.sent.Add(g.Valid)
+		if t.until.After(h.lease) {
+			t.until = h.lease
+		}
 	}
 }
 
--- a/core/command/credit/site_test.go
+++ b/core/command/credit/site_test.go
@@ -157,6 +157,7 @@
 		until, index := s.now.Add(Lease), s.index
 		if e.index >= index {
 			e.owner.Renew(e.self, until)
+			e.holder.Renew(until)
 		}
 	}
 }
--- a/entry/command/credits.go
+++ b/entry/command/credits.go
@@ -76,6 +76,7 @@
 	}
 	if r.Until.After(m.leaseUntil) {
 		m.leaseUntil = r.Until
+		m.holder.Renew(r.Until)
 	}
 	m.dirty = true
 }
@@ -85,7 +86,11 @@
 	v := credit.View{Members: m.traffic.Entries, Slots: make(map[credit.Key]int, m.traffic.Targets.Len())}
 	limit := m.slotLimit()
 	for _, t := range m.traffic.Targets.All() {
-		v.Slots[credit.Key{Target: t.ID, Generation: t.Generation}] = min(t.Slots, limit)
+		key := credit.Key{Target: t.ID, Generation: t.Generation}
+		v.Slots[key] = 0 // an instance that has not learned that the target leaves gets no credit
+		if t.Phase == model.TargetReady {
+			v.Slots[key] = min(t.Slots, limit)
+		}
 	}
 	for to, list := range m.owner.Change(now, v) {
 		m.effects.handOver(m.address(to), list)
