Carry the polls of all workers of an entry instance on one stream

A call for each poll of 10 s is 72 calls a second with 720 workers. The stream carries a message only when a worker polls with another index than before or when there is news, and one goroutine for each entry instance looks at a new view instead of one for each worker.

--- a/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
+++ b/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
@@ -332,9 +332,10 @@
 type ReplicaQueryServiceClient interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
-	// Assignments returns the jobs of one worker. It answers at once if they have
-	// changed since the index given, else after wait_ms.
-	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
+	// Assignments carries the polls of many workers. Each request is answered
+	// once, as soon as the jobs of its worker have changed since its index. A
+	// later request for the same worker replaces it.
+	Assignments(context.Context) *connect.BidiStreamForClient[v1.AssignmentsRequest, v1.AssignmentsResponse]
 }
 
 // NewReplicaQueryServiceClient constructs a client for the
@@ -388,8 +389,8 @@
 }
 
 // Assignments calls lacewingturn.replica.v1.ReplicaQueryService.Assignments.
-func (c *replicaQueryServiceClient) Assignments(ctx context.Context, req *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
-	return c.assignments.CallUnary(ctx, req)
+func (c *replicaQueryServiceClient) Assignments(ctx context.Context) *connect.BidiStreamForClient[v1.AssignmentsRequest, v1.AssignmentsResponse] {
+	return c.assignments.CallBidiStream(ctx)
 }
 
 // ReplicaQueryServiceHandler is an implementation of the
@@ -397,9 +398,10 @@
 type ReplicaQueryServiceHandler interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
-	// Assignments returns the jobs of one worker. It answers at once if they have
-	// changed since the index given, else after wait_ms.
-	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
+	// Assignments carries the polls of many workers. Each request is answered
+	// once, as soon as the jobs of its worker have changed since its index. A
+	// later request for the same worker replaces it.
+	Assignments(context.Context, *connect.BidiStream[v1.AssignmentsRequest, v1.AssignmentsResponse]) error
 }
 
 // NewReplicaQueryServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -421,7 +423,7 @@
 		connect.WithSchema(replicaQueryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
-	replicaQueryServiceAssignmentsHandler := connect.NewUnaryHandler(
+	replicaQueryServiceAssignmentsHandler := connect.NewBidiStreamHandler(
 		ReplicaQueryServiceAssignmentsProcedure,
 		svc.Assignments,
 		connect.WithSchema(replicaQueryServiceMethods.ByName("Assignments")),
@@ -452,6 +454,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Status is not implemented"))
 }
 
-func (UnimplementedReplicaQueryServiceHandler) Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Assignments is not implemented"))
+func (UnimplementedReplicaQueryServiceHandler) Assignments(context.Context, *connect.BidiStream[v1.AssignmentsRequest, v1.AssignmentsResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Assignments is not implemented"))
 }
--- a/cmd/internal/capacity/workers_test.go
+++ b/cmd/internal/capacity/workers_test.go
@@ -216,6 +216,7 @@
 		all.Go(func() {
 			defer func() { <-slots }()
 			j := size.job(i)
+			j.Pool = poolName(i % size.Workers % size.Pools) // as many jobs for each worker
 			j.Declared, j.DeclaredRun = model.Resources{MilliCPU: 4000, MemoryMB: 8000}, time.Hour
 			if r := operator.Submit(ctx, client.NewRequestID(), model.SubmitJob{Job: j}); r.Code != result.Accepted {
 				g.b.Error(r.Error())
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -22,7 +22,7 @@
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newEntry, newAssignments),
+	fx.Provide(newEntry, newReader),
 	fx.Invoke(runEntry),
 )
 
@@ -48,16 +48,14 @@
 
 func newControlClient(s Settings, c *http.Client) entry.Control { return client.New(nearFirst(s), c) }
 
-func newAssignments(s Settings, c *http.Client) entry.Assignments {
-	return client.NewReader(nearFirst(s), c)
-}
+func newReader(s Settings, c *http.Client) *client.Reader { return client.NewReader(nearFirst(s), c) }
 
 type entryParams struct {
 	fx.In
 
 	Settings Settings
 	Control  entry.Control
-	Workers  entry.Assignments
+	Reader   *client.Reader
 	Client   *http.Client
 	Loop     *loop.Loop
 	Log      *zap.Logger
@@ -68,7 +66,7 @@
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Assignments: p.Workers, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
+		Control: p.Control, Assignments: p.Reader, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
@@ -81,6 +79,7 @@
 	Life      *life
 	Servers   *servers
 	Entry     *entryinstance.Instance
+	Reader    *client.Reader
 	Control   entry.Control
 	Client    *http.Client
 	Log       *zap.Logger
@@ -101,6 +100,7 @@
 		OnStart: func(context.Context) error {
 			go func() { defer close(linkDone); link.Run(background) }()
 			go p.Entry.Run(p.Life)
+			go p.Reader.Run(p.Life)
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/replica/query/assignments.go
+++ b/replica/query/assignments.go
@@ -13,59 +13,110 @@
 	"lacewingturn.example/replica"
 )
 
-// MaxWait bounds a long poll.
-const MaxWait = 10 * time.Second
-
 // StaleAfter is the age of the last contact with a leader after which a replica
 // does not answer workers, so that they are served by another one. It equals
 // the time after which an entry instance is not ready.
 const StaleAfter = 2500 * time.Millisecond
 
-// Assignments answers at once if the jobs of the worker have changed since the
-// index of the request, else when they change or after the wait that it names.
-// A view without news costs two comparisons.
-func (h *Handler) Assignments(ctx context.Context, req *connect.Request[replicav1.AssignmentsRequest]) (*connect.Response[replicav1.AssignmentsResponse], error) {
-	worker, since := model.InstanceID(req.Msg.Worker), model.Index(req.Msg.Index)
-	v := h.replica.View()
-	if age := time.Since(v.LeaderContact); age > StaleAfter {
-		return nil, connect.NewError(connect.CodeUnavailable, result.New(result.NoQuorum, "this replica has had no contact with a leader for %s", age.Round(time.Millisecond)))
+// MaxWatched bounds the workers whose polls one stream carries.
+const MaxWatched = 8192
+
+// Assignments answers the polls that an entry instance forwards, each as soon
+// as there is news for its worker. One stream for all polls of an entry
+// instance keeps a poll without news from costing a call.
+func (h *Handler) Assignments(ctx context.Context, stream *connect.BidiStream[replicav1.AssignmentsRequest, replicav1.AssignmentsResponse]) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	requests := make(chan *replicav1.AssignmentsRequest)
+	go func() {
+		defer cancel()
+		for {
+			r, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			select {
+			case requests <- r:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	w := &watch{view: h.replica.View(), since: map[model.InstanceID]model.Index{}, send: stream.Send}
+	return w.run(ctx, h.replica, requests)
+}
+
+// watch is the state of one stream: the polls that have not been answered.
+type watch struct {
+	view  *replica.View
+	since map[model.InstanceID]model.Index
+	send  func(*replicav1.AssignmentsResponse) error
+}
+
+// run answers polls until ctx ends or the replica has lost touch with the leader.
+func (w *watch) run(ctx context.Context, r replica.Replica, requests <-chan *replicav1.AssignmentsRequest) error {
+	if err := w.send(&replicav1.AssignmentsResponse{}); err != nil {
+		return err
 	}
-	timer := time.NewTimer(min(time.Duration(req.Msg.WaitMs)*time.Millisecond, MaxWait))
-	defer timer.Stop()
+	stale := time.NewTicker(StaleAfter)
+	defer stale.Stop()
 	for {
-		if list, index := query.Assignments(v.State, worker); index > since {
-			return connect.NewResponse(&replicav1.AssignmentsResponse{Index: uint64(index), Changed: true, Assignments: assignments(list)}), nil
+		if age := time.Since(w.view.LeaderContact); age > StaleAfter {
+			return connect.NewError(connect.CodeUnavailable, result.New(result.NoQuorum, "this replica has had no contact with a leader for %s", age.Round(time.Millisecond)))
 		}
-		next, err := h.nextChange(ctx, timer.C, v.State)
-		if err != nil {
-			return nil, err
+		var err error
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case req := <-requests:
+			err = w.add(model.InstanceID(req.Worker), model.Index(req.Index))
+		case <-w.view.Next:
+			// Changes that come faster than MinInterval are seen as one.
+			if err = pause(ctx, MinInterval); err == nil {
+				err = w.follow(r.View())
+			}
+		case <-stale.C:
+			err = w.follow(r.View())
 		}
-		if next == nil {
-			return connect.NewResponse(&replicav1.AssignmentsResponse{Index: uint64(since)}), nil
+		if err != nil {
+			return err
 		}
-		v = next
 	}
 }
 
-// nextChange waits for a view in which some worker is asked something else. It
-// returns nil when the time is over. Changes that come faster than MinInterval
-// are seen as one, so that a burst does not wake each poll for each change.
-func (h *Handler) nextChange(ctx context.Context, end <-chan time.Time, held model.State) (*replica.View, error) {
-	v := h.replica.View()
-	for v.State.WorkerChanges.Same(held.WorkerChanges) {
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-end:
-			return nil, nil
-		case <-v.Next:
-		}
-		if err := pause(ctx, MinInterval); err != nil {
-			return nil, err
+// add takes one poll and answers it if there is news.
+func (w *watch) add(worker model.InstanceID, since model.Index) error {
+	if _, known := w.since[worker]; !known && len(w.since) >= MaxWatched {
+		return connect.NewError(connect.CodeResourceExhausted, result.New(result.Overloaded, "more than %d workers on one stream", MaxWatched))
+	}
+	w.since[worker] = since
+	return w.answer(worker, since)
+}
+
+// follow answers the polls for which a newer view has news. A view in which no
+// worker is asked something else costs one comparison.
+func (w *watch) follow(v *replica.View) error {
+	same := v.State.WorkerChanges.Same(w.view.State.WorkerChanges)
+	w.view = v
+	if same {
+		return nil
+	}
+	for worker, since := range w.since {
+		if err := w.answer(worker, since); err != nil {
+			return err
 		}
-		v = h.replica.View()
 	}
-	return v, nil
+	return nil
+}
+
+func (w *watch) answer(worker model.InstanceID, since model.Index) error {
+	s := w.view.State
+	if change, _ := s.WorkerChanges.Get(worker); change.Index <= since {
+		return nil
+	}
+	delete(w.since, worker)
+	list, index := query.Assignments(s, worker)
+	return w.send(&replicav1.AssignmentsResponse{Worker: string(worker), Index: uint64(index), Assignments: assignments(list)})
 }
 
 func assignments(list []query.Assignment) []*replicav1.Assignment {
