--- a/cmd/lacewingturnd/site.go
+++ b/cmd/lacewingturnd/site.go
@@ -30,7 +30,8 @@
 }
 
 type devCommand struct {
-	Logs bool `help:"Write the logs of all instances to standard error."`
+	Sample string `help:"Sample answers: skoflikk or karaoke." enum:"skoflikk,karaoke" default:"skoflikk"`
+	Logs   bool   `help:"Write the logs of all instances to standard error."`
 }
 
 // Run starts a site, prints how to reach it, and stops it with ctx.
@@ -40,7 +41,7 @@
 		return err
 	}
 	defer remove()
-	s, err := site.StartDev(ctx, folder, logWriter(d.Logs))
+	s, err := site.StartDev(ctx, d.Sample, folder, logWriter(d.Logs))
 	if err != nil {
 		return err
 	}
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -27,8 +27,8 @@
 // stepTimeout bounds one step of the demo; a step that takes longer has failed.
 const stepTimeout = 20 * time.Second
 
-// SampleSite is the sample whose answers the demo and the dev site use.
-const SampleSite = "skoflikk"
+// DemoSample is the sample whose answers the demo uses.
+const DemoSample = "skoflikk"
 
 // Demo runs the site through a recorded workload and its faults.
 type Demo struct {
@@ -50,7 +50,7 @@
 	}
 	defer remove()
 	began := time.Now()
-	config, err := sampleConfig(unchanged)
+	config, err := sampleConfig(DemoSample, unchanged)
 	if err != nil {
 		return nil, err
 	}
@@ -94,14 +94,14 @@
 }
 
 // sampleConfig generates the configuration of the sample after a revision of its text.
-func sampleConfig(revise func(string) string) (model.Config, error) {
-	data, err := answers.Sample(SampleSite)
+func sampleConfig(sample string, revise func(string) string) (model.Config, error) {
+	data, err := answers.Sample(sample)
 	if err != nil {
 		return model.Config{}, trace.Wrap(err)
 	}
 	a, problems := answers.Read([]byte(revise(string(data))))
 	if len(problems) > 0 {
-		return model.Config{}, trace.BadParameter("sample %s: %v", SampleSite, problems)
+		return model.Config{}, trace.BadParameter("sample %s: %v", sample, problems)
 	}
 	return answers.Generate(a), nil
 }
@@ -274,7 +274,7 @@
 }
 
 func (d *Demo) reviseAnswer(ctx context.Context) error {
-	revised, err := sampleConfig(func(s string) string { return strings.Replace(s, "soak: 60s", "soak: 1s", 1) })
+	revised, err := sampleConfig(DemoSample, func(s string) string { return strings.Replace(s, "soak: 60s", "soak: 1s", 1) })
 	if err != nil {
 		return err
 	}
--- a/cmd/site/dev.go
+++ b/cmd/site/dev.go
@@ -12,10 +12,10 @@
 	"lacewingturn.example/operator/client"
 )
 
-// StartDev starts a site with the sample configuration in force and its
+// StartDev starts a site with the configuration of a sample in force and its
 // targets announced.
-func StartDev(ctx context.Context, folder string, log io.Writer) (*Site, error) {
-	config, err := sampleConfig(unchanged)
+func StartDev(ctx context.Context, sample, folder string, log io.Writer) (*Site, error) {
+	config, err := sampleConfig(sample, unchanged)
 	if err != nil {
 		return nil, err
 	}
@@ -42,9 +42,9 @@
 	entry := s.EntryURLs()[0]
 	return []string{
 		"entry instances (callers, targets):  " + strings.Join(s.EntryURLs(), " "),
-		"control replicas (operators):        " + strings.Join(s.OperatorAddresses(), " "),
+		"control replicas (operators):        export LACEWINGTURN_CONTROL=" + strings.Join(s.OperatorAddresses(), ","),
 		"data folder:                         " + s.Folder,
-		"example call:                        curl -i -H 'Lacewingturn-Caller: counter-1' " + entry + "/services/quotes/price",
+		"example call:                        curl -i -H 'Lacewingturn-Caller: counter-1' " + entry + "/services/" + string(s.Targets[0].Service) + "/example",
 		"stop with Ctrl-C",
 	}
 }
--- a/replica/record/record_test.go
+++ b/replica/record/record_test.go
@@ -56,3 +56,13 @@
 	_, err = Replay(strings.NewReader(lines[0] + lines[1] + lines[1]))
 	assert.ErrorContains(t, err, "line 3: index 11 follows 11")
 }
+
+// FuzzReplay guards against a panic on a damaged record.
+func FuzzReplay(f *testing.F) {
+	f.Add([]byte(`{"index":1,"term":1,"envelope":"oQ=="}`))
+	f.Add([]byte(`{"index":1,"digest":"00"}` + "\n" + `{"index":2,"snapshot":"oA=="}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		out, err := Replay(bytes.NewReader(data))
+		assert.Assert(t, err != nil || out.Digest != "")
+	})
+}
