--- a/replica/command/faults_test.go
+++ b/replica/command/faults_test.go
@@ -3,15 +3,21 @@
 import (
 	"context"
 	"errors"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/api/codec"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
 	"lacewingturn.example/replica/client"
 	"lacewingturn.example/replica/raft"
 	"lacewingturn.example/replica/storage"
@@ -210,3 +216,47 @@
 	assert.Equal(t, leader.View().State.Replicas.Len(), 3)
 	commit(t, site[:3], 20, 10)
 }
+
+// Guards against a planned stop of the leader that costs an election timeout or
+// returns before another replica leads.
+func TestResignWaitsForTheNextLeader(t *testing.T) {
+	site := startSite(t, 3)
+	commit(t, site, 0, 10)
+	old := leaderOf(t, site)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, old.Resign(ctx))
+	assert.Assert(t, !old.View().IsLeader && old.View().Leader != old.ID())
+	commit(t, site, 10, 10)
+}
+
+// Guards against a refused data folder that leaves no numbered event.
+func TestRefusedFoldersAreReported(t *testing.T) {
+	settings := siteSettings(t, 1)[0]
+	first := start(t, settings)
+	eventually(t, first.Replica, "a leader", func() bool { return first.View().IsLeader })
+	core, logs := observer.New(zap.InfoLevel)
+	settings.Logger = zap.New(core)
+	refused := func(number int) {
+		t.Helper()
+		_, err := Open(settings, loop.New(1))
+		assert.Assert(t, err != nil)
+		entries := logs.TakeAll()
+		assert.Equal(t, entries[len(entries)-1].ContextMap()["event"], int64(number), "%v", err)
+	}
+	refused(event.FolderLocked.Number)
+	first.stop()
+	original := settings.DataFolder
+	settings.DataFolder = filepath.Join(t.TempDir(), "copy")
+	assert.NilError(t, os.CopyFS(settings.DataFolder, os.DirFS(original)))
+	refused(event.FolderCopied.Number)
+	settings.DataFolder, settings.Name = original, "other"
+	refused(event.FolderForeign.Number)
+	settings.Name = first.settings.Name
+	logFile := filepath.Join(original, "log-0000000000000001")
+	data, err := os.ReadFile(logFile)
+	assert.NilError(t, err)
+	data[20] ^= 1
+	assert.NilError(t, os.WriteFile(logFile, data, 0o600))
+	refused(event.LogCorrupt.Number)
+}
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -67,6 +67,7 @@
 	// snapshotIndex is that of the last snapshot on disk.
 	snapshotIndex model.Index
 	snapshotting  bool
+	appliedBytes  int // of commands applied since the last snapshot was begun
 	sendingTo     map[model.ReplicaID]bool
 
 	next      chan struct{} // closed at the next publication
@@ -154,6 +155,7 @@
 
 // apply applies a committed entry and answers who waits for it.
 func (m *machine) apply(e raft.Entry) {
+	m.appliedBytes += len(e.Data)
 	env := model.Envelope{Command: model.Noop{}}
 	switch v := e.Value.(type) {
 	case model.Envelope:
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -133,8 +133,27 @@
 	return trace.Wrap(r.store.Close())
 }
 
-// Resign hands leadership over before a planned stop. It does nothing on a follower.
-func (r *Replica) Resign(ctx context.Context) error { return r.port.Send(ctx, resign{}) }
+// Resign hands leadership over before a planned stop and waits until another
+// leader is known or ctx ends. It does nothing on a follower or a sole replica.
+func (r *Replica) Resign(ctx context.Context) error {
+	if !r.View().IsLeader || r.Status().Members.Voters() < 2 {
+		return nil
+	}
+	if err := r.port.Send(ctx, resign{}); err != nil {
+		return trace.Wrap(err)
+	}
+	for {
+		v := r.View()
+		if !v.IsLeader && v.Leader != "" {
+			return nil
+		}
+		select {
+		case <-v.Next:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
 // ID returns the name and incarnation of the replica.
 func (r *Replica) ID() model.ReplicaID { return r.id }
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -70,6 +70,10 @@
 const (
 	defaultSnapshotEvery = 8192
 	defaultKeepEntries   = 2048
+	// snapshotBytes starts a snapshot before SnapshotEvery entries when they are
+	// long. It bounds the log in memory, which holds entries encoded and decoded,
+	// to a small part of the 256 MB of a node.
+	snapshotBytes = 8 << 20
 )
 
 // check fills in defaults and reports what is missing.
--- a/replica/command/snapshot.go
+++ b/replica/command/snapshot.go
@@ -35,14 +35,15 @@
 // since the last one. Encoding and writing run on their own goroutine; the
 // state is immutable.
 func (m *machine) startSnapshot() {
-	if m.snapshotting || m.state.Index < m.snapshotIndex+model.Index(m.r.settings.SnapshotEvery) {
+	due := m.state.Index >= m.snapshotIndex+model.Index(m.r.settings.SnapshotEvery) || m.appliedBytes >= snapshotBytes
+	if m.snapshotting || !due {
 		return
 	}
 	snap, ok := m.raft.SnapshotAt(m.state.Index, m.state.Clock)
 	if !ok {
 		return
 	}
-	m.snapshotting = true
+	m.snapshotting, m.appliedBytes = true, 0
 	state := m.state
 	m.r.tasks.start(func() any {
 		encoded, err := codec.EncodeState(state)
--- a/replica/raft/state.go
+++ b/replica/raft/state.go
@@ -107,10 +107,10 @@
 	// Writes must reach the disk in order; Persisted reports them.
 	Writes   []Write
 	Messages []Message
-	// Committed entries are applied in order, each exactly once.
-	Committed []Entry
 	// Restore replaces the applied state by that of a snapshot.
 	Restore *Snapshot
+	// Committed entries are applied in order, each exactly once.
+	Committed []Entry
 	// SendSnapshots lists followers whose next entry is no longer in the log.
 	SendSnapshots []model.ReplicaID
 	Proposed      *Proposed
