Ask for no tick once a replica has failed or halted

A replica whose storage failed kept its last deadline, which lies in the past, so that the control loop woke up without a pause. TestStoppedReplicaHasNoDeadline fails without the change.

--- a/replica/raft/inputs.go
+++ b/replica/raft/inputs.go
@@ -121,8 +121,11 @@
 	m.electionAt = m.now
 }
 
-// Deadline returns when the next Tick is due.
+// Deadline returns when the next Tick is due; the zero time means never.
 func (s State) Deadline() time.Time {
+	if s.failed || s.halted {
+		return time.Time{}
+	}
 	if s.role == Leader {
 		return s.heartbeatAt
 	}
--- a/replica/raft/rules_test.go
+++ b/replica/raft/rules_test.go
@@ -140,3 +140,18 @@
 	assert.Assert(t, members.Voter(fresh) && len(members) == 3, "%v", members)
 	assert.NilError(t, w.err)
 }
+
+// Guards against a control loop that spins: a replica that takes no further
+// part must not ask for a tick in the past.
+func TestStoppedReplicaHasNoDeadline(t *testing.T) {
+	w, leader := quiet(t, 3)
+	assert.Assert(t, !w.actors[leader].state.Deadline().IsZero())
+	w.step(leader, StorageFailed{})
+	assert.Assert(t, w.actors[leader].state.Deadline().IsZero())
+	for _, id := range w.ids {
+		if st := w.actors[id].state; id != leader {
+			w.step(id, Receive{Message{Type: Refuse, From: leader, To: id, Term: st.hard.Term}})
+			assert.Assert(t, w.actors[id].state.Deadline().IsZero())
+		}
+	}
+}
--- a/replica/raft/world_test.go
+++ b/replica/raft/world_test.go
@@ -215,7 +215,7 @@
 func (w *world) advance(d time.Duration) {
 	w.now = w.now.Add(d)
 	for _, id := range w.ids {
-		if !w.actors[id].state.Deadline().After(w.now) {
+		if at := w.actors[id].state.Deadline(); !at.IsZero() && !at.After(w.now) {
 			w.step(id, Tick{})
 		}
 	}
