--- a/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
+++ b/api/gen/lacewingturn/replica/v1/replicav1connect/replica.connect.go
@@ -62,13 +62,16 @@
 	// ReplicaQueryServiceStatusProcedure is the fully-qualified name of the ReplicaQueryService's
 	// Status RPC.
 	ReplicaQueryServiceStatusProcedure = "/lacewingturn.replica.v1.ReplicaQueryService/Status"
+	// ReplicaQueryServiceAssignmentsProcedure is the fully-qualified name of the ReplicaQueryService's
+	// Assignments RPC.
+	ReplicaQueryServiceAssignmentsProcedure = "/lacewingturn.replica.v1.ReplicaQueryService/Assignments"
 )
 
 // ReplicationServiceClient is a client for the lacewingturn.replica.v1.ReplicationService service.
 type ReplicationServiceClient interface {
-	// Exchange carries messages in one direction over one long stream. Messages
-	// may be lost; the protocol sends them again.
-	Exchange(context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse]
+	// Exchange carries requests to a replica and its replies over one long
+	// stream. Messages may be lost; the protocol sends them again.
+	Exchange(context.Context) *connect.BidiStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse]
 	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context) *connect.ClientStreamForClient[v1.InstallSnapshotRequest, v1.InstallSnapshotResponse]
 	// Identify tells who answers at this address. It is used to form a new site.
@@ -125,8 +128,8 @@
 }
 
 // Exchange calls lacewingturn.replica.v1.ReplicationService.Exchange.
-func (c *replicationServiceClient) Exchange(ctx context.Context) *connect.ClientStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse] {
-	return c.exchange.CallClientStream(ctx)
+func (c *replicationServiceClient) Exchange(ctx context.Context) *connect.BidiStreamForClient[v1.ExchangeRequest, v1.ExchangeResponse] {
+	return c.exchange.CallBidiStream(ctx)
 }
 
 // InstallSnapshot calls lacewingturn.replica.v1.ReplicationService.InstallSnapshot.
@@ -147,9 +150,9 @@
 // ReplicationServiceHandler is an implementation of the lacewingturn.replica.v1.ReplicationService
 // service.
 type ReplicationServiceHandler interface {
-	// Exchange carries messages in one direction over one long stream. Messages
-	// may be lost; the protocol sends them again.
-	Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Exchange carries requests to a replica and its replies over one long
+	// stream. Messages may be lost; the protocol sends them again.
+	Exchange(context.Context, *connect.BidiStream[v1.ExchangeRequest, v1.ExchangeResponse]) error
 	// InstallSnapshot carries a whole snapshot in chunks.
 	InstallSnapshot(context.Context, *connect.ClientStream[v1.InstallSnapshotRequest]) (*connect.Response[v1.InstallSnapshotResponse], error)
 	// Identify tells who answers at this address. It is used to form a new site.
@@ -166,7 +169,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewReplicationServiceHandler(svc ReplicationServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	replicationServiceMethods := v1.File_lacewingturn_replica_v1_replica_proto.Services().ByName("ReplicationService").Methods()
-	replicationServiceExchangeHandler := connect.NewClientStreamHandler(
+	replicationServiceExchangeHandler := connect.NewBidiStreamHandler(
 		ReplicationServiceExchangeProcedure,
 		svc.Exchange,
 		connect.WithSchema(replicationServiceMethods.ByName("Exchange")),
@@ -209,8 +212,8 @@
 // UnimplementedReplicationServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedReplicationServiceHandler struct{}
 
-func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.ClientStream[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Exchange is not implemented"))
+func (UnimplementedReplicationServiceHandler) Exchange(context.Context, *connect.BidiStream[v1.ExchangeRequest, v1.ExchangeResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicationService.Exchange is not implemented"))
 }
 
 func (UnimplementedReplicationServiceHandler) InstallSnapshot(context.Context, *connect.ClientStream[v1.InstallSnapshotRequest]) (*connect.Response[v1.InstallSnapshotResponse], error) {
@@ -329,6 +332,9 @@
 type ReplicaQueryServiceClient interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest]) (*connect.ServerStreamForClient[v1.FollowResponse], error)
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Assignments returns the jobs of one worker. It answers at once if they have
+	// changed since the index given, else after wait_ms.
+	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
 }
 
 // NewReplicaQueryServiceClient constructs a client for the
@@ -355,13 +361,20 @@
 			connect.WithSchema(replicaQueryServiceMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		assignments: connect.NewClient[v1.AssignmentsRequest, v1.AssignmentsResponse](
+			httpClient,
+			baseURL+ReplicaQueryServiceAssignmentsProcedure,
+			connect.WithSchema(replicaQueryServiceMethods.ByName("Assignments")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // replicaQueryServiceClient implements ReplicaQueryServiceClient.
 type replicaQueryServiceClient struct {
-	follow *connect.Client[v1.FollowRequest, v1.FollowResponse]
-	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	follow      *connect.Client[v1.FollowRequest, v1.FollowResponse]
+	status      *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	assignments *connect.Client[v1.AssignmentsRequest, v1.AssignmentsResponse]
 }
 
 // Follow calls lacewingturn.replica.v1.ReplicaQueryService.Follow.
@@ -374,11 +387,19 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Assignments calls lacewingturn.replica.v1.ReplicaQueryService.Assignments.
+func (c *replicaQueryServiceClient) Assignments(ctx context.Context, req *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
+	return c.assignments.CallUnary(ctx, req)
+}
+
 // ReplicaQueryServiceHandler is an implementation of the
 // lacewingturn.replica.v1.ReplicaQueryService service.
 type ReplicaQueryServiceHandler interface {
 	Follow(context.Context, *connect.Request[v1.FollowRequest], *connect.ServerStream[v1.FollowResponse]) error
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Assignments returns the jobs of one worker. It answers at once if they have
+	// changed since the index given, else after wait_ms.
+	Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error)
 }
 
 // NewReplicaQueryServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -400,12 +421,20 @@
 		connect.WithSchema(replicaQueryServiceMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaQueryServiceAssignmentsHandler := connect.NewUnaryHandler(
+		ReplicaQueryServiceAssignmentsProcedure,
+		svc.Assignments,
+		connect.WithSchema(replicaQueryServiceMethods.ByName("Assignments")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lacewingturn.replica.v1.ReplicaQueryService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaQueryServiceFollowProcedure:
 			replicaQueryServiceFollowHandler.ServeHTTP(w, r)
 		case ReplicaQueryServiceStatusProcedure:
 			replicaQueryServiceStatusHandler.ServeHTTP(w, r)
+		case ReplicaQueryServiceAssignmentsProcedure:
+			replicaQueryServiceAssignmentsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -422,3 +451,7 @@
 func (UnimplementedReplicaQueryServiceHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Status is not implemented"))
 }
+
+func (UnimplementedReplicaQueryServiceHandler) Assignments(context.Context, *connect.Request[v1.AssignmentsRequest]) (*connect.Response[v1.AssignmentsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lacewingturn.replica.v1.ReplicaQueryService.Assignments is not implemented"))
+}
--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -33,7 +33,6 @@
 	policy  model.WavePolicy
 	all     []model.Instance // walking the table once is cheaper than in each part
 	usage   map[model.PoolName]*budget.Usage
-	leases  map[model.InstanceID]int  // built when first needed
 	targets map[model.InstanceID]bool // built when first needed
 	out     model.Decision
 }
@@ -193,6 +192,7 @@
 		}
 		p.observe(i, to, "seen again")
 	default:
-		p.await(i, min(max(InstancePoll, p.now.Sub(i.PhaseSince)/10), MaxInstancePoll))
+		outWhenAsked := p.obs.Instances[i.ID].QueriedAt.Sub(i.PhaseSince)
+		p.await(i, min(max(InstancePoll, outWhenAsked/10), MaxInstancePoll))
 	}
 }
