--- a/cmd/internal/claims/claims_test.go
+++ b/cmd/internal/claims/claims_test.go
@@ -136,11 +136,19 @@
 	return out, resp.Body.Close()
 }
 
+// noWork has no jobs for workers.
+type noWork struct{}
+
+// Assignments implements entry.Assignments.
+func (noWork) Assignments(context.Context, model.InstanceID, model.Index, time.Duration) (query.Assigned, error) {
+	return query.Assigned{}, nil
+}
+
 // front starts an entry instance with 8 targets over the control given.
 func front(b *testing.B, control entry.Control) string {
 	l := loop.New(loop.DefaultCapacity)
 	i, err := instance.New(instance.Settings{
-		ID: "e1", Control: control, Loop: l, Log: zap.NewNop(), Metrics: prometheus.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""),
+		ID: "e1", Control: control, Assignments: noWork{}, Loop: l, Log: zap.NewNop(), Metrics: prometheus.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	assert.NilError(b, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/instance/takeover_test.go
+++ b/entry/instance/takeover_test.go
@@ -66,8 +66,9 @@
 
 // Guards against a caller that waits for a control loop that does not keep up.
 func TestFullMailboxIsOverload(t *testing.T) {
+	control := newControl(config())
 	i, err := New(Settings{
-		ID: "e1", Control: newControl(config()), Loop: loop.New(1), Log: zap.NewNop(), Metrics: prometheus.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""),
+		ID: "e1", Control: control, Assignments: control, Loop: loop.New(1), Log: zap.NewNop(), Metrics: prometheus.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	assert.NilError(t, err)
 	assert.Assert(t, i.Port.TrySend("occupies the only place"))
