Ask jobs on a draining instance for a checkpoint

A straggler held a drain until its timeout, although it could continue on another instance. Jobs that still run 30 s after the drain began are asked to save their progress; none is stopped. Leases are read from the index of jobs instead of all jobs.

--- a/core/command/fleet/phase.go
+++ b/core/command/fleet/phase.go
@@ -60,10 +60,8 @@
 }
 
 func leasedTo(s *model.State, id model.InstanceID) (model.JobID, bool) {
-	for _, j := range s.Jobs.All() {
-		if j.Lease.Worker == id && (j.Phase == model.JobLeased || j.Phase == model.JobRunning) {
-			return j.ID, true
-		}
+	for _, j := range s.JobIndex.Worker(id) {
+		return j.ID, true
 	}
 	return "", false
 }
--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// CheckpointAfter is how long a drain waits for jobs to end by themselves
+	// before it asks them to save their progress and continue elsewhere.
+	CheckpointAfter = 30 * time.Second
 	// OperationPoll is how often the platform is asked about a running operation.
 	OperationPoll = 5 * time.Second
 	// OperationRetry is the wait before a drain that the platform failed is tried again.
@@ -33,7 +36,6 @@
 	policy  model.WavePolicy
 	all     []model.Instance // walking the table once is cheaper than in each part
 	usage   map[model.PoolName]*budget.Usage
-	leases  map[model.InstanceID]int  // built when first needed
 	targets map[model.InstanceID]bool // built when first needed
 	out     model.Decision
 }
--- a/core/command/fleet/reconcile_drain.go
+++ b/core/command/fleet/reconcile_drain.go
@@ -18,6 +18,7 @@
 		return
 	}
 	if !p.idle(i) {
+		p.checkpoint(i)
 		if i.HeldBy != model.HolderRetire && p.timedOut(i) {
 			p.giveUp(i, "work on the instance did not end within the drain timeout")
 		}
@@ -28,6 +29,18 @@
 	}
 }
 
+// checkpoint asks jobs that do not end soon to save their progress and continue
+// on another instance. Those that cannot are waited for; none is stopped.
+func (p *plan) checkpoint(i model.Instance) {
+	for _, j := range p.s.JobIndex.Worker(i.ID) {
+		if j.Action == model.ActionNone && !j.Cancelling && p.at(i.PhaseSince.Add(CheckpointAfter)) {
+			p.propose(model.ControlJob{
+				ID: j.ID, Token: j.Lease.Token, Action: model.ActionCheckpoint, Reason: "instance " + string(i.ID) + " is draining",
+			})
+		}
+	}
+}
+
 // timedOut is only asked of waves and moves; an operator's drain has no limit.
 func (p *plan) timedOut(i model.Instance) bool {
 	_, wave := i.HeldByWave()
--- a/core/command/fleet/reconcile_observe.go
+++ b/core/command/fleet/reconcile_observe.go
@@ -49,15 +49,11 @@
 }
 
 func (p *plan) load(i model.Instance) int {
-	if p.leases == nil {
-		p.leases = map[model.InstanceID]int{}
-		for _, j := range p.s.Jobs.All() {
-			if j.Phase == model.JobLeased || j.Phase == model.JobRunning {
-				p.leases[j.Lease.Worker]++
-			}
-		}
+	n := p.obs.Instances[i.ID].InFlight
+	for range p.s.JobIndex.Worker(i.ID) {
+		n++
 	}
-	return p.obs.Instances[i.ID].InFlight + p.leases[i.ID]
+	return n
 }
 
 func (p *plan) hasTargets(id model.InstanceID) bool {
--- a/core/command/fleet/reconcile_test.go
+++ b/core/command/fleet/reconcile_test.go
@@ -154,3 +154,26 @@
 	assert.DeepEqual(t, w.wave(t, "w").Done, []model.InstanceID{"a0"})
 	assert.Equal(t, len(w.wave(t, "w").Pending), 5)
 }
+
+// Guards against a drain that waits its whole time for a job that could
+// continue elsewhere, or that ends while a job still has its lease.
+func TestDrainAsksJobsForCheckpoint(t *testing.T) {
+	c := testConfig(map[model.PoolName]int{"a": 6}, model.Budget{MinAvailable: 2})
+	c.Teams = []model.Team{{Name: "t"}}
+	w := newWorld(c)
+	w.do(model.SubmitJob{Job: model.Job{ID: "j", Pool: "a", Team: "t"}})
+	w.settle()
+	j, _ := w.s.Jobs.Get("j")
+	assert.Assert(t, j.Active(), "job is %s", j.Phase)
+	worker := j.Lease.Worker
+	w.do(model.JobStarted{ID: "j", Token: j.Lease.Token})
+	w.do(model.DrainInstance{Instance: worker})
+	for range 40 {
+		w.runUntil(w.now.Add(time.Second), forever)
+		w.do(model.JobReport{ID: "j", Token: j.Lease.Token})
+	}
+	asked, _ := w.s.Jobs.Get("j")
+	assert.Equal(t, asked.Asked(), model.AskedCheckpoint)
+	assert.Equal(t, w.instance(worker).Phase, model.PhaseDraining)
+	assert.Equal(t, len(w.puts), 0)
+}
