--- a/core/command/fleet/reconcile.go
+++ b/core/command/fleet/reconcile.go
@@ -8,6 +8,9 @@
 )
 
 const (
+	// CheckpointAfter is how long a drain waits for jobs to end by themselves
+	// before it asks them to save their progress and continue elsewhere.
+	CheckpointAfter = 30 * time.Second
 	// OperationPoll is how often the platform is asked about a running operation.
 	OperationPoll = 5 * time.Second
 	// OperationRetry is the wait before a drain that the platform failed is tried again.
