Tell cut requests from refused ones in the end-to-end tests

The transport of the callers resent requests with a key by itself, which hid cut requests. Calls now carry a key and a body that cannot be resent, and a failed request counts as refused only if no target ran it. A target waits until it is known. Adds a test in which all open connections go silent.

--- a/cmd/internal/faults/caller.go
+++ b/cmd/internal/faults/caller.go
@@ -15,20 +15,21 @@
 	"lacewingturn.example/operator/client"
 )
 
-// callTimeout bounds a call as a caller would; the service answers within 10 s.
+// callTimeout bounds a call as a caller would; longer than serviceTimeout.
 const callTimeout = 15 * time.Second
 
 // Call is one request of a caller.
 type Call struct {
 	Caller string // "counter" if empty
-	Key    string // idempotency key; empty for an idempotent request
+	Key    string // idempotency key; targets count runs by it
+	Once   bool   // the request is not idempotent
 	ID     string // body of the request, repeated in the answer
 	Run    time.Duration
 }
 
-// Once returns a non-idempotent call with a new key.
-func Once(id string, run time.Duration) Call {
-	return Call{Key: string(client.NewRequestID()), ID: id, Run: run}
+// NewCall returns a call with a new key.
+func NewCall(id string, once bool, run time.Duration) Call {
+	return Call{Key: string(client.NewRequestID()), Once: once, ID: id, Run: run}
 }
 
 // Reply is what the caller got. Without an answer only Err is set.
@@ -38,10 +39,11 @@
 	Body    string
 	Whole   bool // the body is the complete answer to this very call
 	Err     error
+	Took    time.Duration
 }
 
 func (r Reply) String() string {
-	return fmt.Sprintf("%s (%d) outcome %q body %q error %v", r.Code, r.Code, r.Outcome, r.Body, r.Err)
+	return fmt.Sprintf("%s (%d) outcome %q body %q error %v after %s", r.Code, r.Code, r.Outcome, r.Body, r.Err, r.Took.Round(time.Millisecond))
 }
 
 // NotRun reports whether the caller was told that the work did not run.
@@ -52,10 +54,17 @@
 
 // Send sends a call to an entry instance.
 func (s *Site) Send(ctx context.Context, client *http.Client, entry *Process, c Call) Reply {
+	began := time.Now()
+	r := s.send(ctx, client, entry, c)
+	r.Took = time.Since(began)
+	return r
+}
+
+func (s *Site) send(ctx context.Context, client *http.Client, entry *Process, c Call) Reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	method := http.MethodGet
-	if c.Key != "" {
+	if c.Once {
 		method = http.MethodPost
 	}
 	url := fmt.Sprintf("http://%s/services/%s/work", entry.Address, s.Config.Services[0].Name)
@@ -65,9 +74,8 @@
 	}
 	req.Header.Set("Lacewingturn-Caller", cmp.Or(c.Caller, "counter"))
 	req.Header.Set(site.HeaderRun, strconv.FormatInt(c.Run.Milliseconds(), 10))
-	if c.Key != "" {
-		req.Header.Set("Idempotency-Key", c.Key)
-	}
+	req.Header.Set("Idempotency-Key", c.Key)
+	req.GetBody = nil // the transport must not resend by itself, which would hide a cut request
 	resp, err := client.Do(req)
 	if err != nil {
 		return Reply{Err: err}
--- a/cmd/internal/faults/entries_test.go
+++ b/cmd/internal/faults/entries_test.go
@@ -126,7 +126,10 @@
 		if !a.reply.Whole {
 			refused++
 		}
-		assert.Check(t, a.reply.Whole || a.reply.NotRun() || notConnected(a.reply.Err), "%s: %s", a.entry.Name, a.reply)
+		// A request that meets the end of the listener or of an idle connection
+		// was not taken; the caller's balancer sends it elsewhere.
+		taken := a.reply.Err == nil || s.Runs(a.call.Key) > 0
+		assert.Check(t, a.reply.Whole || a.reply.NotRun() || !taken, "%s: %s", a.entry.Name, a.reply)
 	}
 	checkOnce(s, onceOnly(replies), s.Entries[1:]...)
 	t.Logf("%d requests, %d refused by the instance that had stopped, none cut", len(replies), refused)
@@ -141,7 +144,7 @@
 
 func onceOnly(list []answered) (out []answered) {
 	for _, a := range list {
-		if a.call.Key != "" {
+		if a.call.Once {
 			out = append(out, a)
 		}
 	}
--- a/cmd/internal/faults/leaving_test.go
+++ b/cmd/internal/faults/leaving_test.go
@@ -48,7 +48,7 @@
 
 	r, ok := s.Readiness(isolated)
 	assert.Check(t, ok && !r.Ready, "%+v", r)
-	refused := Once("refused", 0)
+	refused := NewCall("refused", true, 0)
 	reply := s.Send(t.Context(), http.DefaultClient, isolated, refused)
 	assert.Check(t, reply.NotRun() && reply.Code == result.EntryStale, "%s", reply)
 	assert.Equal(t, s.Runs(refused.Key), 0)
--- a/cmd/internal/faults/load_test.go
+++ b/cmd/internal/faults/load_test.go
@@ -57,10 +57,7 @@
 
 func (l *load) send(ctx context.Context, e *Process, sender int, once bool, run time.Duration) {
 	for n := 0; ctx.Err() == nil; n++ {
-		c := Call{ID: fmt.Sprintf("%s-%d-%d", e.Name, sender, n), Run: run}
-		if once {
-			c = Once(c.ID, run)
-		}
+		c := NewCall(fmt.Sprintf("%s-%d-%d", e.Name, sender, n), once, run)
 		r := l.site.Send(context.WithoutCancel(ctx), l.http, e, c)
 		l.mu.Lock()
 		l.replies = append(l.replies, answered{c, e, r})
@@ -248,3 +245,11 @@
 	}
 	assert.Check(w.site.t, w.looks.Load() > 0)
 }
+
+// slowest returns the longest time that a call took.
+func slowest(list []answered) (d time.Duration) {
+	for _, a := range list {
+		d = max(d, a.reply.Took)
+	}
+	return d
+}
--- a/cmd/internal/faults/operators_test.go
+++ b/cmd/internal/faults/operators_test.go
@@ -1,9 +1,7 @@
 package faults
 
 import (
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"sync"
 	"testing"
 
@@ -16,23 +14,6 @@
 	"lacewingturn.example/operator/client"
 )
 
-// phases returns the phase of each target on an entry instance.
-func phases(s *Site, e *Process) map[string]string {
-	out := map[string]string{}
-	resp, err := http.Get("http://" + e.Address + "/targets")
-	if err != nil {
-		return out
-	}
-	defer resp.Body.Close()
-	var list []struct{ ID, Phase string }
-	assert.Check(s.t, json.NewDecoder(resp.Body).Decode(&list))
-	for _, x := range list {
-		out[x.ID] = x.Phase
-	}
-	assert.Check(s.t, len(out) == len(s.Targets), "%v", out)
-	return out
-}
-
 // Guards against two accepted changes from one revision, a loser that is not
 // told what it lost to, and a resend that is applied a second time. The
 // answers to one of the two operators are lost on the way.
--- a/cmd/internal/faults/relay.go
+++ b/cmd/internal/faults/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,13 +71,17 @@
 // Heal ends the cuts. Connections silenced by SilenceOpen stay silent.
 func (r *Relay) Heal() { r.change(func() { r.cutAll = 0; clear(r.cut) }) }
 
-// SilenceOpen silences the connections that are open now for good and returns
-// their number; later ones work.
-func (r *Relay) SilenceOpen() (n int) {
+// SilenceOpen silences the connections that the processes have open now for
+// good and returns their number; later ones work. Without an argument it
+// silences those of all processes.
+func (r *Relay) SilenceOpen(openers ...*Process) (n int) {
 	r.change(func() {
 		for l := range r.links {
-			l.silent = true
-			n++
+			opened := func(p *Process) bool { return p.PID() == l.pid }
+			if len(openers) == 0 || slices.ContainsFunc(openers, opened) {
+				l.silent = true
+				n++
+			}
 		}
 	})
 	return n
--- a/cmd/internal/faults/replicas_test.go
+++ b/cmd/internal/faults/replicas_test.go
@@ -92,7 +92,7 @@
 		s.Until("every replica has the newest revision", func() bool { return revisionOf(s, i) == newest })
 	}
 	checkOnce(s, replies, s.Entries...)
-	t.Logf("leader %s, then %s; revision %d", s.Controls[old].Name, s.Controls[next].Name, newest)
+	t.Logf("leader %s, then %s; revision %d; slowest call %s", s.Controls[old].Name, s.Controls[next].Name, newest, slowest(replies).Round(time.Millisecond))
 }
 
 // revisionOf returns the configuration in force on one replica.
--- a/cmd/internal/faults/silence_test.go
+++ b/cmd/internal/faults/silence_test.go
@@ -23,9 +23,11 @@
 	}
 	plain.progress(200)
 	once.progress(20)
+	silenced := 0
 	for _, r := range s.Replicas {
-		assert.Check(t, r.SilenceOpen() > 0)
+		silenced += r.SilenceOpen(s.Entries...)
 	}
+	assert.Check(t, silenced >= len(s.Entries))
 	newest := accept(s, 1, 3)
 	s.Until("a change is in force after the silence", func() bool { return s.AllHold(newest, s.Entries...) })
 	plain.progress(200)
@@ -33,8 +35,10 @@
 	served := []int{s.Targets[0].Served(), s.Targets[1].Served()}
 	s.Until("both targets get new work", func() bool { return s.Targets[0].Served() > served[0] && s.Targets[1].Served() > served[1] })
 	for _, e := range s.Entries {
-		for id, phase := range phases(s, e) {
-			assert.Equal(t, phase, "ready", "%s on %s", id, e.Name)
+		phases, ok := s.Phases(e)
+		assert.Check(t, ok && len(phases) == len(s.Targets))
+		for id, phase := range phases {
+			assert.Check(t, phase == "ready", "%s is %s on %s", id, phase, e.Name)
 		}
 	}
 	for _, a := range plain.stop() {
@@ -44,6 +48,29 @@
 	looks.stop()
 }
 
+// Guards against a site that does not come back by itself after all open
+// connections between replicas, and of entry instances with them, went silent at
+// the same time. Until it has a leader again it may refuse work, not lose it.
+func TestSiteComesBackWhenAllConnectionsWentSilent(t *testing.T) {
+	t.Parallel()
+	s := Start(t, 2)
+	s.AddTarget(s.Entries...)
+	stream, looks, once := startChanges(s), startWatch(s, s.Entries...), startLoad(s, 2, true, 5*time.Millisecond, s.Entries...)
+	stream.progress(5)
+	once.progress(20)
+	for _, r := range s.Replicas {
+		assert.Check(t, r.SilenceOpen() > 0)
+	}
+	stream.progress(10)
+	once.progress(20)
+	replies := once.stop()
+	newest := stream.stop()
+	s.Until("the newest revision is in force", func() bool { return s.AllHold(newest, s.Entries...) })
+	looks.stop()
+	checkOnce(s, replies, s.Entries...)
+	t.Logf("slowest call %s", slowest(replies).Round(time.Millisecond))
+}
+
 // Guards against a change that is applied although its answer and every
 // heartbeat of the leader are lost, and then reverts: one direction of all
 // connections to the leader is cut.
--- a/cmd/internal/faults/site.go
+++ b/cmd/internal/faults/site.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,8 @@
 	look = 10 * time.Millisecond
 	// askTimeout bounds one question to a process that may be frozen.
 	askTimeout = 500 * time.Millisecond
+	// serviceTimeout is how long a call without an answer keeps its caller.
+	serviceTimeout = 5 * time.Second
 	// replicaCount is one replica in each data centre.
 	replicaCount = 3
 )
@@ -60,6 +63,7 @@
 	t.Helper()
 	sites <- struct{}{}
 	s := &Site{t: t, http: server.NewClient(server.Dialer(nil)), Config: capacity.Size{Workers: 8, Pools: 1, Services: 1, Teams: 1}.Config()}
+	s.Config.Services[0].Timeout = serviceTimeout
 	t.Cleanup(s.stop)
 	s.startControls()
 	for i := range entries {
@@ -217,7 +221,7 @@
 	s.Until("a control replica leads", func() bool {
 		var term uint64
 		for i, c := range s.Controls {
-			if contains(without, c) {
+			if slices.Contains(without, c) {
 				continue
 			}
 			if st := s.Status(i); st != nil && st.Leader && st.Term > term {
@@ -229,15 +233,6 @@
 	return leader
 }
 
-func contains(list []*Process, p *Process) bool {
-	for _, q := range list {
-		if p == q {
-			return true
-		}
-	}
-	return false
-}
-
 // Readiness is what an entry instance reports about itself.
 type Readiness struct {
 	Ready    bool   `json:"ready"`
@@ -283,7 +278,7 @@
 }
 
 // AddTarget starts a target behind a relay that announces itself to the entry
-// instances given and waits until all entry instances know it.
+// instances given, and waits until these know it.
 func (s *Site) AddTarget(announceTo ...*Process) *site.Target {
 	s.t.Helper()
 	t := &site.Target{
@@ -307,5 +302,38 @@
 		s.t.Fatal(err)
 	}
 	s.Targets = append(s.Targets, t)
+	s.Until("the target is known", func() bool {
+		for _, e := range announceTo {
+			if phases, ok := s.Phases(e); !ok || phases[string(t.ID)] != model.TargetReady.String() {
+				return false
+			}
+		}
+		return true
+	})
 	return t
 }
+
+// Phases returns the phase of each target on an entry instance; it reports
+// false if there is no answer.
+func (s *Site) Phases(e *Process) (map[string]string, bool) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/targets", nil)
+	if err != nil {
+		return nil, false
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return nil, false
+	}
+	defer resp.Body.Close()
+	var list []struct{ ID, Phase string }
+	if json.NewDecoder(resp.Body).Decode(&list) != nil {
+		return nil, false
+	}
+	out := map[string]string{}
+	for _, x := range list {
+		out[x.ID] = x.Phase
+	}
+	return out, true
+}
