Send the second attempt of a hedged request on a new connection

Cause: when the connections to all targets of a service went silent at once, the second attempt of an idempotent request went to another target on a silent connection too, and the caller got target-silent at the deadline. Idle connections to both targets are now closed when half of the time has passed.

Conclusion: idempotent traffic goes on when open connections go silent for good.

--- a/entry/command/attempt.go
+++ b/entry/command/attempt.go
@@ -86,9 +86,9 @@
 		g.endAttempt(id, c, &a, s, func() { span.End() })
 		return a, s, d.target.id
 	}
-	ctx, h := g.startHedge(ctx, c, d.target.id)
+	ctx, h := g.startHedge(ctx, c, d.target)
 	a, s := g.exchange(ctx, c, d.target)
-	g.endAttempt(id, c, &a, s, func() { span.End(); h.first(nil) })
+	g.endAttempt(id, c, &a, s, func() { span.End(); h.end(nil) })
 	return h.settle(a, c.release), s, d.target.id
 }
 
--- a/entry/command/call.go
+++ b/entry/command/call.go
@@ -52,6 +52,7 @@
 	body       []byte
 	idempotent bool
 	deadline   time.Time
+	fresh      bool   // use no connection that is open already
 	release    func() // ends the context of the call
 }
 
--- a/entry/command/exchange.go
+++ b/entry/command/exchange.go
@@ -25,6 +25,9 @@
 func (g *Gateway) exchange(ctx context.Context, c *call, d destination) (answer, sample) {
 	started := time.Now()
 	l := g.pool.lane(d)
+	if c.fresh {
+		l.transport.CloseIdleConnections()
+	}
 	sent := &sending{}
 	resp, err := l.transport.RoundTrip(outgoing(sent.trace(ctx), c, d))
 	if err != nil {
--- a/entry/command/hedge.go
+++ b/entry/command/hedge.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
 
@@ -16,32 +15,35 @@
 // hedge is a second attempt of an idempotent request on another target. It
 // starts when half of the time has passed without an answer, because a silent
 // connection or target cannot be told from long work. The first attempt goes
-// on, so that long work is not cut, and the first complete answer counts.
+// on, so that long work is not cut, and the first complete answer counts. The
+// idle connections to both targets are closed before, because those to several
+// targets may have gone silent at once.
 type hedge struct {
 	g       *Gateway
 	call    call
-	avoid   model.TargetID
+	first   destination // of the first attempt
 	ctx     context.Context
 	cancel  context.CancelFunc      // ends the second attempt
-	first   context.CancelCauseFunc // ends the first attempt
+	end     context.CancelCauseFunc // ends the first attempt
 	timer   *time.Timer
 	settled atomic.Bool // one of the attempts has given the answer
 	done    chan answer // gets the result of the second attempt if it ran
 }
 
 // startHedge returns the context of the first attempt, which runs on target.
-func (g *Gateway) startHedge(ctx context.Context, c *call, target model.TargetID) (context.Context, *hedge) {
-	h := &hedge{g: g, call: *c, avoid: target, done: make(chan answer, 1)}
+func (g *Gateway) startHedge(ctx context.Context, c *call, target destination) (context.Context, *hedge) {
+	h := &hedge{g: g, call: *c, first: target, done: make(chan answer, 1)}
 	h.ctx, h.cancel = context.WithCancel(ctx)
-	ctx, h.first = context.WithCancelCause(ctx)
+	ctx, h.end = context.WithCancelCause(ctx)
 	h.timer = time.AfterFunc(time.Until(c.deadline)/2, h.run)
 	return ctx, h
 }
 
 // run is the second attempt. It hedges no further.
 func (h *hedge) run() {
-	h.call.release = func() {}
-	a, _, _ := h.g.attempt(h.ctx, &h.call, maxAttempts-1, h.avoid)
+	h.call.release, h.call.fresh = func() {}, true
+	h.g.pool.lane(h.first).transport.CloseIdleConnections()
+	a, _, _ := h.g.attempt(h.ctx, &h.call, maxAttempts-1, h.first.id)
 	if a.outcome != result.OutcomeDone {
 		h.done <- a
 		return
@@ -50,7 +52,7 @@
 		a.discard()
 		return
 	}
-	h.first(errAnsweredElsewhere)
+	h.end(errAnsweredElsewhere)
 	h.done <- a
 }
 
