--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -22,7 +22,7 @@
 
 // entryModule serves callers and targets.
 var entryModule = fx.Module("entry",
-	fx.Provide(newEntry),
+	fx.Provide(newEntry, newReader, newTrafficRecorder),
 	fx.Invoke(runEntry),
 )
 
@@ -48,22 +48,27 @@
 
 func newControlClient(s Settings, c *http.Client) entry.Control { return client.New(nearFirst(s), c) }
 
+func newReader(s Settings, c *http.Client) *client.Reader { return client.NewReader(nearFirst(s), c) }
+
 type entryParams struct {
 	fx.In
 
 	Settings Settings
 	Control  entry.Control
+	Reader   *client.Reader
 	Client   *http.Client
 	Loop     *loop.Loop
 	Log      *zap.Logger
 	Metrics  prometheus.Registerer
 	Tracing  telemetry.Tracing
+	Recorder *trafficRecorder
 }
 
 func newEntry(p entryParams) (*entryinstance.Instance, error) {
 	return entryinstance.New(entryinstance.Settings{
 		ID: model.EntryID(p.Settings.Name), Address: p.Settings.InternalAddress, Domain: p.Settings.Domain,
-		Control: p.Control, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
+		Control: p.Control, Assignments: p.Reader, Loop: p.Loop, Log: p.Log, Metrics: p.Metrics, PeerClient: p.Client,
+		Record: p.Recorder.hook(),
 		Tracer: p.Tracing.Provider.Tracer("lacewingturn.example/entry"),
 	})
 }
@@ -76,12 +81,14 @@
 	Life      *life
 	Servers   *servers
 	Entry     *entryinstance.Instance
+	Reader    *client.Reader
 	Control   entry.Control
 	Client    *http.Client
 	Log       *zap.Logger
 	Metrics   metricsHandler
 	Internal  internalMux
 	Traffic   *server.Traffic
+	Recorder  *trafficRecorder
 }
 
 // runEntry starts the entry role. At a stop the hooks run in reverse: the
@@ -91,16 +98,24 @@
 	link := newLink(p)
 	p.Internal.Handle(p.Entry.PeerPath, p.Entry.Peers)
 	background, cancel := context.WithCancel(p.Life)
-	linkDone := make(chan struct{})
+	linkDone, recorded := make(chan struct{}), make(chan struct{})
 	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() { defer close(linkDone); link.Run(background) }()
 			go p.Entry.Run(p.Life)
+			go p.Reader.Run(p.Life)
+			go func() {
+				defer close(recorded)
+				if p.Recorder != nil {
+					p.Recorder.run(background, p.Entry.Source)
+				}
+			}()
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			cancel()
 			<-linkDone
+			<-recorded
 			event.ProcessStopped.Log(p.Log)
 			if !p.Settings.Has(RoleControl) {
 				p.Life.cancel()
--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -37,6 +37,8 @@
 	// listens on; nil announces the latter.
 	Forwarded func(address string) string
 
+	generation uint64 // grows with each restart
+
 	server  *server.Server
 	client  *http.Client
 	running atomic.Int64
@@ -55,7 +57,10 @@
 
 // Start serves on a loopback address and joins.
 func (t *Target) Start(ctx context.Context) error {
-	t.runs, t.slots = map[string]int{}, map[string]bool{}
+	if t.runs == nil {
+		t.runs, t.generation = map[string]int{}, 1
+	}
+	t.slots, t.sequence = map[string]bool{}, 0
 	t.client = &http.Client{Timeout: 2 * time.Second}
 	s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(t.serve), nil)
 	if err != nil {
@@ -68,7 +73,7 @@
 		address = t.Forwarded(address)
 	}
 	if err := t.announce(ctx, "join", join{
-		Instance: t.Instance, Service: t.Service, Address: address, Generation: 1, Slots: 8, Connections: 64,
+		Instance: t.Instance, Service: t.Service, Address: address, Generation: t.generation, Slots: 8, Connections: 64,
 	}); err != nil {
 		return err
 	}
@@ -80,7 +85,7 @@
 
 // Leaving announces that the target leaves; it goes on serving.
 func (t *Target) Leaving(ctx context.Context) error {
-	return t.announce(ctx, "leaving", leaving{Generation: 1})
+	return t.announce(ctx, "leaving", leaving{Generation: t.generation})
 }
 
 // Leave announces that the target leaves, waits for what is in flight, and stops.
@@ -198,7 +203,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence++
-	b := beat{Generation: 1, Sequence: t.sequence, Running: []string{}}
+	b := beat{Generation: t.generation, Sequence: t.sequence, Running: []string{}}
 	for slot := range t.slots {
 		b.Running = append(b.Running, slot)
 	}
--- a/core/command/job/report.go
+++ b/core/command/job/report.go
@@ -15,7 +15,7 @@
 	}
 	next := j
 	next.Phase, next.StartedAt = model.JobRunning, env.Time
-	next.Lease.ExpiresAt = env.Time.Add(LeaseTerm)
+	next.Lease.ExpiresAt = renewed(s, env, j)
 	store(s, j, next)
 	return wanted(next)
 }
@@ -28,7 +28,7 @@
 	}
 	next := j
 	next.Used = c.Used
-	next.Lease.ExpiresAt = env.Time.Add(LeaseTerm)
+	next.Lease.ExpiresAt = renewed(s, env, j)
 	if c.Checkpoint != "" {
 		next.Checkpoint = c.Checkpoint
 	}
@@ -118,7 +118,7 @@
 	}
 	w, _ := s.Instances.Get(j.Lease.Worker)
 	load, _ := s.JobIndex.Loads.Get(w.ID)
-	size := Size(*s, j, w)
+	size := s.JobSize(j, w)
 	if others := load.Reserved.MilliCPU - j.Reserved.MilliCPU; others+size.MilliCPU > w.Capacity.MilliCPU {
 		return result.New(result.NoCapacity, "instance %s has no processors free to end the throttling of job %s", w.ID, j.ID)
 	}
