Compare the abandoned slots with what the target runs

TestAbandonedSlotIsKeptUntilTargetEndsIt failed once under load 43: 2 slots kept where 3 were expected. A request that times out before it is written never runs, so its slot comes back; the test now compares with the requests that the target started, which must be equal after the release bound has passed.

--- a/entry/instance/slots_test.go
+++ b/entry/instance/slots_test.go
@@ -223,13 +223,16 @@
 	var wg sync.WaitGroup
 	for i := range 3 {
 		wg.Go(func() {
-			r := s.call(t, http.MethodPost, "/long", "", "Idempotency-Key", keyAt(time.Now(), i), "Lacewingturn-Timeout-Ms", "100", "Lacewingturn-Caller", fmt.Sprint(i))
+			r := s.call(t, http.MethodPost, "/long", "", "Idempotency-Key", keyAt(time.Now(), i), "Lacewingturn-Timeout-Ms", "300", "Lacewingturn-Caller", fmt.Sprint(i))
 			assert.Check(t, r.result == "408", r.body)
 		})
 	}
 	wg.Wait()
 	time.Sleep(2500 * time.Millisecond)
-	assert.Equal(t, s.inUse(), 3)
+	// On a busy machine a request may time out before it is written.
+	_, started := w.figures()
+	assert.Assert(t, started > 0)
+	assert.Equal(t, s.inUse(), started)
 	release()
 	s.until(t, func() bool { return s.inUse() == 0 })
 }
