--- a/replica/command/bench_test.go
+++ b/replica/command/bench_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -288,6 +289,13 @@
 	}
 }
 
+// processorTime returns the processor time that this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func benchmarkIdle(b *testing.B, size int) {
 	settings := siteSettings(b, size)
 	type pair struct{ bytes, packets atomic.Int64 }
@@ -315,11 +323,13 @@
 	for a, c := range counts {
 		before[a] = [2]int64{c.bytes.Load(), c.packets.Load()}
 	}
+	cpu := processorTime(b)
 	b.ResetTimer()
 	for range b.N {
 		time.Sleep(time.Second)
 	}
 	b.StopTimer()
+	b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/b.Elapsed().Seconds()/float64(size), "mean-core-%/replica")
 	for _, i := range site {
 		c, role := counts[i.settings.Address], "follower"
 		if i == leader {
