--- a/core/command/credit/holder.go
+++ b/core/command/credit/holder.go
@@ -19,6 +19,7 @@
 // Holder is the state of an entry instance as user of slots.
 type Holder struct {
 	self     Member
+	lease    time.Time // credits end with it; zero before the first renewal
 	sequence uint64
 	targets  map[Key]*held
 	owners   map[Member]*peer
@@ -27,6 +28,7 @@
 // held is one target as its holder sees it.
 type held struct {
 	owner     Member
+	peer      *peer // exchange with the owner; nil before the first view
 	granted   int
 	until     time.Time
 	inUse     int
@@ -45,6 +47,8 @@
 	asked    bool // the newest report had demand
 	listed   map[Key]Demand
 	tell     bool // the owner has not yet heard of all its targets from this holder
+	wants    bool // some target of the owner has demand
+	holds    bool // some target of the owner is held or in use, or believed to be
 	full     bool // the newest report lists all targets of the owner
 }
 
@@ -59,11 +63,19 @@
 	if self == h.self {
 		return
 	}
-	h.self = self
+	h.self, h.lease = self, time.Time{}
 	h.owners = map[Member]*peer{}
 	for _, t := range h.targets {
 		t.granted, t.until, t.told = 0, time.Time{}, false
-		t.owner = Member{}
+		t.owner, t.peer = Member{}, nil
+	}
+}
+
+// Renew extends the lease of the holder. A holder that is cut off from the
+// control state may still reach owners, and must start nothing after its lease.
+func (h *Holder) Renew(until time.Time) {
+	if until.After(h.lease) {
+		h.lease = until
 	}
 }
 
@@ -81,8 +93,8 @@
 			h.targets[key] = t
 		}
 		if t.owner != owner {
-			t.owner, t.told = owner, false
-			h.peer(owner).tell = true
+			t.owner, t.told, t.peer = owner, false, h.peer(owner)
+			t.peer.tell = true
 		}
 	}
 	for key, t := range h.targets {
