--- a/core/command/fleet/fleet_test.go
+++ b/core/command/fleet/fleet_test.go
@@ -215,3 +215,22 @@
 	assert.Equal(t, u.Headroom(), 0)
 	d.refused(model.DrainInstance{Instance: "a0"}, result.BudgetExceeded)
 }
+
+// Guards against a second operation, a return or an end of a drain while the
+// platform still works on the instance.
+func TestPendingOperationBlocksTheNextStep(t *testing.T) {
+	d := newSite(t, map[model.PoolName]int{"a": 4, "b": 3}, model.Budget{MinAvailable: 2})
+	d.must(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	d.must(model.TakeWaveStep{ID: "w", Instance: "a0"})
+	first := d.instance("a0").NextOperation()
+	d.must(model.BeginOperation{Instance: "a0", Operation: first, Kind: model.OperationDrain})
+	d.refused(model.BeginOperation{Instance: "a0", Operation: first, Kind: model.OperationDrain}, result.Unchanged)
+	d.refused(model.BeginOperation{Instance: "a0", Operation: d.instance("a0").NextOperation(), Kind: model.OperationDrain}, result.OperationPending)
+	d.refused(model.ReturnInstance{Instance: "a0", HeldBy: model.WaveHolder("w")}, result.OperationPending)
+	assert.Equal(t, d.observe("a0", model.PhaseDrained).Code, result.OperationPending)
+	d.must(model.StartMove{ID: "m", Instance: "a1", From: "a", To: "b"})
+	d.must(model.BeginOperation{Instance: "a1", Operation: d.instance("a1").NextOperation(), Kind: model.OperationDrain})
+	d.refused(model.UndoMove{ID: "m"}, result.OperationPending)
+	d.must(model.EndOperation{Instance: "a0", Operation: first, Succeeded: true})
+	assert.Equal(t, d.instance("a0").Phase, model.PhaseDrained)
+}
