--- a/core/command/fleet/reconcile_test.go
+++ b/core/command/fleet/reconcile_test.go
@@ -155,6 +155,17 @@
 	assert.Equal(t, len(w.wave(t, "w").Pending), 5)
 }
 
+// Guards against an instance that stays quarantined for ever because nothing
+// ends the quarantine, not even its maintenance.
+func TestMaintenanceEndsQuarantine(t *testing.T) {
+	w := smallWorld(model.Budget{MinAvailable: 2})
+	w.set("a1", func(i *model.Instance) { i.Quarantined, i.Failures = true, 5 })
+	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
+	w.runUntil(w.now.Add(2*time.Hour), func() bool { return w.wave(t, "w").Phase == model.WaveDone })
+	assert.Assert(t, !w.instance("a1").Quarantined)
+	assert.Equal(t, w.instance("a1").Failures, 0)
+}
+
 // Guards against a drain that waits its whole time for a job that could
 // continue elsewhere, or that ends while a job still has its lease.
 func TestDrainAsksJobsForCheckpoint(t *testing.T) {
