--- /dev/null
+++ b/cmd/site/demo_traffic.go
@@ -0,0 +1,107 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+func (d *Demo) startTargets(ctx context.Context) error {
+	ready := eventually(ctx, func() bool { return d.readyEntries(ctx) == len(d.site.Entries) })
+	d.outcomes.add(ready, "every entry instance reports ready", "%d of %d", d.readyEntries(ctx), len(d.site.Entries))
+	if err := d.site.StartTargets(ctx, d.config); err != nil {
+		return err
+	}
+	known := func() int {
+		least := len(d.site.Targets)
+		for _, e := range d.site.Entries {
+			least = min(least, e.Entry.Source.View().Traffic.Targets.Len())
+		}
+		return least
+	}
+	all := eventually(ctx, func() bool { return known() == len(d.site.Targets) })
+	d.outcomes.add(all, "every target that announced itself to one entry instance is known to all", "%d of %d", known(), len(d.site.Targets))
+	return nil
+}
+
+func (d *Demo) readyEntries(ctx context.Context) int {
+	n := 0
+	for _, url := range d.site.EntryURLs() {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+		if err != nil {
+			continue
+		}
+		resp, err := d.caller.client.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *Demo) playWorkload(ctx context.Context) error {
+	calls, err := readWorkload()
+	if err != nil {
+		return err
+	}
+	replies := d.caller.play(ctx, calls)
+	whole, first := countWhole(replies)
+	d.outcomes.add(whole == len(replies), "every caller gets the whole answer to its own request", "%d of %d%s", whole, len(replies), first)
+	once, resent, recorded := 0, 0, 0
+	for _, r := range replies {
+		if r.key == "" {
+			continue
+		}
+		once++
+		if r.resent != nil {
+			resent++
+			if r.resent.outcome == result.OutcomeDone.String() {
+				recorded++
+			}
+		}
+	}
+	runs, most := d.executions(replies)
+	d.outcomes.add(runs == once && most == 1, "each non-idempotent request runs exactly once, also when it is resent to another entry instance",
+		"%d requests, %d executions, at most %d each", once, runs, most)
+	d.outcomes.add(recorded == resent, "each resend gets the recorded outcome", "%d of %d", recorded, resent)
+	peak := 0
+	for _, t := range d.site.Targets {
+		peak = max(peak, t.Peak())
+	}
+	d.outcomes.add(peak <= 8, "no target runs more than its 8 slots", "peak %d", peak)
+	return nil
+}
+
+// countWhole counts whole answers and describes the first other one.
+func countWhole(replies []reply) (n int, first string) {
+	for _, r := range replies {
+		if r.whole {
+			n++
+		} else if first == "" {
+			first = fmt.Sprintf("; %s: status %d, result %d, %v", r.call.ID, r.status, r.code, r.err)
+		}
+	}
+	return n, first
+}
+
+// executions counts how often targets ran the keys of the replies.
+func (d *Demo) executions(replies []reply) (total, most int) {
+	count := map[string]int{}
+	for _, t := range d.site.Targets {
+		for key, n := range t.Runs() {
+			count[key] += n
+		}
+	}
+	for _, r := range replies {
+		total += count[r.key]
+		most = max(most, count[r.key])
+	}
+	return total, most
+}
