--- a/cmd/site/demo_traffic.go
+++ b/cmd/site/demo_traffic.go
@@ -6,7 +6,6 @@
 	"net/http"
 
 	"lacewingturn.example/core/result"
-	"lacewingturn.example/operator/client"
 )
 
 func (d *Demo) startTargets(ctx context.Context) error {
