Make the test of paused waves notice a drain that is kept

With balanced weights the wave held one instance, so the drain had timed out before the pause and the test passed without the code it guards. It now takes both instances itself and checks their phases; without the code it fails.

--- a/core/command/fleet/reconcile_test.go
+++ b/core/command/fleet/reconcile_test.go
@@ -147,7 +147,10 @@
 	w.machines["a1"].busyUntil = never
 	w.do(model.StartWave{ID: "w", Pools: []model.PoolName{"a"}})
 	w.do(model.TakeWaveStep{ID: "w", Instance: "a1"})
-	w.runUntil(w.now.Add(time.Hour), func() bool { return w.instance("a0").Phase == model.PhaseRebooting })
+	w.do(model.TakeWaveStep{ID: "w", Instance: "a0"})
+	w.runUntil(w.now.Add(time.Minute), func() bool { return w.instance("a0").Phase == model.PhaseRebooting })
+	assert.Equal(t, w.instance("a0").Phase, model.PhaseRebooting)
+	assert.Equal(t, w.instance("a1").Phase, model.PhaseDraining)
 	w.do(model.SetWavePhase{ID: "w", Phase: model.WavePaused, Reason: "operator"})
 	w.runUntil(w.now.Add(10*time.Minute), forever)
 	assert.Assert(t, w.instance("a0").Available() && w.instance("a1").Available())
