--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -139,10 +139,20 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			if life.Err() == nil {
-				_ = r.Resign(ctx)
+				resign(ctx, r)
 			}
 			life.cancel()
 			return <-done
 		},
 	})
 }
+
+// resignTimeout bounds the wait for the next leader at a stop. It is the bound
+// of a failover; when all replicas stop together there is no next leader.
+const resignTimeout = 2 * time.Second
+
+func resign(ctx context.Context, r *replicacommand.Replica) {
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	_ = r.Resign(ctx)
+}
