Give a silent control replica 1 s before an operator's command goes elsewhere

Cause: with 1.5 s, a change after the leader was frozen took 1249 ms in the mean and at most 2017 ms over 10 losses, above the bound of 2 s.

--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -22,9 +22,10 @@
 const (
 	// attemptTimeout bounds one attempt at a command, so that a replica which went
 	// silent is left for another. Resending under the same ID is safe. After the
-	// leader was frozen, a change took 4.0 s with a timeout of 4 s and 2.0 s with
-	// this one; its successor was elected after 0.5 s.
-	attemptTimeout = 1500 * time.Millisecond
+	// leader was frozen, a change took at most 2.02 s with a timeout of 1.5 s, which
+	// is above the bound of 2 s, although a successor was elected within 0.75 s. See
+	// docs/measurements/end-to-end.md for the figure with this one.
+	attemptTimeout = time.Second
 	// readTimeout bounds a query, which is answered from memory.
 	readTimeout = 3 * time.Second
 	// minBackoff and maxBackoff bound the wait between two rounds over all replicas.
