--- /dev/null
+++ b/cmd/internal/faults/bench_test.go
@@ -0,0 +1,81 @@
+package faults
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/operator/client"
+)
+
+// BenchmarkInForce measures the time from the acceptance of a configuration
+// until all other entry instances of 12 have it in force, while one is isolated
+// and one was restarted just before.
+func BenchmarkInForce(b *testing.B) {
+	s := Start(b, 12)
+	isolated, restarted := s.Entries[11], s.Entries[10]
+	for _, r := range s.Replicas {
+		r.CutFrom(isolated.PID(), Both)
+	}
+	operator, base, changes := s.Operator("bench"), uint64(1), 0
+	var total, longest, back time.Duration
+	for b.Loop() {
+		restarted.Kill()
+		restarted.Start()
+		began := time.Now()
+		r := operator.Submit(b.Context(), client.NewRequestID(), model.AcceptConfig{Base: model.Revision(base), Config: s.Named(fmt.Sprintf("bench-%d", base))})
+		if r.Code != result.Accepted {
+			b.Fatal(r.Error())
+		}
+		accepted := time.Now()
+		base = r.Revision
+		s.Until("in force on the others", func() bool { return s.AllHold(base, s.Entries[:10]...) })
+		took := time.Since(accepted)
+		s.Until("in force on the restarted one", func() bool { return s.AllHold(base, restarted) })
+		back = max(back, time.Since(began))
+		total, longest, changes = total+took, max(longest, took), changes+1
+	}
+	b.ReportMetric(total.Seconds()*1000/float64(changes), "in-force-mean-ms")
+	b.ReportMetric(longest.Seconds()*1000, "in-force-max-ms")
+	b.ReportMetric(back.Seconds()*1000, "restarted-max-ms")
+	b.ReportMetric(float64(changes), "changes")
+}
+
+// BenchmarkFailover measures the time from the loss of the leader until the
+// next change is accepted, with the leader killed and with it frozen.
+func BenchmarkFailover(b *testing.B) {
+	for _, loss := range []syscall.Signal{syscall.SIGKILL, syscall.SIGSTOP} {
+		b.Run(loss.String(), func(b *testing.B) { measureFailover(b, loss) })
+	}
+}
+
+func measureFailover(b *testing.B, loss syscall.Signal) {
+	s := Start(b, 2)
+	base, losses := uint64(1), 0
+	var total, longest, elected time.Duration
+	for b.Loop() {
+		leader := s.Leader()
+		lost := s.Controls[leader]
+		lost.Signal(loss)
+		began := time.Now()
+		s.Leader(lost)
+		elected = max(elected, time.Since(began))
+		base = accept(s, base, 1)
+		took := time.Since(began)
+		total, longest, losses = total+took, max(longest, took), losses+1
+		if loss == syscall.SIGSTOP {
+			lost.Signal(syscall.SIGCONT)
+		} else {
+			lost.Kill()
+			lost.Start()
+		}
+		s.Until("the lost replica is back", func() bool { return revisionOf(s, leader) == base })
+	}
+	b.ReportMetric(total.Seconds()*1000/float64(losses), "accepted-mean-ms")
+	b.ReportMetric(longest.Seconds()*1000, "accepted-max-ms")
+	b.ReportMetric(elected.Seconds()*1000, "elected-max-ms")
+	b.ReportMetric(float64(losses), "losses")
+}
--- a/cmd/internal/faults/process.go
+++ b/cmd/internal/faults/process.go
@@ -135,15 +135,18 @@
 func init() { port.Store(rand.Uint32N(portCount)) }
 
 // FreeAddress returns a loopback address that is not in use. No address is
-// returned twice in one run.
+// returned twice in one run. It connects instead of listening, because a process
+// that is being started holds the listeners of its parent until it is executed,
+// so that the address would stay in use for a moment.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
 	for range portCount {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+port.Add(1)%portCount)
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
 			return address
 		}
+		_ = conn.Close()
 	}
 	t.Fatal("no free port")
 	return ""
