--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -15,6 +15,7 @@
 	"lacewingturn.example/entry"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/telemetry"
 	operatorcommand "lacewingturn.example/operator/command"
 	"lacewingturn.example/operator/platform"
 	platformcommand "lacewingturn.example/operator/platform/command"
@@ -98,11 +99,11 @@
 
 // routeControl serves the replica. The listener is opened before the replica
 // runs, because peers ask for its identity first.
-func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, t *server.Traffic, r *replicacommand.Replica, m *liveness.Machine, f *reconcile.Machine) error {
+func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, t *server.Traffic, tracing telemetry.Tracing, r *replicacommand.Replica, m *liveness.Machine, f *reconcile.Machine) error {
 	mux.Handle(r.Replication().Route())
 	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.Commands(), renewals: m, fleet: f}))
 	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(r)))
-	return serveInternal(lc, all, s, mux, t)
+	return serveInternal(lc, all, s, mux, t, tracing)
 }
 
 type operatorParams struct {
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -88,6 +88,7 @@
 	Metrics   metricsHandler
 	Internal  internalMux
 	Traffic   *server.Traffic
+	Tracing   telemetry.Tracing
 	Recorder  *trafficRecorder
 }
 
@@ -130,7 +131,7 @@
 		return err
 	}
 	if !p.Settings.Has(RoleControl) {
-		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Traffic); err != nil {
+		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Traffic, p.Tracing); err != nil {
 			return err
 		}
 	}
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -92,7 +92,9 @@
 	fx.Provide(func(r *prometheus.Registry) metricsHandler {
 		return metricsHandler{promhttp.HandlerFor(r, promhttp.HandlerOpts{})}
 	}),
-	fx.Provide(func(d server.DialFunc) *http.Client { return server.NewClient(d) }),
+	fx.Provide(func(d server.DialFunc, t telemetry.Tracing) *http.Client {
+		return server.TraceClient(server.NewClient(d), t.Provider)
+	}),
 )
 
 // metricsHandler serves GET /metrics.
@@ -159,12 +161,12 @@
 const internalGrace = 500 * time.Millisecond
 
 // serveInternal serves the other processes of the system.
-func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux, t *server.Traffic) error {
+func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux, t *server.Traffic, tracing telemetry.Tracing) error {
 	config, err := s.InternalTLS.Config()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	l, err := server.ListenCounted(cmp.Or(s.InternalListen, s.InternalAddress), mux, config, t)
+	l, err := server.ListenCounted(cmp.Or(s.InternalListen, s.InternalAddress), server.TraceHandler(mux, tracing.Provider), config, t)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/entry/command/claims.go
+++ b/entry/command/claims.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry"
@@ -33,7 +35,8 @@
 	until    time.Time
 	maybe    bool // an earlier proposal may have been committed
 	reply    chan claimReply
-	ended    func() // called when the task has ended; may be nil
+	span     trace.SpanContext // of the request; not valid for an outcome
+	ended    func()            // called when the task has ended; may be nil
 }
 
 // claimReply is the result of the last command. If certain is false, the
@@ -49,12 +52,13 @@
 	actor   string
 	control entry.Control
 	metrics *Metrics
+	tracer  trace.Tracer
 	tasks   chan *claimTask
 	done    chan struct{}
 }
 
-func newClaimer(id model.EntryID, c entry.Control, m *Metrics) *claimer {
-	return &claimer{actor: string(id), control: c, metrics: m, tasks: make(chan *claimTask, claimQueue), done: make(chan struct{})}
+func newClaimer(id model.EntryID, c entry.Control, m *Metrics, t trace.Tracer) *claimer {
+	return &claimer{actor: string(id), control: c, metrics: m, tracer: t, tasks: make(chan *claimTask, claimQueue), done: make(chan struct{})}
 }
 
 // submit hands a task to the claimer. It waits if the queue is full; the number
@@ -147,7 +151,9 @@
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	ctx, span := c.startSpan(ctx, batch)
 	results, err := c.control.Propose(ctx, envelopes)
+	span.End()
 	cancel()
 	now := time.Now()
 	var again []*claimTask
@@ -165,6 +171,22 @@
 	return again
 }
 
+// startSpan starts a span in the trace of the first request of the batch, with
+// links to the others.
+func (c *claimer) startSpan(ctx context.Context, batch []*claimTask) (context.Context, trace.Span) {
+	var links []trace.Link
+	for _, t := range batch {
+		if t.span.IsValid() {
+			links = append(links, trace.Link{SpanContext: t.span})
+		}
+	}
+	if len(links) == 0 {
+		return ctx, trace.SpanFromContext(ctx)
+	}
+	ctx = trace.ContextWithSpanContext(ctx, links[0].SpanContext)
+	return c.tracer.Start(ctx, "entry.propose", trace.WithSpanKind(trace.SpanKindClient), trace.WithLinks(links[1:]...))
+}
+
 // settled reports whether a task has ended and answers it if so.
 func (c *claimer) settled(now time.Time, t *claimTask, r result.Result) bool {
 	switch r.Code {
--- a/entry/command/new.go
+++ b/entry/command/new.go
@@ -44,7 +44,7 @@
 		return nil, nil, fmt.Errorf("command: there is no queue policy %q; known are %v", s.Policy, dispatch.Policies())
 	}
 	p := &pool{}
-	claims := newClaimer(s.ID, s.Control, s.Metrics)
+	claims := newClaimer(s.ID, s.Control, s.Metrics, s.Tracer)
 	o := &outside{ctx: ctx, client: s.PeerClient, scheme: s.PeerScheme, pool: p, claims: claims}
 	o.port = s.Loop.Add(newMachine(s, o))
 	g := &Gateway{
--- a/entry/command/once.go
+++ b/entry/command/once.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry"
@@ -40,9 +42,11 @@
 // again until the deadline, so that a resend that overtakes the record of the
 // first outcome still gets it.
 func (g *Gateway) claimOrWait(ctx context.Context, c *call, request model.ClaimRequest) (r result.Result, settling bool) {
-	r, settling = g.claim(c, request)
+	ctx, span := g.tracer.Start(ctx, "entry.claim")
+	defer span.End()
+	r, settling = g.claim(ctx, c, request)
 	for n := 1; r.Code == result.KeyInProgress && backoff(ctx, n); n++ {
-		r, settling = g.claim(c, request)
+		r, settling = g.claim(ctx, c, request)
 	}
 	return r, settling
 }
@@ -68,12 +72,12 @@
 // was committed: a claim and its settlement under the same attempt are proposed
 // together, so that a late copy of the claim finds the attempt settled. The
 // second result reports whether that is still going on.
-func (g *Gateway) claim(c *call, request model.ClaimRequest) (result.Result, bool) {
+func (g *Gateway) claim(ctx context.Context, c *call, request model.ClaimRequest) (result.Result, bool) {
 	until := time.Now().Add(claimPatience)
 	if c.deadline.Before(until) {
 		until = c.deadline
 	}
-	t := &claimTask{commands: []model.Command{request}, until: until, reply: make(chan claimReply, 1)}
+	t := &claimTask{commands: []model.Command{request}, until: until, span: trace.SpanContextFromContext(ctx), reply: make(chan claimReply, 1)}
 	g.claims.submit(t)
 	reply := g.claims.await(t)
 	if reply.certain {
--- a/entry/instance/observe_test.go
+++ b/entry/instance/observe_test.go
@@ -33,6 +33,23 @@
 	assert.DeepEqual(t, names, map[string]bool{"entry.request": true, "entry.exchange": true})
 }
 
+// Guards against a claim that is missing from the trace of its request.
+func TestClaimsAreInTheTraceOfTheRequest(t *testing.T) {
+	spans := tracetest.NewSpanRecorder()
+	tracer := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans)).Tracer("test")
+	s := startEntry(t, newControl(config(), machines(1)...), "e1", tracer)
+	s.target(t, "t1", echo)
+	const id = "4bf92f3577b34da6a3ce929d0e0e4736"
+	s.call(t, http.MethodPost, "/charge", "", "Idempotency-Key", keyAt(time.Now(), 1), "Traceparent", "00-"+id+"-00f067aa0ba902b7-01")
+	s.until(t, func() bool { return len(spans.Ended()) >= 4 })
+	names := map[string]bool{}
+	for _, span := range spans.Ended() {
+		names[span.Name()] = true
+		assert.Equal(t, span.SpanContext().TraceID().String(), id)
+	}
+	assert.DeepEqual(t, names, map[string]bool{"entry.request": true, "entry.claim": true, "entry.propose": true, "entry.exchange": true})
+}
+
 // Guards against refusals, claims and waits that no metric shows.
 func TestMetricsCountResults(t *testing.T) {
 	s := startEntry(t, newControl(config(), machines(1)...), "e1", nil)
