--- a/entry/instance/slots_test.go
+++ b/entry/instance/slots_test.go
@@ -180,6 +180,7 @@
 	for range 4 {
 		go func() {
 			req, _ := http.NewRequest(http.MethodGet, a.server.URL+"/services/orders/long", nil)
+			req.Header.Set("Lacewingturn-Timeout-Ms", "60000") // no second attempt within the test
 			if resp, err := http.DefaultClient.Do(req); err == nil {
 				resp.Body.Close()
 			}
