Bound claims and jobs so that a replica stays within 256 MB

Cause: with the bounds before, 200,000 claims (646 bytes each, go test ./cmd/internal/capacity -bench Memory) and 200,000 ended jobs (995 bytes) took over 300 MB. Now 100,000 claims, 20,000 ended and 120,000 active jobs; the collector is told of 224 MB. Polls of workers last 30 s instead of 10 s.

--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,10 @@
 // startTimeout bounds the start of a process, recovery of its state included.
 const startTimeout = 2 * time.Minute
 
+// memoryLimit makes the garbage collector work harder before a process reaches
+// the 256 MB that control may take on a node.
+const memoryLimit = 224 << 20
+
 type cli struct {
 	Run  runCommand  `cmd:"" default:"withargs" help:"Run one instance until SIGTERM or SIGINT."`
 	Dev  devCommand  `cmd:"" help:"Start a small site on loopback and leave it running."`
@@ -49,6 +54,7 @@
 	if err != nil {
 		return trace.Wrap(err, "wrong settings; nothing was started")
 	}
+	debug.SetMemoryLimit(memoryLimit)
 	p, err := instance.New(settings, os.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
--- a/core/command/claim/claim.go
+++ b/core/command/claim/claim.go
@@ -14,9 +14,10 @@
 const MaxClockSkew = time.Minute
 
 // DefaultRetention and DefaultMaxClaims apply before a configuration is accepted.
+// A claim takes 650 bytes of memory, and a replica may take 256 MB in all.
 const (
 	DefaultRetention = 15 * time.Minute
-	DefaultMaxClaims = 200_000
+	DefaultMaxClaims = 100_000
 )
 
 // Apply handles ClaimRequest and SettleClaim.
--- a/core/command/job/job.go
+++ b/core/command/job/job.go
@@ -16,10 +16,11 @@
 	LeaseTerm = 45 * time.Second
 	// Retention is how long an ended job is kept.
 	Retention = time.Hour
-	// MaxEnded bounds the ended jobs kept within Retention.
-	MaxEnded = 200_000
+	// MaxEnded bounds the ended jobs kept within Retention. A job takes 1 KB of
+	// memory, and a replica may take 256 MB in all.
+	MaxEnded = 20_000
 	// MaxActive bounds the jobs that are queued or hold a lease.
-	MaxActive = 500_000
+	MaxActive = 120_000
 	// MaxFailures is the number of failures that end a job.
 	MaxFailures = 3
 )
--- a/entry/query/worker/handler.go
+++ b/entry/query/worker/handler.go
@@ -23,8 +23,9 @@
 	"lacewingturn.example/node/event"
 )
 
-// MaxWait is how long a poll without news lasts.
-const MaxWait = 10 * time.Second
+// MaxWait is how long a poll without news lasts. It is below the idle timeouts
+// of usual load balancers; shorter polls of 720 workers take control traffic.
+const MaxWait = 30 * time.Second
 
 // maxPolls bounds the open polls. All 720 workers may ask one entry instance.
 const maxPolls = 2048
--- a/operator/answers/answers.go
+++ b/operator/answers/answers.go
@@ -123,7 +123,7 @@
 	ConnectionsPerTarget int      `answer:"connections_per_target" write:"the connections that a target accepts, such as 64"`
 	RetryShare           Quantity `answer:"retry_share" write:"retries as a share of requests, such as 10%"`
 	KeyRetention         Duration `answer:"key_retention" write:"how long outcomes of non-idempotent requests are kept, such as 15m"`
-	MaxClaims            int      `answer:"max_claims" write:"how many of these outcomes are kept, such as 200000"`
+	MaxClaims            int      `answer:"max_claims" write:"how many of these outcomes are kept, such as 100000"`
 }
 
 // Quantity is a number or a share of the members of a pool.
--- a/operator/answers/generate.go
+++ b/operator/answers/generate.go
@@ -15,7 +15,7 @@
 	DefaultConnections   = 64
 	DefaultRetryShare    = 0.1
 	DefaultKeyRetention  = 15 * time.Minute
-	DefaultMaxClaims     = 200_000
+	DefaultMaxClaims     = 100_000
 	DefaultQueueLimit    = 64
 	DefaultEvery         = 14 * 24 * time.Hour
 	DefaultSoak          = time.Minute
