--- a/cmd/lacewingturn/main_test.go
+++ b/cmd/lacewingturn/main_test.go
@@ -27,7 +27,7 @@
 type single struct{ state atomic.Pointer[model.State] }
 
 func (s *single) View() *replica.View {
-	return &replica.View{ID: "c1/1", Leader: "c1/1", IsLeader: true, State: *s.state.Load()}
+	return &replica.View{ID: "c1/1", Leader: "c1/1", IsLeader: true, QuorumContact: time.Now(), State: *s.state.Load()}
 }
 
 func (s *single) Entries() []replica.EntryLiveness { return nil }
--- a/operator/client/client_test.go
+++ b/operator/client/client_test.go
@@ -53,7 +53,7 @@
 }
 
 func (m member) View() *replica.View {
-	return &replica.View{ID: "c1/1", State: *m.state.Load(), IsLeader: m.leads, Leader: "c1/1"}
+	return &replica.View{ID: "c1/1", State: *m.state.Load(), IsLeader: m.leads, Leader: "c1/1", QuorumContact: time.Now()}
 }
 
 func (m member) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
--- a/operator/query/handler.go
+++ b/operator/query/handler.go
@@ -62,13 +62,22 @@
 		return nil, connect.NewError(connect.CodeInternal, result.New(result.Internal, "%v", err))
 	}
 	return connect.NewResponse(&operatorv1.ReadResponse{
-		Index: uint64(v.State.Index), Revision: uint64(v.State.Revision), Body: body, Leads: v.IsLeader,
+		Index: uint64(v.State.Index), Revision: uint64(v.State.Revision), Body: body, Leads: leads(v, now),
 	}), nil
 }
 
+// quorumAge is the longest time since a quorum followed the leader for which its
+// state counts as the newest. A process that was frozen still believes that it
+// leads when it goes on; it steps down after 0.9 s at the latest.
+const quorumAge = time.Second
+
+func leads(v *replica.View, now time.Time) bool {
+	return v.IsLeader && now.Sub(v.QuorumContact) <= quorumAge
+}
+
 // contact converts times to ages, because the views are built without a clock.
 func (h *Handler) contact(v *replica.View, now time.Time) query.Contact {
-	c := query.Contact{Replica: v.ID, Term: v.Term, Leader: v.Leader, Leads: v.IsLeader, LeaderSilence: now.Sub(v.LeaderContact)}
+	c := query.Contact{Replica: v.ID, Term: v.Term, Leader: v.Leader, Leads: leads(v, now), LeaderSilence: now.Sub(v.LeaderContact)}
 	if v.LeaderContact.IsZero() {
 		c.LeaderSilence = 0
 	}
