--- a/cmd/internal/capacity/processes_test.go
+++ b/cmd/internal/capacity/processes_test.go
@@ -76,7 +76,8 @@
 	if workers == Today.Workers {
 		size.Pools, size.Services, size.Teams = Today.Pools, Today.Services, Today.Teams
 	}
-	g.accept(size.Config())
+	config := size.Config()
+	g.accept(0, config)
 	ctx, cancel := context.WithCancel(b.Context())
 	var targets sync.WaitGroup
 	for i := range workers {
@@ -86,6 +87,11 @@
 	before := g.readAll()
 	time.Sleep(window)
 	g.report(before, g.readAll())
+	config.Services[0].Timeout += time.Second
+	begin := time.Now()
+	g.accept(1, config)
+	g.awaitRevision(2)
+	b.ReportMetric(float64(time.Since(begin).Milliseconds()), "in-force-ms")
 	cancel()
 	targets.Wait()
 }
@@ -136,14 +142,39 @@
 	}
 }
 
-func (g *group) accept(c model.Config) {
+// awaitRevision waits until every entry instance has the revision in force.
+func (g *group) awaitRevision(revision uint64) {
+	for _, e := range g.entries {
+		for begin := time.Now(); g.revision(e) < revision; {
+			if time.Since(begin) > 30*time.Second {
+				g.b.Fatalf("revision %d did not come into force on %s", revision, e.metrics)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func (g *group) revision(p process) uint64 {
+	resp, err := http.Get("http://" + p.metrics + "/readyz")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Revision uint64 `json:"revision"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&answer)
+	return answer.Revision
+}
+
+func (g *group) accept(base model.Revision, c model.Config) {
 	operator, err := client.New(client.Settings{Addresses: g.operators, Actor: "capacity"})
 	if err != nil {
 		g.b.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(g.b.Context(), 30*time.Second)
 	defer cancel()
-	if r := operator.Submit(ctx, client.NewRequestID(), model.AcceptConfig{Config: c}); r.Code != result.Accepted {
+	if r := operator.Submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: base, Config: c}); r.Code != result.Accepted {
 		g.b.Fatal(r.Error())
 	}
 }
--- a/cmd/internal/capacity/workers_test.go
+++ b/cmd/internal/capacity/workers_test.go
@@ -165,7 +165,7 @@
 	g.start(12)
 	size := Target
 	size.Workers = max(workers, Today.Workers)
-	g.accept(size.Config())
+	g.accept(0, size.Config())
 	urls := make([]string, 0, len(g.entries))
 	for _, e := range g.entries {
 		urls = append(urls, "http://"+e.metrics)
