--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -38,6 +38,8 @@
 	Forwarded func(address string) string
 
 	generation uint64 // grows with each restart
+	joined     join   // the latest announcement
+	left       atomic.Bool
 
 	server  *server.Server
 	client  *http.Client
@@ -72,9 +74,11 @@
 	if t.Forwarded != nil {
 		address = t.Forwarded(address)
 	}
-	if err := t.announce(ctx, "join", join{
+	t.joined = join{
 		Instance: t.Instance, Service: t.Service, Address: address, Generation: t.generation, Slots: 8, Connections: 64,
-	}); err != nil {
+	}
+	t.left.Store(false)
+	if err := t.announce(ctx, "join", t.joined); err != nil {
 		return err
 	}
 	beat, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -85,6 +89,7 @@
 
 // Leaving announces that the target leaves; it goes on serving.
 func (t *Target) Leaving(ctx context.Context) error {
+	t.left.Store(true)
 	return t.announce(ctx, "leaving", leaving{Generation: t.generation})
 }
 
@@ -175,7 +180,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			_ = t.announce(ctx, "heartbeat", t.beat())
+			err := t.announce(ctx, "heartbeat", t.beat())
+			if trace.IsNotFound(err) && !t.left.Load() {
+				_ = t.announce(ctx, "join", t.joined) // it was considered lost
+			}
 		}
 	}
 }
@@ -239,6 +247,9 @@
 	}
 	defer resp.Body.Close()
 	answer, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+	if resp.StatusCode == http.StatusNotFound {
+		return trace.NotFound("%s", answer)
+	}
 	if resp.StatusCode/100 != 2 {
 		return fmt.Errorf("%s: %s", resp.Status, answer)
 	}
