--- a/cmd/lacewingturn/session/table.go
+++ b/cmd/lacewingturn/session/table.go
@@ -85,6 +85,9 @@
 		}
 		return strings.Join(parts, ", ")
 	case 'o':
+		if len(n.keys) == 0 {
+			return "none"
+		}
 		parts := make([]string, len(n.keys))
 		for i, key := range n.keys {
 			parts[i] = title(key) + " " + inline(n.fields[key])
