--- a/cmd/site/calls.go
+++ b/cmd/site/calls.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/wait"
 )
 
 //go:embed workload.jsonl
@@ -80,7 +81,7 @@
 	var all sync.WaitGroup
 	for i, next := range calls {
 		all.Go(func() {
-			if pause(ctx, time.Until(begin.Add(time.Duration(next.AtMs)*time.Millisecond))) != nil {
+			if wait.For(ctx, time.Until(begin.Add(time.Duration(next.AtMs)*time.Millisecond))) != nil {
 				return
 			}
 			replies[i] = c.sendTwice(ctx, i, next)
@@ -175,17 +176,3 @@
 	r.whole = resp.StatusCode == http.StatusOK && strings.HasSuffix(string(body), fmt.Sprintf("did %s %s %s", method, next.Path, next.ID))
 	return r
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -11,6 +11,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/wait"
 	"lacewingturn.example/operator/client"
 )
 
@@ -95,7 +96,7 @@
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
 	for !condition() {
-		if pause(ctx, 20*time.Millisecond) != nil {
+		if wait.For(ctx, 20*time.Millisecond) != nil {
 			return condition()
 		}
 	}
@@ -119,7 +120,7 @@
 			}
 		})
 	}()
-	_ = pause(ctx, 300*time.Millisecond)
+	_ = wait.For(ctx, 300*time.Millisecond)
 	err := action()
 	close(ended)
 	return <-done, err
--- a/cmd/site/platform.go
+++ b/cmd/site/platform.go
@@ -6,6 +6,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/wait"
 	"lacewingturn.example/operator/platform"
 )
 
@@ -39,7 +40,7 @@
 			continue
 		}
 		t.Kill()
-		if pause(ctx, rebootTime) == nil {
+		if wait.For(ctx, rebootTime) == nil {
 			t.generation++
 			_ = t.Start(ctx)
 		}
--- a/cmd/site/worker.go
+++ b/cmd/site/worker.go
@@ -15,6 +15,7 @@
 	"lacewingturn.example/core/model"
 	workercommand "lacewingturn.example/entry/command/worker"
 	workerquery "lacewingturn.example/entry/query/worker"
+	"lacewingturn.example/node/wait"
 )
 
 // Classes of jobs that a stand-in worker treats in a special way.
@@ -137,7 +138,7 @@
 	for ctx.Err() == nil {
 		var a workerquery.Answer
 		if !w.exchange(ctx, http.MethodGet, fmt.Sprintf("assignments?index=%d", index), nil, &a) || !a.Code.OK() {
-			_ = pause(ctx, retryEvery)
+			_ = wait.For(ctx, retryEvery)
 			continue
 		}
 		index = a.Index
--- a/entry/command/attempt.go
+++ b/entry/command/attempt.go
@@ -10,6 +10,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/wait"
 )
 
 // maxAttempts bounds the attempts of one request.
@@ -59,14 +60,7 @@
 // backoff waits before attempt n and reports false if the deadline comes first.
 func backoff(ctx context.Context, n int) bool {
 	d := min(firstBackoff<<(n-1), maxBackoff)
-	t := time.NewTimer(d/2 + rand.N(d))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, d/2+rand.N(d)) == nil
 }
 
 // attempt gets a slot and sends the request once. An idempotent request that
--- a/entry/command/claims.go
+++ b/entry/command/claims.go
@@ -10,6 +10,7 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry"
+	"lacewingturn.example/node/wait"
 )
 
 // Limits of claims.
@@ -92,7 +93,7 @@
 			return
 		}
 		again = c.propose(ctx, batch)
-		if len(again) > 0 && !waitFor(ctx, proposeBackoff) {
+		if len(again) > 0 && wait.For(ctx, proposeBackoff) != nil {
 			c.refuse(again)
 			return
 		}
@@ -235,14 +236,3 @@
 		c.end(t, claimReply{result: result.New(result.Stopping, "the instance has stopped"), certain: !t.maybe})
 	}
 }
-
-func waitFor(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/command/peers.go
+++ b/entry/command/peers.go
@@ -12,6 +12,7 @@
 	"lacewingturn.example/core/command/credit"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/wait"
 )
 
 // Bounds of the exchange with other entry instances.
@@ -60,7 +61,7 @@
 			if err == nil && int(resp.Msg.Accepted) == len(list) {
 				return
 			}
-			if !waitFor(o.ctx, handoverPause) {
+			if wait.For(o.ctx, handoverPause) != nil {
 				return
 			}
 		}
--- a/entry/command/stop.go
+++ b/entry/command/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"lacewingturn.example/node/wait"
 )
 
 // Run proposes claims and announcements until ctx ends.
@@ -24,7 +26,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if !waitFor(ctx, time.Until(granted)) {
+	if wait.For(ctx, time.Until(granted)) != nil {
 		return ctx.Err()
 	}
 	return nil
--- a/entry/follow/follow.go
+++ b/entry/follow/follow.go
@@ -21,6 +21,7 @@
 	"lacewingturn.example/entry"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/wait"
 )
 
 // Silence is the longest time without a message before a follow stream counts
@@ -77,7 +78,7 @@
 			return
 		}
 		event.FollowLost.Log(l.Log, zap.String("replica", url), zap.Error(err))
-		if wait(ctx, Backoff) != nil {
+		if wait.For(ctx, Backoff) != nil {
 			return
 		}
 	}
@@ -164,14 +165,3 @@
 	}
 	ch <- v
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -17,6 +17,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/wait"
 )
 
 const (
@@ -89,12 +90,5 @@
 
 // pause waits with jitter; it reports false when ctx has ended.
 func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return wait.For(ctx, d/2+rand.N(d/2)) == nil
 }
--- a/operator/platform/stub.go
+++ b/operator/platform/stub.go
@@ -11,6 +11,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/wait"
 )
 
 // Behavior sets how the stub differs from a quick and faultless platform.
@@ -224,7 +225,7 @@
 	}
 	select {
 	case a := <-reply:
-		if wait(r.Context(), a.late) != nil {
+		if wait.For(r.Context(), a.late) != nil {
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
@@ -235,14 +236,3 @@
 	case <-r.Context().Done():
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -18,6 +18,7 @@
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/wait"
 )
 
 const (
@@ -95,7 +96,7 @@
 				break // ask that one first
 			}
 		}
-		if !wait(ctx, backoff) {
+		if !pause(ctx, backoff) {
 			return c.gaveUp(len(req.Envelopes), maybe)
 		}
 		backoff = min(backoff*2, maxBackoff)
@@ -164,16 +165,9 @@
 	return code == connect.CodeInvalidArgument || code == connect.CodeUnimplemented
 }
 
-// wait pauses between rounds, with jitter; it reports false when ctx has ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + rand.N(d/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+// pause waits between rounds, with jitter; it reports false when ctx has ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	return wait.For(ctx, d/2+rand.N(d/2)) == nil
 }
 
 // Repeatable reports whether a command has the same effect when it is committed
--- a/replica/liveness/handler.go
+++ b/replica/liveness/handler.go
@@ -15,7 +15,6 @@
 func (m *Machine) RenewEntry(ctx context.Context, req *connect.Request[replicav1.RenewEntryRequest]) (*connect.Response[replicav1.RenewEntryResponse], error) {
 	msg := renewal{
 		entry: liveness.Entry{ID: model.EntryID(req.Msg.EntryId), Epoch: req.Msg.Epoch, Revision: model.Revision(req.Msg.Revision)},
-		index: model.Index(req.Msg.Index),
 		reply: make(chan reply, 1),
 	}
 	if !m.port.TrySend(msg) {
--- a/replica/liveness/machine.go
+++ b/replica/liveness/machine.go
@@ -22,7 +22,6 @@
 // renewal is a message of an entry instance; the reply channel has room for one.
 type renewal struct {
 	entry liveness.Entry
-	index model.Index
 	reply chan reply
 }
 
--- a/replica/query/assignments.go
+++ b/replica/query/assignments.go
@@ -10,6 +10,7 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/wait"
 	"lacewingturn.example/replica"
 )
 
@@ -72,7 +73,7 @@
 			err = w.add(model.InstanceID(req.Worker), model.Index(req.Index))
 		case <-w.view.Next:
 			// Changes that come faster than MinInterval are seen as one.
-			if err = pause(ctx, MinInterval); err == nil {
+			if err = wait.For(ctx, MinInterval); err == nil {
 				err = w.follow(r.View())
 			}
 		case <-stale.C:
--- a/replica/query/follow.go
+++ b/replica/query/follow.go
@@ -10,6 +10,7 @@
 	"lacewingturn.example/api/codec"
 	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
 	"lacewingturn.example/core/query"
+	"lacewingturn.example/node/wait"
 	"lacewingturn.example/replica"
 )
 
@@ -59,7 +60,7 @@
 			if v.State.TrafficIndex == held.Index {
 				continue
 			}
-			if err := pause(ctx, MinInterval); err != nil {
+			if err := wait.For(ctx, MinInterval); err != nil {
 				return err
 			}
 			v = h.replica.View()
@@ -75,17 +76,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func snapshotMessage(t query.Traffic) (*replicav1.FollowResponse, error) {
 	data, err := codec.EncodeTraffic(t)
 	if err != nil {
