State once what interrupts a drain

The same three guards stood in both phases of a drain. go test -race of core/command/fleet, replica/reconcile, core/query and cmd/site passes.

--- a/core/command/fleet/reconcile_drain.go
+++ b/core/command/fleet/reconcile_drain.go
@@ -6,15 +6,7 @@
 // the instance is empty, and gives up after the drain timeout rather than cut
 // work short.
 func (p *plan) driveDraining(i model.Instance) {
-	if reason, lost := p.lost(i); lost {
-		p.observe(i, model.PhaseLost, reason)
-		return
-	}
-	if i.Operation != "" {
-		return
-	}
-	if reason, unwanted := p.unwanted(i); unwanted {
-		p.giveUp(i, reason)
+	if p.interrupted(i) {
 		return
 	}
 	if !p.idle(i) {
@@ -78,17 +70,26 @@
 	p.propose(model.ReturnInstance{Instance: i.ID, HeldBy: i.HeldBy})
 }
 
-// driveDrained takes a drained instance to the step that it was drained for.
-func (p *plan) driveDrained(i model.Instance) {
+// interrupted handles what comes before the next step of a drain: a loss, a
+// platform operation in progress, and a holder that no longer wants the instance.
+func (p *plan) interrupted(i model.Instance) bool {
 	if reason, lost := p.lost(i); lost {
 		p.observe(i, model.PhaseLost, reason)
-		return
+		return true
 	}
 	if i.Operation != "" {
-		return
+		return true
 	}
-	if reason, unwanted := p.unwanted(i); unwanted {
+	reason, unwanted := p.unwanted(i)
+	if unwanted {
 		p.giveUp(i, reason)
+	}
+	return unwanted
+}
+
+// driveDrained takes a drained instance to the step that it was drained for.
+func (p *plan) driveDrained(i model.Instance) {
+	if p.interrupted(i) {
 		return
 	}
 	if id, ok := i.HeldByMove(); ok {
