--- a/cmd/site/calls.go
+++ b/cmd/site/calls.go
@@ -90,6 +90,46 @@
 	return replies
 }
 
+// steadyEvery is the time between two requests of a steady load.
+const steadyEvery = 10 * time.Millisecond
+
+// playUntil sends at least least calls at a steady pace, and more until ended
+// is closed, and waits for all replies.
+func (c *caller) playUntil(ctx context.Context, ended <-chan struct{}, least int, next func(i int) call) []reply {
+	var all sync.WaitGroup
+	replies := make(chan reply)
+	var out []reply
+	collected := make(chan struct{})
+	go func() {
+		defer close(collected)
+		for r := range replies {
+			out = append(out, r)
+		}
+	}()
+	ticker := time.NewTicker(steadyEvery)
+	defer ticker.Stop()
+	for i := 0; ctx.Err() == nil && (i < least || !isClosed(ended)); i++ {
+		all.Go(func() { replies <- c.sendTwice(ctx, i, next(i)) })
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	all.Wait()
+	close(replies)
+	<-collected
+	return out
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
+
 // sendTwice sends a call and, if asked, its resend to the next entry instance.
 func (c *caller) sendTwice(ctx context.Context, i int, next call) reply {
 	key := ""
--- a/cmd/site/demo.go
+++ b/cmd/site/demo.go
@@ -48,11 +48,15 @@
 	}
 	defer remove()
 	began := time.Now()
-	s, err := New(ctx, folder, log)
+	config, err := sampleConfig(unchanged)
+	if err != nil {
+		return nil, err
+	}
+	s, err := New(ctx, folder, config.Instances, log)
 	if err != nil {
 		return nil, err
 	}
-	d := &Demo{site: s, out: out}
+	d := &Demo{site: s, out: out, config: config}
 	if d.operator, err = s.Operator(); err != nil {
 		return nil, err
 	}
@@ -66,6 +70,7 @@
 		{"play the recorded workload through all entry instances", d.playWorkload},
 		{"revise one answer while requests run", d.reviseAnswer},
 		{"drain an instance while requests run", d.drainInstance},
+		{"maintain instances of a pool in a wave while requests run", d.runWave},
 		{"lose the leader", d.loseLeader},
 		{"stop everything gracefully", d.stopAll},
 		{"replay the recorded control inputs and traffic", d.verifyRecords},
@@ -108,11 +113,7 @@
 }
 
 func (d *Demo) acceptSample(ctx context.Context) error {
-	config, err := sampleConfig(unchanged)
-	if err != nil {
-		return err
-	}
-	d.config = config
+	config := d.config
 	r := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Base: 0, Config: config})
 	held := d.inForce(ctx, model.Revision(r.Revision))
 	d.outcomes.add(r.Code == result.Accepted && held, "the generated configuration is accepted and in force on every entry instance",
@@ -246,25 +247,31 @@
 	return total, most
 }
 
+// leastCalls is the number of requests of a steady load; it goes on for as long
+// as the action that it accompanies takes.
+const leastCalls = 150
+
 // during plays a steady load while action runs and returns its replies.
 func (d *Demo) during(ctx context.Context, action func() error) ([]reply, error) {
-	var calls []call
 	services := d.config.Services
-	for i := range 150 {
-		calls = append(calls, call{
-			AtMs: int64(i * 10), ID: fmt.Sprintf("s%d", i), Caller: "counter-1",
-			Service: string(services[i%len(services)].Name), Path: fmt.Sprintf("/work/s%d", i), RunMs: 50,
-		})
-	}
+	ended := make(chan struct{})
 	done := make(chan []reply, 1)
-	go func() { done <- d.caller.play(ctx, calls) }()
+	go func() {
+		done <- d.caller.playUntil(ctx, ended, leastCalls, func(i int) call {
+			return call{
+				ID: fmt.Sprintf("s%d", i), Caller: "counter-1", Service: string(services[i%len(services)].Name),
+				Path: fmt.Sprintf("/work/s%d", i), RunMs: 50,
+			}
+		})
+	}()
 	_ = pause(ctx, 300*time.Millisecond)
 	err := action()
+	close(ended)
 	return <-done, err
 }
 
 func (d *Demo) reviseAnswer(ctx context.Context) error {
-	revised, err := sampleConfig(func(s string) string { return strings.Replace(s, "timeout: ", "timeout: 1", 1) })
+	revised, err := sampleConfig(func(s string) string { return strings.Replace(s, "soak: 60s", "soak: 1s", 1) })
 	if err != nil {
 		return err
 	}
@@ -335,6 +342,57 @@
 	return d.config.Instances[i].Pool
 }
 
+// wavePool is the pool that the demo maintains; targets run on two of its instances.
+const wavePool = model.PoolName("quotes")
+
+// runWave starts a maintenance wave, lets it finish its first instances and
+// cancels it. Requests go on all the time.
+func (d *Demo) runWave(ctx context.Context) error {
+	const id = model.WaveID("demo")
+	var started, cancelled result.Result
+	least := 0
+	replies, err := d.during(ctx, func() error {
+		if started = d.submit(ctx, client.NewRequestID(), model.StartWave{ID: id, Pools: []model.PoolName{wavePool}}); !started.Code.OK() {
+			return nil
+		}
+		least = d.watchWave(ctx, func(w model.Wave) bool { return len(w.Done) >= 2 })
+		cancelled = d.submit(ctx, client.NewRequestID(), model.SetWavePhase{ID: id, Phase: model.WaveCancelled})
+		least = min(least, d.watchWave(ctx, func(w model.Wave) bool { return len(w.Running) == 0 }))
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	w, _ := d.state().Waves.Get(id)
+	d.outcomes.add(started.Code.OK() && cancelled.Code.OK() && len(w.Done) >= 2, "a maintenance wave drains, reboots and returns instances until it is cancelled",
+		"%d of 8 done, %d skipped, wave %s", len(w.Done), len(w.Passed), w.Phase)
+	d.outcomes.add(least >= 6, "the pool keeps its availability budget (6 of 8) during the wave", "at least %d available", least)
+	whole, first := countWhole(replies)
+	d.outcomes.add(whole == len(replies), "maintenance cuts no request", "%d of %d whole%s", whole, len(replies), first)
+	return nil
+}
+
+func (d *Demo) state() model.State { return d.site.Controls[0].Replica.View().State }
+
+// watchWave waits for a condition of the demo's wave and returns the smallest
+// number of available instances seen in its pool.
+func (d *Demo) watchWave(ctx context.Context, until func(model.Wave) bool) int {
+	least := len(d.config.Instances)
+	eventually(ctx, func() bool {
+		s := d.state()
+		available := 0
+		for _, i := range s.Instances.All() {
+			if i.Pool == wavePool && i.Available() {
+				available++
+			}
+		}
+		least = min(least, available)
+		w, ok := s.Waves.Get("demo")
+		return ok && until(w)
+	})
+	return least
+}
+
 // loseLeader ends the leader without notice and goes on with the other replicas.
 func (d *Demo) loseLeader(ctx context.Context) error {
 	id := client.NewRequestID()
--- a/cmd/site/dev.go
+++ b/cmd/site/dev.go
@@ -15,16 +15,16 @@
 // StartDev starts a site with the sample configuration in force and its
 // targets announced.
 func StartDev(ctx context.Context, folder string, log io.Writer) (*Site, error) {
-	s, err := New(ctx, folder, log)
+	config, err := sampleConfig(unchanged)
 	if err != nil {
 		return nil, err
 	}
-	d := &Demo{site: s}
-	if d.operator, err = s.Operator(); err != nil {
+	s, err := New(ctx, folder, config.Instances, log)
+	if err != nil {
 		return nil, err
 	}
-	config, err := sampleConfig(unchanged)
-	if err != nil {
+	d := &Demo{site: s}
+	if d.operator, err = s.Operator(); err != nil {
 		return nil, err
 	}
 	r := d.submit(ctx, client.NewRequestID(), model.AcceptConfig{Config: config})
--- a/cmd/site/site.go
+++ b/cmd/site/site.go
@@ -16,6 +16,7 @@
 
 	"lacewingturn.example/cmd/internal/instance"
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
 )
 
@@ -33,11 +34,18 @@
 	Targets  []*Target
 	replicas []instance.Replica
 	log      io.Writer
+
+	platform     *server.Server
+	stopPlatform context.CancelFunc
 }
 
-// New starts control replicas and entry instances that keep their data below folder.
-func New(ctx context.Context, folder string, log io.Writer) (*Site, error) {
+// New starts a stub of the platform with the instances, control replicas and
+// entry instances. They keep their data below folder.
+func New(ctx context.Context, folder string, instances []model.InstanceSpec, log io.Writer) (*Site, error) {
 	s := &Site{Folder: folder, log: log}
+	if err := s.startPlatform(ctx, instances); err != nil {
+		return nil, err
+	}
 	for i := range dataCenters {
 		address, err := freeAddress()
 		if err != nil {
@@ -86,6 +94,7 @@
 	}
 	if role == instance.RoleControl {
 		out.InternalAddress = s.replicas[i].Address
+		out.PlatformURL = "http://" + s.platform.Address()
 		out.DataFolder = filepath.Join(s.Folder, name)
 		out.OperatorAddress, err = freeAddress()
 	} else {
@@ -191,7 +200,9 @@
 	targets := stopAll(s.Targets, func(t *Target) error { return t.Leave(ctx) })
 	entries := stopAll(s.Entries, func(p *instance.Process) error { return p.Stop(ctx) })
 	controls := stopAll(s.Controls, func(p *instance.Process) error { return p.Stop(ctx) })
-	return trace.NewAggregate(targets, entries, controls)
+	platform := s.platform.Stop(ctx)
+	s.stopPlatform()
+	return trace.NewAggregate(targets, entries, controls, platform)
 }
 
 func stopAll[T any](list []T, stop func(T) error) error {
--- a/cmd/site/target.go
+++ b/cmd/site/target.go
@@ -34,6 +34,8 @@
 	// Entries gives the base URLs to announce to, as a balancer would.
 	Entries func() []string
 
+	generation uint64 // grows with each restart
+
 	server  *server.Server
 	client  *http.Client
 	running atomic.Int64
@@ -51,7 +53,10 @@
 
 // Start serves on a loopback address and joins.
 func (t *Target) Start(ctx context.Context) error {
-	t.runs, t.slots = map[string]int{}, map[string]bool{}
+	if t.runs == nil {
+		t.runs, t.generation = map[string]int{}, 1
+	}
+	t.slots, t.sequence = map[string]bool{}, 0
 	t.client = &http.Client{Timeout: 2 * time.Second}
 	s, err := server.Listen("127.0.0.1:0", http.HandlerFunc(t.serve), nil)
 	if err != nil {
@@ -60,7 +65,7 @@
 	t.server = s
 	s.Start()
 	if err := t.announce(ctx, "join", join{
-		Instance: t.Instance, Service: t.Service, Address: s.Address(), Generation: 1, Slots: 8, Connections: 64,
+		Instance: t.Instance, Service: t.Service, Address: s.Address(), Generation: t.generation, Slots: 8, Connections: 64,
 	}); err != nil {
 		return err
 	}
@@ -72,7 +77,7 @@
 
 // Leave announces that the target leaves, waits for what is in flight, and stops.
 func (t *Target) Leave(ctx context.Context) error {
-	err := t.announce(ctx, "leaving", leaving{Generation: 1})
+	err := t.announce(ctx, "leaving", leaving{Generation: t.generation})
 	t.cancel()
 	<-t.done
 	return trace.NewAggregate(err, t.server.Stop(ctx))
@@ -178,7 +183,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence++
-	b := beat{Generation: 1, Sequence: t.sequence, Running: []string{}}
+	b := beat{Generation: t.generation, Sequence: t.sequence, Running: []string{}}
 	for slot := range t.slots {
 		b.Running = append(b.Running, slot)
 	}
