--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := api core node replica entry operator cmd
+MODULES := api core node replica entry operator platform cmd
 PACKAGES := $(MODULES:%=./%/...)
 FORMATTED := $(filter-out api,$(MODULES)) api/codec
 
--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -27,6 +27,8 @@
 	63: reflect.TypeFor[model.PlaceJob](), 64: reflect.TypeFor[model.JobStarted](), 65: reflect.TypeFor[model.JobReport](),
 	66: reflect.TypeFor[model.JobEnded](), 67: reflect.TypeFor[model.ExpireLease](), 68: reflect.TypeFor[model.ControlJob](),
 	69: reflect.TypeFor[model.ReportWork](),
+	80: reflect.TypeFor[model.PublishCatalog](), 81: reflect.TypeFor[model.SubmitWorkload](), 82: reflect.TypeFor[model.CancelWorkload](),
+	83: reflect.TypeFor[model.RecordProgress](), 84: reflect.TypeFor[model.OrderUpkeep](), 85: reflect.TypeFor[model.BeginUpkeep](),
 }
 
 var numbers = func() map[reflect.Type]uint16 {
--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 
+	"lacewingturn.example/core/command/workload"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/table"
 )
@@ -31,6 +32,10 @@
 	Claims     []model.Claim
 	ClaimFloor model.Timestamp
 	Requests   []model.RequestRecord
+	Catalog    *model.Catalog
+	Workloads  []model.Workload
+	Finished   []model.FinishedWorkload
+	Upkeeps    []model.Upkeep
 }
 
 // EncodeState returns the wire form of s. Equal states give equal bytes.
@@ -41,6 +46,7 @@
 		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
 		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(), Changes: s.WorkerChanges.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
+		Catalog: s.Catalog, Workloads: s.Workloads.Values(), Finished: s.Finished.Values(), Upkeeps: s.Upkeeps.Values(),
 	})
 }
 
@@ -51,7 +57,7 @@
 		return model.State{}, fmt.Errorf("codec: state: %w", err)
 	}
 	jobs := table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID })
-	return model.State{
+	return workload.Assignments(model.State{
 		Clock: m.Clock, Index: m.Index, Term: m.Term, TrafficIndex: m.Traffic, Revision: m.Revision, Config: m.Config,
 		History:       table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
 		Instances:     table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
@@ -68,7 +74,11 @@
 		Claims:        table.FromValues(m.Claims, func(v model.Claim) model.ClaimKey { return v.Key }),
 		ClaimFloor:    m.ClaimFloor,
 		Requests:      table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
-	}, nil
+		Catalog:       m.Catalog,
+		Workloads:     table.FromValues(m.Workloads, func(v model.Workload) model.WorkloadID { return v.ID }),
+		Finished:      table.FromValues(m.Finished, func(v model.FinishedWorkload) model.WorkloadID { return v.ID }),
+		Upkeeps:       table.FromValues(m.Upkeeps, func(v model.Upkeep) model.UpkeepNumber { return v.Number }),
+	}), nil
 }
 
 // Digest returns the hex SHA-256 of the encoded state.
--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -25,9 +25,10 @@
 const memoryLimit = 224 << 20
 
 type cli struct {
-	Run  runCommand  `cmd:"" default:"withargs" help:"Run one instance until SIGTERM or SIGINT."`
-	Dev  devCommand  `cmd:"" help:"Start a small site on loopback and leave it running."`
-	Demo demoCommand `cmd:"" help:"Run a small site through a recorded workload and check its stated outcomes."`
+	Run      runCommand      `cmd:"" default:"withargs" help:"Run one instance until SIGTERM or SIGINT."`
+	Dev      devCommand      `cmd:"" help:"Start a small site on loopback and leave it running."`
+	Platform platformCommand `cmd:"" help:"Run one role on the users' platform, with its settings file."`
+	Demo     demoCommand     `cmd:"" help:"Run a small site through a recorded workload and check its stated outcomes."`
 }
 
 func main() {
@@ -59,13 +60,18 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	return runUntil(ctx, p)
+}
+
+// runUntil runs the process until ctx ends and then shuts it down gracefully.
+func runUntil(ctx context.Context, p *instance.Process) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := p.Start(starting); err != nil {
 		return trace.Wrap(err)
 	}
 	<-ctx.Done()
-	stopping, cancel := context.WithTimeout(context.Background(), settings.DrainTimeout)
+	stopping, cancel := context.WithTimeout(context.Background(), p.Settings().DrainTimeout)
 	defer cancel()
 	return trace.Wrap(p.Stop(stopping))
 }
--- /dev/null
+++ b/cmd/lacewingturnd/platform.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/cmd/internal/instance"
+	"lacewingturn.example/platform/settings"
+)
+
+// memoryShare is the part of the platform's memory limit that the Go runtime
+// may use before it collects garbage more often.
+const memoryShare = 0.75
+
+type platformCommand struct {
+	Role     string `arg:"" help:"Role of this process: control or entry." enum:"control,entry"`
+	Settings string `help:"Settings file of the platform." env:"LACEWINGTURN_BOOT" required:""`
+}
+
+// Run serves on the users' platform until a signal.
+func (c *platformCommand) Run(ctx context.Context) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return trace.Wrap(err, "wrong settings; nothing was started")
+	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
+	}
+	p, err := instance.NewOnPlatform(instance.Role(c.Role), s, os.Stdout)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return runUntil(ctx, p)
+}
--- a/core/command/apply.go
+++ b/core/command/apply.go
@@ -4,11 +4,14 @@
 package command
 
 import (
+	"lacewingturn.example/core/command/catalog"
 	"lacewingturn.example/core/command/claim"
 	"lacewingturn.example/core/command/config"
 	"lacewingturn.example/core/command/fleet"
 	"lacewingturn.example/core/command/job"
 	"lacewingturn.example/core/command/member"
+	"lacewingturn.example/core/command/upkeep"
+	"lacewingturn.example/core/command/workload"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
@@ -17,7 +20,7 @@
 // commands of other parts. It may replace fields of s, which is a copy.
 type area func(s *model.State, env model.Envelope) (result.Result, bool)
 
-var areas = []area{config.Apply, claim.Apply, member.Apply, fleet.Apply, job.Apply}
+var areas = []area{config.Apply, claim.Apply, member.Apply, fleet.Apply, job.Apply, catalog.Apply, workload.Apply, upkeep.Apply}
 
 // Apply returns the state after the envelope and the command's result. The
 // given state stays valid. It is deterministic: equal inputs give equal outputs
--- /dev/null
+++ b/core/command/catalog/catalog.go
@@ -0,0 +1,52 @@
+// Package catalog decides which catalog of queues and pools is in force.
+package catalog
+
+import (
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// Apply handles PublishCatalog. The highest version is in force; a lower or
+// equal one is acknowledged without effect, so that a resend is harmless.
+func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
+	c, ok := env.Command.(model.PublishCatalog)
+	if !ok {
+		return result.Result{}, false
+	}
+	if err := check(c.Catalog); !err.Code.OK() {
+		return err, true
+	}
+	if s.Catalog != nil && c.Catalog.Version <= s.Catalog.Version {
+		return result.Result{Code: result.Unchanged}, true
+	}
+	next := c.Catalog
+	s.Catalog = &next
+	return result.Result{Code: result.OK}, true
+}
+
+// address is where a queue takes workloads.
+type address struct{ host, prefix string }
+
+// check reports the first reason for which a catalog cannot be in force.
+func check(c model.Catalog) result.Result {
+	names := map[model.QueueName]bool{}
+	places := map[address]model.QueueName{}
+	for _, q := range c.Queues {
+		if q.Name == "" || q.Host == "" || q.Prefix == "" {
+			return result.New(result.InvalidInput, "a queue needs a name, a host and a prefix; %q lacks one", q.Name)
+		}
+		if names[q.Name] {
+			return result.New(result.InvalidInput, "queue %q is defined twice", q.Name)
+		}
+		names[q.Name] = true
+		at := address{q.Host, q.Prefix}
+		if other, taken := places[at]; taken {
+			return result.New(result.InvalidInput, "queues %q and %q have the same address", other, q.Name)
+		}
+		places[at] = q.Name
+		if _, ok := c.Pool(q.Pool); !ok {
+			return result.New(result.InvalidInput, "queue %q names the unknown pool %q", q.Name, q.Pool)
+		}
+	}
+	return result.Result{Code: result.OK}
+}
--- /dev/null
+++ b/core/command/place/gang.go
@@ -0,0 +1,77 @@
+package place
+
+import (
+	"slices"
+
+	"lacewingturn.example/core/model"
+)
+
+// placeGang starts all tasks of a gang at once, or none.
+func (p *planner) placeGang(c candidate, round, step int) {
+	tasks := c.workload.Rounds[round].Steps[step].Tasks
+	number := 0
+	for _, t := range tasks {
+		if t.Done || len(t.Active) > 0 {
+			return
+		}
+		number = max(number, t.LastRun)
+	}
+	spec := c.workload.Steps[step]
+	ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step}
+	if spec.SameRack {
+		for _, rack := range p.racks(c.pool) {
+			if p.startGang(c, ref, number+1, rack) {
+				return
+			}
+		}
+		if p.rules.Now.Sub(c.since) < nearPatience {
+			return
+		}
+	}
+	p.startGang(c, ref, number+1, "")
+}
+
+// racks lists the racks of a pool's workers.
+func (p *planner) racks(pool model.PoolName) []string {
+	var out []string
+	for _, w := range p.workers {
+		if w.Pool == pool && !slices.Contains(out, w.Rack) {
+			out = append(out, w.Rack)
+		}
+	}
+	return out
+}
+
+// startGang starts the tasks on workers of one rack, or of any if rack is
+// empty. It reports false and starts nothing if not all of them fit.
+func (p *planner) startGang(c candidate, ref model.TaskRef, number int, rack string) bool {
+	spec := c.workload.Steps[ref.Step]
+	trial := planner{state: p.state, rules: p.rules, held: map[model.WorkerID]map[stepRef]int{}}
+	for _, w := range p.workers {
+		if rack == "" || w.Rack == rack {
+			trial.workers = append(trial.workers, w)
+		}
+	}
+	for id, counts := range p.held {
+		trial.held[id] = map[stepRef]int{}
+		for k, n := range counts {
+			trial.held[id][k] = n
+		}
+	}
+	for k := range spec.Count {
+		member := ref
+		member.Index = k
+		w := trial.pick(c, spec, member)
+		if w == nil {
+			return false
+		}
+		trial.start(w, spec, member, number)
+	}
+	for _, w := range trial.workers {
+		i := slices.IndexFunc(p.workers, func(o Worker) bool { return o.ID == w.ID })
+		p.workers[i].Free = w.Free
+	}
+	p.held = trial.held
+	p.starts = append(p.starts, trial.starts...)
+	return true
+}
--- /dev/null
+++ b/core/command/workload/assign.go
@@ -0,0 +1,53 @@
+package workload
+
+import (
+	"slices"
+
+	"lacewingturn.example/core/model"
+)
+
+func assign(s *model.State, start model.RunStart) {
+	a, _ := s.Assignments.Get(start.Worker)
+	a.Worker = start.Worker
+	a.Runs = append(slices.Clone(a.Runs), start.Run)
+	s.Assignments = s.Assignments.Set(start.Worker, a)
+}
+
+// unassign drops all runs of a workload from a worker.
+func unassign(s *model.State, worker model.WorkerID, id model.WorkloadID) {
+	dropRuns(s, worker, func(r model.RunRef) bool { return r.Task.Workload == id })
+}
+
+func unassignRun(s *model.State, worker model.WorkerID, run model.RunRef) {
+	dropRuns(s, worker, func(r model.RunRef) bool { return r == run })
+}
+
+func dropRuns(s *model.State, worker model.WorkerID, drop func(model.RunRef) bool) {
+	a, ok := s.Assignments.Get(worker)
+	if !ok {
+		return
+	}
+	a.Runs = slices.DeleteFunc(slices.Clone(a.Runs), drop)
+	if len(a.Runs) == 0 {
+		s.Assignments = s.Assignments.Delete(worker)
+		return
+	}
+	s.Assignments = s.Assignments.Set(worker, a)
+}
+
+// Assignments derives the runs of each worker from the workloads of a snapshot.
+func Assignments(s model.State) model.State {
+	for _, w := range s.Workloads.All() {
+		for i, round := range w.Rounds {
+			for j, step := range round.Steps {
+				for k, task := range step.Tasks {
+					for _, run := range task.Active {
+						ref := model.TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}
+						assign(&s, model.RunStart{Run: model.RunRef{Task: ref, Number: run.Number}, Worker: run.Worker})
+					}
+				}
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/command/workload/progress.go
@@ -0,0 +1,182 @@
+package workload
+
+import (
+	"fmt"
+	"slices"
+
+	"lacewingturn.example/core/model"
+)
+
+// record applies the ends and then the starts. Those that do not fit the state
+// are passed over: the workload was cancelled meanwhile, or the run is not the
+// one that is recorded.
+func record(s *model.State, c model.RecordProgress) {
+	for _, end := range c.Ends {
+		recordEnd(s, end)
+	}
+	for _, group := range gangs(s, c.Starts) {
+		recordStarts(s, group)
+	}
+}
+
+// gangs groups the starts of each gang; other starts are groups of one.
+func gangs(s *model.State, starts []model.RunStart) [][]model.RunStart {
+	var out [][]model.RunStart
+	for _, start := range starts {
+		ref := start.Run.Task
+		w, ok := s.Workloads.Get(ref.Workload)
+		if !ok || ref.Step < 0 || ref.Step >= len(w.Steps) {
+			continue
+		}
+		if n := len(out); n > 0 && w.Steps[ref.Step].Gang {
+			if last := out[n-1][0].Run.Task; last.Workload == ref.Workload && last.Round == ref.Round && last.Step == ref.Step {
+				out[n-1] = append(out[n-1], start)
+				continue
+			}
+		}
+		out = append(out, []model.RunStart{start})
+	}
+	return out
+}
+
+// recordStarts records all starts of a group or none.
+func recordStarts(s *model.State, group []model.RunStart) {
+	for _, start := range group {
+		if !startable(s, start) {
+			return
+		}
+	}
+	for _, start := range group {
+		w, _ := s.Workloads.Get(start.Run.Task.Workload)
+		s.Workloads = s.Workloads.Set(w.ID, changeTask(w, start.Run.Task, func(t *model.Task) {
+			t.LastRun = start.Run.Number
+			t.Active = append(slices.Clone(t.Active), model.Run{Number: start.Run.Number, Worker: start.Worker, StartedAt: s.Clock})
+		}))
+		assign(s, start)
+	}
+}
+
+// startable reports whether a run may start: its step is open, the task is not
+// done, its budget of failures is not spent, and no other run may be alive.
+func startable(s *model.State, start model.RunStart) bool {
+	ref := start.Run.Task
+	w, ok := s.Workloads.Get(ref.Workload)
+	if !ok {
+		return false
+	}
+	task, ok := w.Task(ref)
+	if !ok || task.Done || start.Run.Number <= task.LastRun || !w.Open(ref.Round, ref.Step) {
+		return false
+	}
+	step := w.Steps[ref.Step]
+	if len(task.Active) > 0 && !step.Speculative {
+		return false
+	}
+	return step.Lasting || failures(w, ref) < w.MaxFailures
+}
+
+// failures returns how often the task has failed. A gang fails as a whole.
+func failures(w model.Workload, ref model.TaskRef) int {
+	tasks := w.Rounds[ref.Round].Steps[ref.Step].Tasks
+	if !w.Steps[ref.Step].Gang {
+		return tasks[ref.Index].Failures
+	}
+	n := 0
+	for _, t := range tasks {
+		n += t.Failures
+	}
+	return n
+}
+
+// recordEnd applies the end of a run that the state knows as active on the worker.
+func recordEnd(s *model.State, end model.RunEnd) {
+	ref := end.Run.Task
+	w, ok := s.Workloads.Get(ref.Workload)
+	if !ok {
+		return
+	}
+	task, ok := w.Task(ref)
+	if !ok || !isActive(task, end) {
+		return
+	}
+	step := w.Steps[ref.Step]
+	w = changeTask(w, ref, func(t *model.Task) {
+		t.Active = slices.DeleteFunc(slices.Clone(t.Active), func(r model.Run) bool { return r.Number == end.Run.Number })
+		if end.Checkpoint != "" {
+			t.Checkpoint = end.Checkpoint
+		}
+		if end.Outcome == model.RunFailed {
+			t.Failures++
+		}
+	})
+	unassignRun(s, end.Worker, end.Run)
+	if end.Outcome == model.RunDone && !step.Lasting {
+		w = succeed(s, w, ref, step.Gang)
+	}
+	s.Workloads = s.Workloads.Set(w.ID, w)
+	settle(s, w, ref)
+}
+
+func isActive(t model.Task, end model.RunEnd) bool {
+	return slices.ContainsFunc(t.Active, func(r model.Run) bool { return r.Number == end.Run.Number && r.Worker == end.Worker })
+}
+
+// succeed marks the task as done, or all tasks of its gang, and gives up other
+// runs of them.
+func succeed(s *model.State, w model.Workload, ref model.TaskRef, gang bool) model.Workload {
+	first, last := ref.Index, ref.Index
+	if gang {
+		first, last = 0, len(w.Rounds[ref.Round].Steps[ref.Step].Tasks)-1
+	}
+	for i := first; i <= last; i++ {
+		member := ref
+		member.Index = i
+		w = changeTask(w, member, func(t *model.Task) {
+			for _, run := range t.Active {
+				unassignRun(s, run.Worker, model.RunRef{Task: member, Number: run.Number})
+			}
+			t.Done, t.Active, t.Checkpoint = true, nil, ""
+		})
+	}
+	return w
+}
+
+// settle moves the workload to a final phase if the end of the task decides it.
+func settle(s *model.State, w model.Workload, ref model.TaskRef) {
+	task, _ := w.Task(ref)
+	if n := failures(w, ref); !task.Done && !w.Steps[ref.Step].Lasting && n >= w.MaxFailures {
+		reason := fmt.Sprintf("task %d of step %d in round %d has failed %d times", ref.Index, ref.Step, ref.Round, n)
+		finish(s, w, model.WorkloadFailed, reason)
+		return
+	}
+	if complete(w) {
+		finish(s, w, model.WorkloadCompleted, "")
+	}
+}
+
+func complete(w model.Workload) bool {
+	for _, round := range w.Rounds {
+		for _, step := range round.Steps {
+			if !step.Complete() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// changeTask returns the workload with one task changed; the given one stays valid.
+func changeTask(w model.Workload, ref model.TaskRef, change func(*model.Task)) model.Workload {
+	w.Rounds = slices.Clone(w.Rounds)
+	round := &w.Rounds[ref.Round]
+	round.Steps = slices.Clone(round.Steps)
+	step := &round.Steps[ref.Step]
+	step.Tasks = slices.Clone(step.Tasks)
+	task := &step.Tasks[ref.Index]
+	before := task.Done
+	change(task)
+	if task.Done && !before {
+		step.Done++
+	}
+	return w
+}
--- /dev/null
+++ b/core/command/workload/workload.go
@@ -0,0 +1,152 @@
+// Package workload decides on workloads of several steps: which are accepted,
+// which runs of their tasks start and end, and when they are complete.
+package workload
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+const (
+	// MaxTasks bounds the tasks of one workload in all rounds together.
+	MaxTasks = 20_000
+	// MaxActive bounds the workloads that are not in a final phase.
+	MaxActive = 20_000
+	// Retention is how long the outcome of a workload is kept after its end.
+	Retention = 10 * time.Minute
+)
+
+// Apply handles SubmitWorkload, CancelWorkload and RecordProgress.
+func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
+	switch c := env.Command.(type) {
+	case model.SubmitWorkload:
+		return submit(s, c), true
+	case model.CancelWorkload:
+		return cancel(s, c), true
+	case model.RecordProgress:
+		record(s, c)
+		return result.Result{Code: result.OK}, true
+	}
+	return result.Result{}, false
+}
+
+// submit accepts a workload. One that is known already is accepted again without effect.
+func submit(s *model.State, c model.SubmitWorkload) result.Result {
+	if s.Catalog == nil {
+		return result.New(result.NoCatalog, "no catalog of queues is published yet")
+	}
+	queue, rest, ok := s.Catalog.Resolve(c.Host, c.Path)
+	if !ok {
+		return result.New(result.NotFound, "no queue at %s%s", c.Host, c.Path)
+	}
+	id := model.WorkloadID(rest)
+	if !validID(id) {
+		return result.New(result.InvalidInput, "%q is not an ID of 16 hexadecimal digits", rest)
+	}
+	if s.Workloads.Has(id) || s.Finished.Has(id) {
+		return result.Result{Code: result.Unchanged, Value: string(id)}
+	}
+	if s.Workloads.Len() >= MaxActive {
+		return result.New(result.Overloaded, "%d workloads are active", MaxActive)
+	}
+	if r := check(c); !r.Code.OK() {
+		return r
+	}
+	w := c.Workload
+	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
+	w.Rounds = make([]model.Round, max(c.Repeat, 1))
+	for i := range w.Rounds {
+		w.Rounds[i].Steps = make([]model.StepState, len(w.Steps))
+		for j, step := range w.Steps {
+			w.Rounds[i].Steps[j].Tasks = make([]model.Task, step.Count)
+		}
+	}
+	s.Workloads = s.Workloads.Set(id, w)
+	return result.Result{Code: result.Accepted, Value: string(id)}
+}
+
+func validID(id model.WorkloadID) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// check reports why the steps of a workload cannot be run.
+func check(c model.SubmitWorkload) result.Result {
+	tasks := 0
+	for i, step := range c.Workload.Steps {
+		if step.Count < 1 || step.Count > MaxTasks {
+			return result.New(result.InvalidInput, "step %d has %d tasks; 1 to %d are possible", i, step.Count, MaxTasks)
+		}
+		tasks += step.Count
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return result.New(result.InvalidInput, "step %d waits for step %d, which is not an earlier one", i, before)
+			}
+		}
+	}
+	if tasks == 0 {
+		return result.New(result.InvalidInput, "a workload needs at least one task")
+	}
+	if c.Repeat < 0 || tasks > MaxTasks/max(c.Repeat, 1) {
+		return result.New(result.InvalidInput, "a workload has at most %d tasks in all rounds", MaxTasks)
+	}
+	return result.Result{Code: result.OK}
+}
+
+// cancel ends a workload. Its runs are stopped because nothing assigns them any more.
+func cancel(s *model.State, c model.CancelWorkload) result.Result {
+	if s.Catalog == nil {
+		return result.New(result.NoCatalog, "no catalog of queues is published yet")
+	}
+	_, rest, ok := s.Catalog.Resolve(c.Host, c.Path)
+	if !ok {
+		return result.New(result.NotFound, "no queue at %s%s", c.Host, c.Path)
+	}
+	id := model.WorkloadID(rest)
+	if w, active := s.Workloads.Get(id); active {
+		finish(s, w, model.WorkloadCancelled, "")
+		return result.Result{Code: result.OK}
+	}
+	if s.Finished.Has(id) {
+		return result.Result{Code: result.Unchanged}
+	}
+	return result.New(result.Expired, "workload %q is not known", rest)
+}
+
+// finish moves a workload to its final phase and drops outcomes past retention.
+func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string) {
+	for _, round := range w.Rounds {
+		for _, step := range round.Steps {
+			for _, task := range step.Tasks {
+				for _, run := range task.Active {
+					unassign(s, run.Worker, w.ID)
+				}
+			}
+		}
+	}
+	s.Workloads = s.Workloads.Delete(w.ID)
+	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason})
+	if s.Finished.Len() > maxFinished {
+		dropOld(s)
+	}
+}
+
+// maxFinished is the number of outcomes above which those past retention are dropped.
+const maxFinished = 20_000
+
+func dropOld(s *model.State) {
+	for id, f := range s.Finished.All() {
+		if s.Clock.Sub(f.EndedAt) > Retention {
+			s.Finished = s.Finished.Delete(id)
+		}
+	}
+}
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -41,4 +41,13 @@
 	ClaimFloor Timestamp
 
 	Requests table.Table[RequestID, RequestRecord]
+
+	// Catalog is nil until the first one is published.
+	Catalog *Catalog
+	// Workloads are those that are not in a final phase, Finished the others.
+	Workloads table.Table[WorkloadID, Workload]
+	Finished  table.Table[WorkloadID, FinishedWorkload]
+	// Assignments is derived from Workloads and kept in step by command/workload.
+	Assignments table.Table[WorkerID, Assignment]
+	Upkeeps     table.Table[UpkeepNumber, Upkeep]
 }
--- /dev/null
+++ b/core/query/workload.go
@@ -0,0 +1,40 @@
+package query
+
+import "lacewingturn.example/core/model"
+
+// WorkloadAt returns the phase of the workload whose address is given. Known is
+// false if there is no such workload, and queue is false if there is no queue.
+func WorkloadAt(s model.State, host, path string) (phase model.WorkloadPhase, known, queue bool) {
+	_, rest, ok := s.Catalog.Resolve(host, path)
+	if !ok {
+		return 0, false, false
+	}
+	id := model.WorkloadID(rest)
+	if f, ok := s.Finished.Get(id); ok {
+		return f.Phase, true, true
+	}
+	w, ok := s.Workloads.Get(id)
+	if !ok {
+		return 0, false, true
+	}
+	if w.Started() {
+		return model.WorkloadActive, true, true
+	}
+	return model.WorkloadQueued, true, true
+}
+
+// PendingAt returns the number of workloads of the queue at the address that
+// have not started; false if the address is not that of a queue.
+func PendingAt(s model.State, host, path string) (int, bool) {
+	q, rest, ok := s.Catalog.Resolve(host, path)
+	if !ok || rest != "" {
+		return 0, false
+	}
+	n := 0
+	for _, w := range s.Workloads.All() {
+		if w.Queue == q.Name && !w.Started() {
+			n++
+		}
+	}
+	return n, true
+}
--- a/core/result/job.go
+++ b/core/result/job.go
@@ -8,6 +8,7 @@
 	JobFinished    Code = 303
 	NoCapacity     Code = 304
 	WorkerExcluded Code = 305
+	NoCatalog      Code = 306
 )
 
 func init() {
@@ -18,5 +19,6 @@
 		Info{JobFinished, "job-finished", OutcomeNotRun, 409, 33, "The job has a recorded outcome already."},
 		Info{NoCapacity, "no-capacity", OutcomeNotRun, 503, 34, "No instance has enough free capacity now."},
 		Info{WorkerExcluded, "worker-quarantined", OutcomeNotRun, 409, 35, "The worker is quarantined and gets no job."},
+		Info{NoCatalog, "no-catalog", OutcomeNotRun, 503, 36, "No catalog of queues is published yet; the request did not run. Repeat it."},
 	)
 }
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -33,7 +33,7 @@
 
 // Client implements entry.Control over the network. It is safe for concurrent use.
 type Client struct {
-	addresses []string
+	addresses atomic.Pointer[[]string]
 	http      connect.HTTPClient
 	leader    atomic.Pointer[string] // address of the last known leader
 }
@@ -41,7 +41,15 @@
 // New returns a client that knows the replicas at the addresses (host:port).
 // The HTTP client must speak HTTP/2 without TLS or TLS as the replicas do.
 func New(addresses []string, httpClient connect.HTTPClient) *Client {
-	return &Client{addresses: slices.Clone(addresses), http: httpClient}
+	c := &Client{http: httpClient}
+	c.SetAddresses(addresses)
+	return c
+}
+
+// SetAddresses replaces the replicas that the client knows.
+func (c *Client) SetAddresses(addresses []string) {
+	list := slices.Clone(addresses)
+	c.addresses.Store(&list)
 }
 
 // NewHTTPClient returns an HTTP client for HTTP/2 without TLS that replaces
@@ -113,7 +121,7 @@
 
 // candidates lists the last known leader and then the others in random order.
 func (c *Client) candidates() []string {
-	list := slices.Clone(c.addresses)
+	list := slices.Clone(*c.addresses.Load())
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	leader := c.leader.Load()
 	if leader == nil {
--- /dev/null
+++ b/replica/schedule/machine.go
@@ -0,0 +1,152 @@
+// Package schedule is the leader's half that drives workers: it takes their
+// reports, plans the starts of runs, commits ends and starts to the log, and
+// only then answers. What it holds is observed anew after each election.
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/clock"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+// Settings of the machine.
+type Settings struct {
+	// LeaseMax is the longest lease that workers accept.
+	LeaseMax time.Duration
+	Logger   *zap.Logger
+}
+
+// Machine is the control state of the scheduling. It implements loop.Machine.
+type Machine struct {
+	ctx      context.Context
+	settings Settings
+	replica  replica.Replica
+	port     loop.Port
+	guard    *clock.Guard
+
+	seen *replica.View
+	term model.Term // of the leadership; 0 if this replica does not lead
+	// leaderSince is when this replica became leader; leases that an earlier
+	// leader granted count from then.
+	leaderSince time.Time
+	workers     map[model.WorkerID]*worker
+	byName      map[string]*worker
+	byInstance  map[model.InstanceID]*worker
+	byAddress   map[string]*worker
+	left        map[model.WorkerID]time.Time
+	avoided     avoided
+
+	waiting    []waiter
+	committing []waiter
+	busy       bool
+	deadline   time.Time
+}
+
+// waiter is a worker's report that has not been answered.
+type waiter struct {
+	worker *worker
+	report Report
+	at     time.Time
+	reply  chan<- answer // takes one value without waiting
+}
+
+type answer struct {
+	orders Orders
+	err    error
+}
+
+// Messages to the machine.
+type (
+	reported struct {
+		report Report
+		reply  chan<- answer
+	}
+	departed struct {
+		name  string
+		reply chan<- answer
+	}
+	committed struct {
+		term    model.Term
+		results []result.Result
+		err     error
+	}
+)
+
+// New adds the machine to the loop, which must not run yet.
+func New(ctx context.Context, l *loop.Loop, r replica.Replica, guard *clock.Guard, settings Settings) *Machine {
+	m := &Machine{ctx: ctx, settings: settings, replica: r, guard: guard}
+	m.port = l.Add(m)
+	return m
+}
+
+// Handle implements loop.Machine.
+func (m *Machine) Handle(now time.Time, msg loop.Message) {
+	m.follow()
+	switch msg := msg.(type) {
+	case reported:
+		m.report(now, msg)
+	case departed:
+		m.depart(now, msg)
+	case committed:
+		m.finish(now, msg)
+	}
+}
+
+// Tick implements loop.Machine.
+func (m *Machine) Tick(now time.Time) { m.follow() }
+
+// Deadline implements loop.Machine.
+func (m *Machine) Deadline() time.Time { return m.deadline }
+
+// Flush implements loop.Machine. It starts the next turn unless one is being committed.
+func (m *Machine) Flush(now time.Time) {
+	m.follow()
+	m.deadline = time.Time{}
+	if m.term == 0 {
+		return
+	}
+	if !m.busy {
+		m.turn(now)
+	}
+	m.deadline = m.nextExpiry(now)
+}
+
+// follow notices elections.
+func (m *Machine) follow() {
+	v := m.replica.View()
+	if v == m.seen {
+		return
+	}
+	m.seen = v
+	switch {
+	case !v.IsLeader:
+		if m.term != 0 {
+			m.refuseAll(errNotLeader)
+		}
+		m.term, m.busy, m.workers = 0, false, nil
+	case m.term != v.Term:
+		m.lead(v)
+	}
+}
+
+func (m *Machine) lead(v *replica.View) {
+	m.refuseAll(errNotLeader)
+	m.term, m.leaderSince, m.busy = v.Term, v.LeaderSince, false
+	m.workers, m.left = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
+	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
+	m.avoided = avoided{}
+}
+
+func (m *Machine) refuseAll(err error) {
+	for _, w := range append(m.waiting, m.committing...) {
+		w.reply <- answer{err: err}
+	}
+	m.waiting, m.committing = nil, nil
+}
--- /dev/null
+++ b/replica/schedule/turn.go
@@ -0,0 +1,168 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/command/place"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/replica"
+)
+
+// turn records the ends that were reported, plans starts for the workers that
+// wait for an answer, and commits both. Reports without news are answered at once.
+func (m *Machine) turn(now time.Time) {
+	if len(m.waiting) > 0 && !replica.Leads(m.replica.View(), m.guard, now) {
+		m.refuseAll(errNotLeader)
+		return
+	}
+	state := m.seen.State
+	progress := model.RecordProgress{Ends: append(m.endsOf(state), m.lost(now, state)...)}
+	after := applied(state, progress)
+	progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now))
+	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
+		m.answerAll(now, m.waiting)
+		m.waiting = nil
+		return
+	}
+	m.committing, m.waiting = m.waiting, nil
+	m.commit(progress)
+}
+
+// applied returns the state as it will be once the progress is committed.
+func applied(s model.State, p model.RecordProgress) model.State {
+	if len(p.Ends) == 0 {
+		return s
+	}
+	next, _ := command.Apply(s, s.Index, s.Term, model.Envelope{Command: p})
+	return next
+}
+
+// endsOf lists the reported ends of runs that are recorded as active.
+func (m *Machine) endsOf(s model.State) []model.RunEnd {
+	var out []model.RunEnd
+	for _, w := range m.waiting {
+		a, _ := s.Assignments.Get(w.report.Worker)
+		for _, end := range w.report.Ended {
+			if slices.Contains(a.Runs, end.Run) {
+				out = append(out, model.RunEnd{Run: end.Run, Worker: w.report.Worker, Outcome: end.Outcome, Checkpoint: end.Checkpoint})
+			}
+		}
+	}
+	return out
+}
+
+// lost lists the runs of workers whose lease has certainly ended, that have
+// left, or that were replaced by a later incarnation.
+func (m *Machine) lost(now time.Time, s model.State) []model.RunEnd {
+	var out []model.RunEnd
+	for id, a := range s.Assignments.All() {
+		if m.aliveUntil(id).After(now) {
+			continue
+		}
+		w := m.workers[id]
+		for _, run := range a.Runs {
+			end := model.RunEnd{Run: run, Worker: id, Outcome: model.RunInterrupted}
+			if w != nil {
+				end.Checkpoint = w.checkpoint(run)
+			}
+			out = append(out, end)
+		}
+	}
+	return out
+}
+
+// aliveUntil returns when the runs of an incarnation have certainly ended.
+func (m *Machine) aliveUntil(id model.WorkerID) time.Time {
+	if at, ok := m.left[id]; ok {
+		return at
+	}
+	if w, ok := m.workers[id]; ok {
+		return w.leaseUntil
+	}
+	return leaseEnd(m.leaderSince, m.settings.LeaseMax)
+}
+
+// nextExpiry returns when the next assigned run may count as lost.
+func (m *Machine) nextExpiry(now time.Time) time.Time {
+	var next time.Time
+	for id := range m.seen.State.Assignments.All() {
+		if at := m.aliveUntil(id); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	if next.IsZero() {
+		return next
+	}
+	return maxTime(next, now.Add(expiryPause))
+}
+
+// expiryPause bounds how often expired leases are looked for.
+const expiryPause = 20 * time.Millisecond
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// offers lists the workers that wait for an answer and can take work.
+func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
+	var out []place.Worker
+	for _, w := range m.waiting {
+		if offer, ok := w.worker.offer(now, s); ok && m.workers[w.report.Worker] == w.worker && w.report.Sequence == w.worker.Sequence {
+			out = append(out, offer)
+		}
+	}
+	return out
+}
+
+func (m *Machine) rules(now time.Time) place.Rules {
+	m.avoided.forget(now)
+	return place.Rules{
+		Now:   max(model.At(now), m.seen.State.Clock),
+		Avoid: func(t model.TaskRef, w model.WorkerID) bool { return m.avoided.has(now, t, w) },
+	}
+}
+
+// commit proposes the progress. The result comes back as a message.
+func (m *Machine) commit(p model.RecordProgress) {
+	m.busy = true
+	term := m.term
+	go func() {
+		results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: p}})
+		// The loop has ended if the message cannot be sent.
+		_ = m.port.Send(m.ctx, committed{term, results, err})
+	}()
+}
+
+// finish answers the workers whose ends and starts are committed.
+func (m *Machine) finish(now time.Time, c committed) {
+	if c.term != m.term {
+		return
+	}
+	m.busy = false
+	waiting := m.committing
+	m.committing = nil
+	err := c.err
+	if err == nil && !c.results[0].Code.OK() {
+		err = c.results[0]
+	}
+	if err == nil && !replica.Leads(m.replica.View(), m.guard, now) {
+		err = errNotLeader
+	}
+	if err != nil {
+		for _, w := range waiting {
+			w.reply <- answer{err: trace.Wrap(err)}
+		}
+		return
+	}
+	m.answerAll(now, waiting)
+}
+
+var errNotLeader = result.New(result.NotLeader, "this replica does not lead")
--- /dev/null
+++ b/replica/schedule/worker.go
@@ -0,0 +1,148 @@
+package schedule
+
+import (
+	"time"
+
+	"lacewingturn.example/core/command/place"
+	"lacewingturn.example/core/model"
+)
+
+// worker is what the leader has observed of one incarnation.
+type worker struct {
+	Report
+	heardAt time.Time
+	// leaseUntil is when everything on the worker has certainly ended, if it is
+	// not heard of again.
+	leaseUntil time.Time
+	// sizes holds what each run takes that was assigned to the worker, until the
+	// worker lists it no longer.
+	sizes map[model.RunRef]model.Resources
+	// progress tells when each run last moved on.
+	progress map[model.RunRef]progress
+	// failures counts the failed runs since the last success.
+	failures int
+	// doubtUntil is how long the worker gets work last.
+	doubtUntil time.Time
+	// fullUntil is how long the worker gets no work after it has refused a run.
+	fullUntil time.Time
+}
+
+type progress struct {
+	percent int
+	at      time.Time
+}
+
+const (
+	// clockError is how much longer a lease may last on the worker's clock.
+	clockError = 0.02
+	// leaseSlack is added to the end of a lease before its runs count as ended.
+	leaseSlack = 150 * time.Millisecond
+	// refusalPause is how long a worker gets no work after it has refused a run.
+	refusalPause = 300 * time.Millisecond
+	// doubtPause is how long a worker that fails runs gets work last.
+	doubtPause = 6 * time.Second
+	// maxFailures is the number of failed runs in a row that put a worker in doubt.
+	maxFailures = 3
+)
+
+// leaseEnd returns when a lease granted at the time has certainly ended.
+func leaseEnd(granted time.Time, lease time.Duration) time.Time {
+	return granted.Add(lease + time.Duration(float64(lease)*clockError) + leaseSlack)
+}
+
+// observe takes a newer report.
+func (w *worker) observe(now time.Time, r Report) {
+	w.Report, w.heardAt = r, now
+	seen := map[model.RunRef]progress{}
+	for _, run := range r.Running {
+		last, ok := w.progress[run.Run]
+		if !ok || last.percent != run.Percent {
+			last = progress{run.Percent, now}
+		}
+		seen[run.Run] = last
+	}
+	w.progress = seen
+	for _, end := range r.Ended {
+		w.judge(now, end)
+	}
+}
+
+// judge keeps count of failed runs.
+func (w *worker) judge(now time.Time, end Ended) {
+	switch {
+	case end.Refused:
+		w.fullUntil = now.Add(refusalPause)
+	case end.Outcome == model.RunDone:
+		w.failures = 0
+	case end.Outcome == model.RunFailed:
+		if w.failures++; w.failures >= maxFailures {
+			w.doubtUntil = now.Add(doubtPause)
+		}
+	}
+}
+
+// free returns what neither assigned nor other listed runs take.
+func (w *worker) free(s model.State) model.Resources {
+	free := w.Capacity
+	if w.sizes == nil {
+		w.sizes = map[model.RunRef]model.Resources{}
+	}
+	listed := map[model.RunRef]bool{}
+	a, _ := s.Assignments.Get(w.Worker)
+	for _, run := range a.Runs {
+		listed[run] = true
+		size := sizeOf(s, run.Task)
+		w.sizes[run] = size
+		free = minus(free, size)
+	}
+	for _, run := range w.Running {
+		if listed[run.Run] {
+			continue
+		}
+		listed[run.Run] = true
+		size, known := w.sizes[run.Run]
+		if !known {
+			return model.Resources{}
+		}
+		free = minus(free, size)
+	}
+	for run := range w.sizes {
+		if !listed[run] {
+			delete(w.sizes, run)
+		}
+	}
+	return free
+}
+
+func sizeOf(s model.State, task model.TaskRef) model.Resources {
+	w, ok := s.Workloads.Get(task.Workload)
+	if !ok {
+		return model.Resources{}
+	}
+	return w.Steps[task.Step].Reserved()
+}
+
+func minus(a, b model.Resources) model.Resources {
+	return model.Resources{MilliCPU: a.MilliCPU - b.MilliCPU, MemoryMB: a.MemoryMB - b.MemoryMB, Accelerators: a.Accelerators - b.Accelerators}
+}
+
+// offer returns the worker as the planner sees it; false if it takes no work.
+func (w *worker) offer(now time.Time, s model.State) (place.Worker, bool) {
+	free := w.free(s)
+	if w.Draining || now.Before(w.fullUntil) {
+		return place.Worker{}, false
+	}
+	return place.Worker{
+		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels, Free: free, Doubtful: now.Before(w.doubtUntil),
+	}, true
+}
+
+// checkpoint returns the last one that the worker has listed for the run.
+func (w *worker) checkpoint(run model.RunRef) string {
+	for _, r := range w.Running {
+		if r.Run == run {
+			return r.Checkpoint
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/replica/schedule/workers.go
@@ -0,0 +1,146 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// Report takes a worker's heartbeat and returns its orders.
+func (m *Machine) Report(ctx context.Context, r Report) (Orders, error) {
+	a, err := m.ask(ctx, func(reply chan<- answer) any { return reported{r, reply} })
+	return a.orders, err
+}
+
+// Depart records that the worker with the name has ended.
+func (m *Machine) Depart(ctx context.Context, name string) error {
+	_, err := m.ask(ctx, func(reply chan<- answer) any { return departed{name, reply} })
+	return err
+}
+
+func (m *Machine) ask(ctx context.Context, message func(chan<- answer) any) (answer, error) {
+	reply := make(chan answer, 1)
+	if !m.port.TrySend(message(reply)) {
+		return answer{}, result.New(result.Overloaded, "the mailbox of the control loop is full")
+	}
+	select {
+	case a := <-reply:
+		return a, a.err
+	case <-ctx.Done():
+		return answer{}, ctx.Err()
+	}
+}
+
+// report takes a heartbeat unless a later one of the same place was heard of.
+func (m *Machine) report(now time.Time, msg reported) {
+	if m.term == 0 {
+		msg.reply <- answer{err: errNotLeader}
+		return
+	}
+	r := msg.report
+	w := m.workers[r.Worker]
+	if m.superseded(r) || w != nil && r.Sequence <= w.Sequence {
+		msg.reply <- answer{err: result.New(result.Expired, "a later heartbeat of %s was heard of", r.Name)}
+		return
+	}
+	if w == nil {
+		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.settings.LeaseMax)}
+		m.workers[r.Worker] = w
+	}
+	w.observe(now, r)
+	for _, end := range r.Ended {
+		if end.Outcome == model.RunFailed {
+			m.avoided.add(now, end.Run.Task, r.Worker)
+		}
+	}
+	m.replace(now, w)
+	m.waiting = append(m.waiting, waiter{worker: w, report: r, at: now, reply: msg.reply})
+}
+
+// superseded reports whether a later incarnation has the worker's name,
+// instance or address.
+func (m *Machine) superseded(r Report) bool {
+	for _, other := range m.places(r) {
+		if other != nil && other.Worker != r.Worker && other.StartedAt > r.StartedAt {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) places(r Report) []*worker {
+	return []*worker{m.byName[r.Name], m.byInstance[r.Instance], m.byAddress[r.Address]}
+}
+
+// replace notes that earlier incarnations at the worker's place have ended.
+func (m *Machine) replace(now time.Time, w *worker) {
+	for _, other := range m.places(w.Report) {
+		if other != nil && other != w {
+			m.left[other.Worker] = now
+			delete(m.workers, other.Worker)
+		}
+	}
+	m.byName[w.Name], m.byAddress[w.Address] = w, w
+	if w.Instance != "" {
+		m.byInstance[w.Instance] = w
+	}
+}
+
+// departPause is how long the runs of a worker that has announced its end may
+// still be ending.
+const departPause = time.Second
+
+func (m *Machine) depart(now time.Time, msg departed) {
+	if m.term == 0 {
+		msg.reply <- answer{err: errNotLeader}
+		return
+	}
+	if w := m.byName[msg.name]; w != nil {
+		if _, known := m.left[w.Worker]; !known {
+			m.left[w.Worker] = now.Add(departPause)
+		}
+		w.Draining = true
+	}
+	msg.reply <- answer{}
+}
+
+// avoidPause is how long a task is kept from a worker on which it has failed
+// or stalled.
+const avoidPause = 2 * time.Second
+
+// avoided remembers on which workers tasks have failed or stalled, and when.
+type avoided map[model.TaskRef]map[model.WorkerID]time.Time
+
+func (a avoided) add(now time.Time, t model.TaskRef, w model.WorkerID) {
+	if a[t] == nil {
+		a[t] = map[model.WorkerID]time.Time{}
+	}
+	a[t][w] = now
+}
+
+// has reports whether the task should not run on the worker now; with an empty
+// worker, whether there is any such worker.
+func (a avoided) has(now time.Time, t model.TaskRef, w model.WorkerID) bool {
+	for other, at := range a[t] {
+		if now.Sub(at) < avoidPause && (w == "" || other == w) {
+			return true
+		}
+	}
+	return false
+}
+
+// forget drops what has passed.
+func (a avoided) forget(now time.Time) {
+	for t, workers := range a {
+		for w, at := range workers {
+			if now.Sub(at) >= avoidPause {
+				delete(workers, w)
+			}
+		}
+		if len(workers) == 0 {
+			delete(a, t)
+		}
+	}
+}
--- a/replica/view.go
+++ b/replica/view.go
@@ -9,6 +9,7 @@
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/clock"
 )
 
 // View is an immutable picture of one replica, published by its loop.
@@ -55,3 +56,13 @@
 // Liveness gives the leader's picture of the entry instances; it is empty on
 // other replicas.
 type Liveness interface{ Entries() []EntryLiveness }
+
+// freshContact is how recently a quorum must have followed a leader that acts
+// alone. It is shorter than the shortest election timeout.
+const freshContact = 450 * time.Millisecond
+
+// Leads reports whether the replica with the view certainly leads: a quorum has
+// followed it lately, and since the machine was last suspended.
+func Leads(v *View, g *clock.Guard, now time.Time) bool {
+	return v.IsLeader && now.Sub(v.QuorumContact) < freshContact && g.Trusted(v.QuorumContact)
+}
