--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -4,26 +4,32 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
 
+	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/telemetry"
 	"lacewingturn.example/node/wait"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
 	"lacewingturn.example/replica/client"
+	replicacommand "lacewingturn.example/replica/command"
 )
 
 // NewOnPlatform builds a process of one role that runs on the users' platform.
-// Log lines go to w.
-func NewOnPlatform(role Role, p settings.Settings, w io.Writer) (*Process, error) {
+// The settings were read from the file at the path. Log lines go to w.
+func NewOnPlatform(role Role, path SettingsFile, p settings.Settings, w io.Writer) (*Process, error) {
 	s := platformSettings(role, p)
 	proc := &Process{settings: s}
 	options := []fx.Option{
-		fx.Supply(s, p, fx.Annotate(w, fx.As(new(io.Writer)))),
+		fx.Supply(s, path, p, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.DrainTimeout),
 		processModule,
@@ -44,7 +50,7 @@
 func platformSettings(role Role, p settings.Settings) Settings {
 	s := Settings{
 		Name: p.IP, Roles: []Role{role}, Domain: p.Domain,
-		InternalAddress: p.ReplicaAddress(p.IP), OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder,
+		InternalAddress: p.ReplicaAddress(p.IP), OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, FilesRenumbered: true,
 		Join: !p.FirstStart, DrainTimeout: p.StopGrace - stopReserve,
 		Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
@@ -58,11 +64,44 @@
 const stopReserve = 500 * time.Millisecond
 
 func newPlatformClient(p settings.Settings, c *http.Client) *client.Client {
+	return client.New(seedAddresses(p), c)
+}
+
+func seedAddresses(p settings.Settings) []string {
 	addresses := make([]string, 0, len(p.Seeds))
 	for _, ip := range p.Seeds {
 		addresses = append(addresses, p.ReplicaAddress(ip))
 	}
-	return client.New(addresses, c)
+	return addresses
+}
+
+func seedPeers(p settings.Settings) []replicacommand.Peer {
+	peers := make([]replicacommand.Peer, 0, len(p.Seeds))
+	for _, ip := range p.Seeds {
+		peers = append(peers, replicacommand.Peer{Name: ip, Address: p.ReplicaAddress(ip)})
+	}
+	return peers
+}
+
+// SettingsFile is the path of the platform's settings file.
+type SettingsFile string
+
+// watchSettings hands changed settings to adopt while the process runs.
+func watchSettings(lc fx.Lifecycle, l *life, path SettingsFile, log *zap.Logger, adopt func(settings.Settings)) {
+	signals := make(chan os.Signal, 1)
+	changed := func(p settings.Settings) {
+		adopt(p)
+		event.SettingsReloaded.Log(log, zap.Strings("seeds", p.Seeds))
+	}
+	failed := func(err error) { event.SettingsRefused.Log(log, zap.Error(err)) }
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			signal.Notify(signals, syscall.SIGHUP)
+			go settings.Watch(l, string(path), signals, changed, failed)
+			return nil
+		},
+		OnStop: func(context.Context) error { signal.Stop(signals); return nil },
+	})
 }
 
 // balancerDelay is how long the platform's balancer may still send new
--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -38,6 +37,8 @@
 	fx.In
 
 	Lifecycle fx.Lifecycle
+	Life      *life
+	File      SettingsFile
 	Platform  settings.Settings
 	Servers   *servers
 	Internal  internalMux
@@ -49,6 +50,7 @@
 
 func routePlatformControl(p platformControlParams) error {
 	p.Internal.Handle(p.Reader.Route())
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { p.Replica.SetPeers(seedPeers(s)) })
 	router := mux.NewRouter()
 	platformcommand.NewControl(p.Scheduler, p.Replica, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
 	redirect := func(w http.ResponseWriter, r *http.Request) {
@@ -57,45 +59,3 @@
 	platformquery.NewControl(p.Reader, redirect).Route(router)
 	return servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{})
 }
-
-// platformEntryModule serves the callers of the users' platform.
-var platformEntryModule = fx.Module("platform-entry", fx.Invoke(routePlatformEntry))
-
-type platformEntryParams struct {
-	fx.In
-
-	Lifecycle fx.Lifecycle
-	Platform  settings.Settings
-	Life      *life
-	Servers   *servers
-	Client    *http.Client
-	Metrics   metricsHandler
-	Log       *zap.Logger
-}
-
-func routePlatformEntry(p platformEntryParams) error {
-	control := newPlatformClient(p.Platform, p.Client)
-	commands := platformcommand.NewCallers(control, p.Log)
-	queries := platformquery.NewCallers(control, p.Log)
-	ready := platformquery.NewReady(control, p.Log)
-	callers := mux.NewRouter().SkipClean(true)
-	callers.Methods(http.MethodPost).HandlerFunc(commands.Submit)
-	callers.Methods(http.MethodDelete).HandlerFunc(commands.Cancel)
-	callers.Methods(http.MethodGet).HandlerFunc(queries.Read)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, server.TLSFiles{}); err != nil {
-		return err
-	}
-	metrics := http.NewServeMux()
-	metrics.Handle("GET /metrics", p.Metrics)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.MetricsAddress(), metrics, server.TLSFiles{}); err != nil {
-		return err
-	}
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReadinessAddress, ready, server.TLSFiles{}); err != nil {
-		return err
-	}
-	p.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { go ready.Run(p.Life); return nil },
-		OnStop:  func(ctx context.Context) error { return leaveBalancer(ctx, ready) },
-	})
-	return nil
-}
--- /dev/null
+++ b/cmd/internal/instance/platform_entry.go
@@ -0,0 +1,59 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"lacewingturn.example/node/server"
+	platformcommand "lacewingturn.example/platform/command"
+	platformquery "lacewingturn.example/platform/query"
+	"lacewingturn.example/platform/settings"
+)
+
+// platformEntryModule serves the callers of the users' platform.
+var platformEntryModule = fx.Module("platform-entry", fx.Invoke(routePlatformEntry))
+
+type platformEntryParams struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	Life      *life
+	File      SettingsFile
+	Platform  settings.Settings
+	Servers   *servers
+	Client    *http.Client
+	Metrics   metricsHandler
+	Log       *zap.Logger
+}
+
+func routePlatformEntry(p platformEntryParams) error {
+	control := newPlatformClient(p.Platform, p.Client)
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
+	commands := platformcommand.NewCallers(control, p.Log)
+	queries := platformquery.NewCallers(control, p.Log)
+	ready := platformquery.NewReady(control, p.Log)
+	callers := mux.NewRouter().SkipClean(true)
+	callers.Methods(http.MethodPost).HandlerFunc(commands.Submit)
+	callers.Methods(http.MethodDelete).HandlerFunc(commands.Cancel)
+	callers.Methods(http.MethodGet).HandlerFunc(queries.Read)
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, server.TLSFiles{}); err != nil {
+		return err
+	}
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", p.Metrics)
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.MetricsAddress(), metrics, server.TLSFiles{}); err != nil {
+		return err
+	}
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReadinessAddress, ready, server.TLSFiles{}); err != nil {
+		return err
+	}
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error { go ready.Run(p.Life); return nil },
+		OnStop:  func(ctx context.Context) error { return leaveBalancer(ctx, ready) },
+	})
+	return nil
+}
--- a/cmd/internal/instance/settings.go
+++ b/cmd/internal/instance/settings.go
@@ -44,6 +44,8 @@
 	// OperatorAddress serves operators; role control only.
 	OperatorAddress string
 	DataFolder      string
+	// FilesRenumbered is set where disks come back with other file numbers.
+	FilesRenumbered bool
 	Replicas        []Replica
 	// Join makes a control replica wait to be added to an existing group
 	// instead of forming a new one.
--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"lacewingturn.example/cmd/internal/instance"
+	"lacewingturn.example/platform/settings"
 )
 
 // startTimeout bounds the start of a process, recovery of its state included.
@@ -37,6 +38,7 @@
 		kong.Name("lacewingturnd"),
 		kong.Description("An instance of lacewingturn, a fleet capacity and maintenance manager. Every setting is a flag or an environment variable."),
 		kong.UsageOnError(),
+		kong.Vars{"platform_settings": settings.PathVariable},
 	)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -51,12 +53,12 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func (r *runCommand) Run(ctx context.Context) error {
-	settings, err := r.check()
+	checked, err := r.check()
 	if err != nil {
 		return trace.Wrap(err, "wrong settings; nothing was started")
 	}
 	debug.SetMemoryLimit(memoryLimit)
-	p, err := instance.New(settings, os.Stderr)
+	p, err := instance.New(checked, os.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/cmd/lacewingturnd/platform.go
+++ b/cmd/lacewingturnd/platform.go
@@ -17,7 +17,7 @@
 
 type platformCommand struct {
 	Role     string `arg:"" help:"Role of this process: control or entry." enum:"control,entry"`
-	Settings string `help:"Settings file of the platform." env:"LACEWINGTURN_BOOT" required:""`
+	Settings string `help:"Settings file of the platform." env:"${platform_settings}" required:""`
 }
 
 // Run serves on the users' platform until a signal.
@@ -29,7 +29,7 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
 	}
-	p, err := instance.NewOnPlatform(instance.Role(c.Role), s, os.Stdout)
+	p, err := instance.NewOnPlatform(instance.Role(c.Role), instance.SettingsFile(c.Settings), s, os.Stdout)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/node/event/platform.go
+++ b/node/event/platform.go
@@ -10,4 +10,6 @@
 	OperatorOrder    = define(6003, "operator's order", zapcore.InfoLevel, "An order of the operator was answered with the result in the line.", "")
 	ControlReached   = define(6004, "leader reached", zapcore.InfoLevel, "This entry instance has an answer of the leader and takes callers.", "")
 	ControlLost      = define(6005, "leader lost", zapcore.WarnLevel, "This entry instance has had no answer of a leader for a while and takes no new callers.", "Check the control replicas and the network path to them.")
+	SettingsReloaded = define(6006, "settings reloaded", zapcore.InfoLevel, "The settings file has changed; the seeds in it are in force.", "")
+	SettingsRefused  = define(6007, "changed settings refused", zapcore.ErrorLevel, "The changed settings file is wrong. The settings before stay in force.", "Correct the file.")
 )
--- a/replica/command/enroll.go
+++ b/replica/command/enroll.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	members := raft.Membership{r.self()}
-	for _, p := range r.settings.others() {
+	for _, p := range r.others() {
 		if p.Name < r.settings.Name {
 			return false
 		}
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
 	defer cancel()
 	req := &replicav1.JoinRequest{Replica: toInfo(r.self())}
-	for _, p := range r.settings.others() {
+	for _, p := range r.others() {
 		// A failure is answered by the next attempt.
 		_, _ = replicav1connect.NewReplicationServiceClient(client, "http://"+p.Address).Join(ctx, connect.NewRequest(req))
 	}
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -185,7 +185,7 @@
 	if member, ok := m.raft.Members().Get(id); ok {
 		return member.Address
 	}
-	for _, p := range m.r.settings.Peers {
+	for _, p := range *m.r.peers.Load() {
 		if p.Name == raft.Name(id) {
 			return p.Address
 		}
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -25,6 +25,7 @@
 // Replica is a running control replica. It implements replica.Replica.
 type Replica struct {
 	settings Settings
+	peers    atomic.Pointer[[]Peer]
 	id       model.ReplicaID
 	log      *zap.Logger
 	store    *storage.Store
@@ -62,6 +63,7 @@
 		settings.Seed = randomSeed()
 	}
 	r := &Replica{settings: settings, id: recovery.ID, store: store}
+	r.SetPeers(settings.Peers)
 	r.log = settings.Logger.With(zap.String("replica", string(recovery.ID)))
 	r.writer = newWriter(store)
 	r.tasks = newTasks()
@@ -83,6 +85,9 @@
 		}
 		fs = folder
 	}
+	if settings.FilesRenumbered {
+		fs = storage.WithoutStamps(fs)
+	}
 	var incarnation [8]byte
 	crand.Read(incarnation[:])
 	return storage.Open(fs, settings.Name, hex.EncodeToString(incarnation[:]))
@@ -121,6 +126,20 @@
 		zap.Uint64("last", uint64(r.SnapshotIndex)+uint64(len(r.Entries))), zap.Uint64("term", uint64(r.Hard.Term)))
 }
 
+// SetPeers replaces the replicas that are asked for admission.
+func (r *Replica) SetPeers(peers []Peer) { r.peers.Store(&peers) }
+
+// others returns the peers without this replica.
+func (r *Replica) others() []Peer {
+	var list []Peer
+	for _, p := range *r.peers.Load() {
+		if p.Name != r.settings.Name {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // Run works until ctx ends and returns once the data folder is closed. The loop
 // must run meanwhile.
 func (r *Replica) Run(ctx context.Context) error {
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -58,6 +58,9 @@
 	KeepEntries int
 	// Dial opens connections to other replicas; a net.Dialer if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// FilesRenumbered is set where the platform brings a disk back with other file
+	// numbers, so that a copied folder cannot be told from the original.
+	FilesRenumbered bool
 	// FS replaces the data folder in tests.
 	FS storage.FS
 	// Applied is called by the control loop before each committed command is
@@ -109,14 +112,3 @@
 	override(&cfg.ReplaceAfter, s.ReplaceAfter)
 	return cfg
 }
-
-// others returns the peers without this replica.
-func (s *Settings) others() []Peer {
-	var list []Peer
-	for _, p := range s.Peers {
-		if p.Name != s.Name {
-			list = append(list, p)
-		}
-	}
-	return list
-}
--- a/replica/storage/fs.go
+++ b/replica/storage/fs.go
@@ -148,3 +148,13 @@
 	defer dir.Close()
 	return trace.ConvertSystemError(dir.Sync())
 }
+
+// unstamped gives all files the same stamp.
+type unstamped struct{ FS }
+
+// WithoutStamps returns fs for platforms that bring a disk back with other file
+// numbers. Copies of the data folder are not recognized there.
+func WithoutStamps(fs FS) FS { return unstamped{fs} }
+
+// Stamp implements FS.
+func (unstamped) Stamp(string) (Stamp, error) { return Stamp{}, nil }
