--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -10,10 +10,12 @@
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
+	"lacewingturn.example/platform/cloud"
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
 	replicacommand "lacewingturn.example/replica/command"
+	"lacewingturn.example/replica/fleet"
 	"lacewingturn.example/replica/schedule"
 	schedulequery "lacewingturn.example/replica/schedule/query"
 )
@@ -22,13 +24,19 @@
 // on a control replica.
 var platformControlModule = fx.Module("platform-control",
 	fx.Provide(clock.NewGuard, newScheduler, newScheduleReader),
-	fx.Invoke(routePlatformControl),
+	fx.Invoke(addFleet, routePlatformControl),
 )
 
 func newScheduler(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, log *zap.Logger) *schedule.Machine {
 	return schedule.New(life, l, r, g, schedule.Settings{LeaseMax: p.LeaseMax, Logger: log})
 }
 
+func addFleet(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, s *schedule.Machine, log *zap.Logger) {
+	fleet.New(life, l, r, g, s, cloud.New(p.CloudAddress, p.Name), fleet.Settings{
+		DutyPause: p.DutyPause, MoveTime: p.MoveTime, UpkeepTime: p.UpkeepTime, Logger: log,
+	})
+}
+
 func newScheduleReader(r *replicacommand.Replica, g *clock.Guard) *schedulequery.Reader {
 	return schedulequery.New(r, g)
 }
--- /dev/null
+++ b/core/model/observed.go
@@ -0,0 +1,37 @@
+package model
+
+import "time"
+
+// ObservedInstance is what the leader sees of an instance that runs workers.
+type ObservedInstance struct {
+	ID   InstanceID
+	Pool PoolName
+	// Off is set while the instance is powered off in a standby pool.
+	Off bool
+	// Away is set while it is being moved or maintained, or is not heard of.
+	Away bool
+	// Leaving is set once the worker on it has announced its end.
+	Leaving  bool
+	Capacity Resources
+	Runs     []ObservedRun
+	// Settled is set if the worker lists no run that is not assigned to it.
+	Settled bool
+}
+
+// Idle reports whether nothing runs on the instance.
+func (i ObservedInstance) Idle() bool { return len(i.Runs) == 0 && i.Settled }
+
+// ObservedRun is an assigned run as its worker has last reported it.
+type ObservedRun struct {
+	Run     RunRef
+	Lasting bool
+	// Working is set while a lasting task is at work.
+	Working bool
+	// Stopping is set once the worker was told to stop it.
+	Stopping bool
+	// Checkpointing is set if a stop keeps the progress.
+	Checkpointing bool
+	Percent       int
+	// Age is how long ago it was started.
+	Age time.Duration
+}
--- /dev/null
+++ b/replica/fleet/machine.go
@@ -0,0 +1,316 @@
+// Package fleet is the leader's half that moves and maintains instances
+// through the platform. It compares what is wanted with what is observed, again
+// and again, and holds nothing that a new leader could not observe anew.
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command/maintain"
+	"lacewingturn.example/core/command/scale"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/clock"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+const (
+	// interval is the time between two looks at the fleet.
+	interval = 200 * time.Millisecond
+	// listInterval is the time between two readings of the platform's list.
+	listInterval = 8 * time.Second
+	// listRetry is when a reading that failed is repeated.
+	listRetry = 2 * time.Second
+	// orderRetry is when an order that was not confirmed is repeated.
+	orderRetry = time.Second
+	// returnSlack is how much longer than stated an instance may be away.
+	returnSlack = 2 * time.Second
+	// dutyMargin is added to the pause before a new leader gives orders.
+	dutyMargin = 300 * time.Millisecond
+	// maxMoves is the number of moves that are begun in one look.
+	maxMoves = 8
+)
+
+// Scheduler is what the machine uses of the scheduling on the same loop.
+type Scheduler interface {
+	Observe(now time.Time) []model.ObservedInstance
+	Present(now time.Time, task model.TaskRef) bool
+	SetCordons(map[model.InstanceID]bool)
+	StopRun(model.RunRef)
+	InstanceEnded(now time.Time, id model.InstanceID)
+}
+
+// Settings of the machine.
+type Settings struct {
+	// DutyPause is how long orders for an instance must not change between two
+	// processes.
+	DutyPause time.Duration
+	// MoveTime and UpkeepTime are how long an instance is away.
+	MoveTime   time.Duration
+	UpkeepTime time.Duration
+	Logger     *zap.Logger
+}
+
+// Machine is the control state. It implements loop.Machine.
+type Machine struct {
+	ctx       context.Context
+	settings  Settings
+	replica   replica.Replica
+	guard     *clock.Guard
+	scheduler Scheduler
+	platform  Platform
+	port      loop.Port
+
+	term    model.Term // of the leadership; 0 if this replica does not lead
+	startAt time.Time  // when the first order may be given
+	next    time.Time
+	listAt  time.Time
+	listing bool
+	listed  map[model.InstanceID]Listed
+	trips   map[model.InstanceID]*trip
+	cordons map[model.InstanceID]model.Timestamp
+	idle    map[model.InstanceID]time.Time // since when nothing has run
+	paused  map[model.InstanceID]time.Time // until when a refused order is not repeated
+}
+
+// trip is an order to an instance until it is back.
+type trip struct {
+	upkeep    model.UpkeepNumber // 0 for a move
+	to        model.PoolName     // of a move
+	began     time.Time
+	retryAt   time.Time // when an unconfirmed order is repeated; zero once confirmed
+	calling   bool
+	confirmed time.Time
+	recorded  bool // the upkeep is in the log
+}
+
+// Messages to the machine.
+type (
+	listedAll struct {
+		term model.Term
+		list []Listed
+		err  error
+	}
+	ordered struct {
+		term model.Term
+		id   model.InstanceID
+		err  error
+	}
+	recorded struct {
+		term   model.Term
+		id     model.InstanceID
+		result result.Result
+	}
+)
+
+// New adds the machine to the loop, which must not run yet.
+func New(ctx context.Context, l *loop.Loop, r replica.Replica, guard *clock.Guard, s Scheduler, p Platform, settings Settings) *Machine {
+	m := &Machine{ctx: ctx, settings: settings, replica: r, guard: guard, scheduler: s, platform: p}
+	m.port = l.Add(m)
+	return m
+}
+
+// Handle implements loop.Machine.
+func (m *Machine) Handle(now time.Time, msg loop.Message) {
+	m.follow(now)
+	switch msg := msg.(type) {
+	case listedAll:
+		if msg.term == m.term {
+			m.finishList(now, msg)
+		}
+	case ordered:
+		if msg.term == m.term {
+			m.finishOrder(now, msg)
+		}
+	case recorded:
+		if t := m.trips[msg.id]; msg.term == m.term && t != nil {
+			t.recorded = msg.result.Code.OK()
+		}
+	}
+}
+
+// Deadline implements loop.Machine.
+func (m *Machine) Deadline() time.Time { return m.next }
+
+// Flush implements loop.Machine.
+func (m *Machine) Flush(now time.Time) { m.follow(now) }
+
+// follow notices elections.
+func (m *Machine) follow(now time.Time) {
+	v := m.replica.View()
+	switch {
+	case !v.IsLeader:
+		m.term, m.next = 0, time.Time{}
+	case m.term != v.Term:
+		m.term, m.startAt, m.next = v.Term, v.LeaderSince.Add(m.settings.DutyPause+dutyMargin), now
+		m.listAt, m.listing, m.listed = m.startAt, false, map[model.InstanceID]Listed{}
+		m.paused = map[model.InstanceID]time.Time{}
+		m.trips, m.cordons, m.idle = map[model.InstanceID]*trip{}, map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]time.Time{}
+	}
+}
+
+// Tick implements loop.Machine.
+func (m *Machine) Tick(now time.Time) {
+	m.follow(now)
+	if m.term == 0 {
+		return
+	}
+	m.next = now.Add(interval)
+	v := m.replica.View()
+	if now.Before(m.startAt) || v.State.Catalog == nil || !replica.Leads(v, m.guard, now) {
+		return
+	}
+	if !m.listing && !now.Before(m.listAt) {
+		m.list()
+	}
+	instances := m.observe(now)
+	m.maintain(now, v.State, instances)
+	m.scale(now, v.State, instances)
+	m.repeatOrders(now)
+}
+
+// maintain carries out orders for upkeep.
+func (m *Machine) maintain(now time.Time, s model.State, instances []model.ObservedInstance) {
+	in := maintain.Input{
+		Now: model.At(now), Instances: instances, Down: map[model.InstanceID]bool{}, Cordoned: m.cordons,
+		Present: func(t model.TaskRef) bool { return m.scheduler.Present(now, t) },
+		Allowed: func(t model.TaskRef) (int, int) {
+			w, _ := s.Workloads.Get(t.Workload)
+			return w.Steps[t.Step].Count, w.Steps[t.Step].Missable
+		},
+	}
+	for _, u := range s.Upkeeps.All() {
+		if !u.Complete() {
+			in.Upkeeps = append(in.Upkeeps, u)
+		}
+	}
+	for id, t := range m.trips {
+		in.Down[id] = t.upkeep != 0
+	}
+	d := maintain.Decide(in)
+	m.cordon(in.Now, d)
+	for _, run := range d.Stop {
+		m.scheduler.StopRun(run)
+	}
+	for _, u := range d.Begin {
+		if m.trips[u.Instance] == nil {
+			m.begin(now, u.Instance, &trip{upkeep: u.Number})
+		}
+	}
+}
+
+// cordon keeps new runs from instances that are being emptied or are away.
+func (m *Machine) cordon(now model.Timestamp, d maintain.Decision) {
+	next, all := map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]bool{}
+	for _, id := range d.Cordon {
+		since, ok := m.cordons[id]
+		if !ok {
+			since = now
+		}
+		next[id], all[id] = since, true
+	}
+	for id := range m.trips {
+		all[id] = true
+	}
+	m.cordons = next
+	m.scheduler.SetCordons(all)
+}
+
+// begin gives an order to the platform.
+func (m *Machine) begin(now time.Time, id model.InstanceID, t *trip) {
+	t.began = now
+	m.trips[id] = t
+	m.call(id, t)
+}
+
+func (m *Machine) call(id model.InstanceID, t *trip) {
+	t.calling = true
+	term := m.term
+	go func() {
+		var err error
+		if t.upkeep != 0 {
+			err = m.platform.Maintain(m.ctx, id, t.upkeep, term)
+		} else {
+			err = m.platform.Move(m.ctx, id, t.to, term)
+		}
+		// The loop has ended if the message cannot be sent.
+		_ = m.port.Send(m.ctx, ordered{term, id, err})
+	}()
+}
+
+// finishOrder takes the platform's answer to an order.
+func (m *Machine) finishOrder(now time.Time, msg ordered) {
+	t := m.trips[msg.id]
+	if t == nil {
+		return
+	}
+	t.calling = false
+	fields := []zap.Field{zap.String("id", string(msg.id)), zap.Int64("upkeep", int64(t.upkeep)), zap.String("to", string(t.to)), zap.Uint64("token", uint64(m.term))}
+	if msg.err == nil {
+		event.InstanceOrdered.Log(m.settings.Logger, fields...)
+		t.confirmed, t.retryAt = now, time.Time{}
+		m.scheduler.InstanceEnded(now, msg.id)
+		if t.upkeep != 0 {
+			m.record(msg.id, t)
+		}
+		return
+	}
+	event.InstanceOrderFailed.Log(m.settings.Logger, append(fields, zap.Error(msg.err))...)
+	if refused, ok := msg.err.(Refused); ok {
+		delete(m.trips, msg.id)
+		m.paused[msg.id] = now.Add(orderRetry)
+		if refused.Unknown && t.upkeep != 0 {
+			m.record(msg.id, t) // an instance that is gone needs no upkeep
+		}
+		m.listAt = now
+		return
+	}
+	t.retryAt = now.Add(orderRetry)
+}
+
+// record writes to the log that an upkeep has begun.
+func (m *Machine) record(id model.InstanceID, t *trip) {
+	term := m.term
+	command := model.BeginUpkeep{Number: t.upkeep, Instance: id}
+	go func() {
+		results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: command}})
+		r := result.New(result.Internal, "%v", err)
+		if err == nil {
+			r = results[0]
+		}
+		_ = m.port.Send(m.ctx, recorded{term, id, r})
+	}()
+}
+
+// repeatOrders repeats orders that were not confirmed, and forgets the trips of
+// instances that are back.
+func (m *Machine) repeatOrders(now time.Time) {
+	for id, t := range m.trips {
+		switch {
+		case t.calling:
+		case t.confirmed.IsZero():
+			if !t.retryAt.IsZero() && !now.Before(t.retryAt) {
+				m.call(id, t)
+			}
+		case t.upkeep != 0 && !t.recorded:
+			if now.Sub(t.confirmed) > orderRetry && now.Sub(t.began) > m.settings.UpkeepTime {
+				m.record(id, t)
+			}
+		}
+	}
+}
+
+// scale lets pools follow their demand.
+func (m *Machine) scale(now time.Time, s model.State, instances []model.ObservedInstance) {
+	for n, move := range scale.Decide(m.scaleInput(now, s, instances)) {
+		if n >= maxMoves {
+			return
+		}
+		m.begin(now, move.Instance, &trip{to: move.To})
+	}
+}
--- /dev/null
+++ b/replica/fleet/observe.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command/scale"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+	"lacewingturn.example/node/event"
+)
+
+// list reads the platform's list.
+func (m *Machine) list() {
+	m.listing = true
+	term := m.term
+	go func() {
+		list, err := m.platform.Instances(m.ctx)
+		// The loop has ended if the message cannot be sent.
+		_ = m.port.Send(m.ctx, listedAll{term, list, err})
+	}()
+}
+
+func (m *Machine) finishList(now time.Time, msg listedAll) {
+	m.listing = false
+	if msg.err != nil {
+		event.InstancesUnlisted.Log(m.settings.Logger, zap.Error(msg.err))
+		m.listAt = now.Add(listRetry)
+		return
+	}
+	m.listAt = now.Add(listInterval)
+	m.listed = make(map[model.InstanceID]Listed, len(msg.list))
+	for _, l := range msg.list {
+		m.listed[l.ID] = l
+	}
+}
+
+// observe joins what workers report with the platform's list, and ends the
+// trips of instances that are back.
+func (m *Machine) observe(now time.Time) []model.ObservedInstance {
+	catalog := m.replica.View().State.Catalog
+	out := m.scheduler.Observe(now)
+	heard := map[model.InstanceID]bool{}
+	for i := range out {
+		o := &out[i]
+		if o.Away && m.powersOff(catalog, o.ID) {
+			continue
+		}
+		heard[o.ID] = true
+	}
+	kept := out[:0]
+	for _, o := range out {
+		if heard[o.ID] {
+			kept = append(kept, o)
+		}
+	}
+	for id, l := range m.listed {
+		if heard[id] {
+			continue
+		}
+		pool, _ := catalog.Pool(l.Pool)
+		kept = append(kept, model.ObservedInstance{
+			ID: id, Pool: l.Pool, Off: pool.Standby, Away: l.Gone || !pool.Standby, Capacity: l.Capacity, Settled: true,
+		})
+	}
+	m.endTrips(now, kept)
+	for i := range kept {
+		kept[i].Away = kept[i].Away || now.Before(m.paused[kept[i].ID])
+	}
+	return kept
+}
+
+// powersOff reports whether the instance was last moved to, or listed in, a standby pool.
+func (m *Machine) powersOff(c *model.Catalog, id model.InstanceID) bool {
+	pool, _ := c.Pool(m.listed[id].Pool)
+	return pool.Standby
+}
+
+// endTrips forgets the trips of instances whose worker has come back, and of
+// those that are off again.
+func (m *Machine) endTrips(now time.Time, instances []model.ObservedInstance) {
+	for _, o := range instances {
+		t := m.trips[o.ID]
+		if t == nil || t.confirmed.IsZero() || t.upkeep != 0 && !t.recorded {
+			continue
+		}
+		away := m.settings.MoveTime
+		if t.upkeep != 0 {
+			away = m.settings.UpkeepTime
+		}
+		since := now.Sub(t.confirmed)
+		if since > away && (o.Off || !o.Away) || since > away+returnSlack {
+			delete(m.trips, o.ID)
+		}
+	}
+}
+
+// scaleInput describes the pools and the instances that may be moved.
+func (m *Machine) scaleInput(now time.Time, s model.State, instances []model.ObservedInstance) scale.Input {
+	var in scale.Input
+	demands := query.Demands(s, model.At(now))
+	for _, p := range s.Catalog.Pools {
+		d := demands[p.Name]
+		in.Pools = append(in.Pools, scale.Pool{Name: p.Name, Standby: p.Standby, Demand: d.Need, Spread: d.Spread})
+	}
+	for _, o := range instances {
+		if o.Idle() {
+			if _, ok := m.idle[o.ID]; !ok {
+				m.idle[o.ID] = now
+			}
+		} else {
+			delete(m.idle, o.ID)
+		}
+		t := m.trips[o.ID]
+		if t == nil && o.Away {
+			continue
+		}
+		_, cordoned := m.cordons[o.ID]
+		i := scale.Instance{
+			ID: o.ID, Pool: o.Pool, Capacity: o.Capacity, Off: o.Off,
+			Movable: t == nil && o.Idle() && !cordoned && !o.Leaving,
+		}
+		if t != nil && t.upkeep == 0 {
+			i.Pool = t.to
+		}
+		if since, ok := m.idle[o.ID]; ok {
+			i.Idle = now.Sub(since)
+		}
+		in.Instances = append(in.Instances, i)
+	}
+	return in
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -42,6 +42,10 @@
 	byAddress   map[string]*worker
 	left        map[model.WorkerID]time.Time
 	avoided     avoided
+	// cordons are the instances whose workers get no new runs; stopping the runs
+	// that workers are told to stop.
+	cordons  map[model.InstanceID]bool
+	stopping map[model.RunRef]bool
 
 	waiting    []waiter
 	committing []waiter
@@ -141,7 +145,7 @@
 	m.term, m.leaderSince, m.busy = v.Term, v.LeaderSince, false
 	m.workers, m.left = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
-	m.avoided = avoided{}
+	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 }
 
 func (m *Machine) refuseAll(err error) {
--- /dev/null
+++ b/replica/schedule/observe.go
@@ -0,0 +1,110 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// The methods in this file are for other machines of the same loop and are
+// called from its goroutine only.
+
+// silence is how long a worker may be unheard before it counts as away.
+const silence = 1500 * time.Millisecond
+
+// Observe lists the instances whose workers this leader has heard of.
+func (m *Machine) Observe(now time.Time) []model.ObservedInstance {
+	out := make([]model.ObservedInstance, 0, len(m.byInstance))
+	for id, w := range m.byInstance {
+		out = append(out, m.observed(now, id, w))
+	}
+	return out
+}
+
+func (m *Machine) observed(now time.Time, id model.InstanceID, w *worker) model.ObservedInstance {
+	o := model.ObservedInstance{
+		ID: id, Pool: w.Pool, Capacity: w.Capacity, Leaving: w.Draining, Settled: true,
+		Away: m.gone(w.Worker) || now.Sub(w.heardAt) > silence,
+	}
+	state := m.replica.View().State
+	a, _ := state.Assignments.Get(w.Worker)
+	for _, run := range a.Runs {
+		o.Runs = append(o.Runs, m.observedRun(state, w, run))
+	}
+	for _, r := range w.Running {
+		o.Settled = o.Settled && slices.Contains(a.Runs, r.Run)
+	}
+	return o
+}
+
+func (m *Machine) observedRun(s model.State, w *worker, run model.RunRef) model.ObservedRun {
+	workload, _ := s.Workloads.Get(run.Task.Workload)
+	step := workload.Steps[run.Task.Step]
+	task, _ := workload.Task(run.Task)
+	o := model.ObservedRun{Run: run, Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
+	for _, active := range task.Active {
+		if active.Number == run.Number {
+			o.Age = s.Clock.Sub(active.StartedAt)
+		}
+	}
+	for _, r := range w.Running {
+		if r.Run == run {
+			o.Percent, o.Working = r.Percent, r.Percent >= atWork
+		}
+	}
+	return o
+}
+
+// atWork is the progress in percent of a lasting task that serves.
+const atWork = 100
+
+// Present reports whether a lasting task is at work on a worker that was heard of lately.
+func (m *Machine) Present(now time.Time, ref model.TaskRef) bool {
+	workload, ok := m.replica.View().State.Workloads.Get(ref.Workload)
+	if !ok {
+		return false
+	}
+	task, _ := workload.Task(ref)
+	for _, run := range task.Active {
+		w := m.workers[run.Worker]
+		name := model.RunRef{Task: ref, Number: run.Number}
+		if w == nil || m.stopping[name] || now.Sub(w.heardAt) > silence {
+			continue
+		}
+		if slices.ContainsFunc(w.Running, func(r Running) bool { return r.Run == name && r.Percent >= atWork }) {
+			return true
+		}
+	}
+	return false
+}
+
+// SetCordons replaces the instances whose workers get no new runs.
+func (m *Machine) SetCordons(cordons map[model.InstanceID]bool) { m.cordons = cordons }
+
+// StopRun tells the worker to stop a run at its next report.
+func (m *Machine) StopRun(run model.RunRef) { m.stopping[run] = true }
+
+// InstanceEnded notes that everything on the instance has ended.
+func (m *Machine) InstanceEnded(now time.Time, id model.InstanceID) {
+	if w := m.byInstance[id]; w != nil {
+		m.left[w.Worker] = now
+	}
+}
+
+// gone reports whether the incarnation has ended.
+func (m *Machine) gone(id model.WorkerID) bool {
+	_, ok := m.left[id]
+	return ok
+}
+
+// forgetStops drops the stops of runs that have ended.
+func (m *Machine) forgetStops(s model.State) {
+	for run := range m.stopping {
+		workload, ok := s.Workloads.Get(run.Task.Workload)
+		task, _ := workload.Task(run.Task)
+		if !ok || !slices.ContainsFunc(task.Active, func(r model.Run) bool { return r.Number == run.Number }) {
+			delete(m.stopping, run)
+		}
+	}
+}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -41,7 +41,10 @@
 		}
 	}
 	for _, run := range a.Runs {
-		if !lists(w.report, run) {
+		switch {
+		case m.stopping[run]:
+			o.Stop = append(o.Stop, run)
+		case !lists(w.report, run):
 			o.Start = append(o.Start, startOrder(state, run))
 		}
 	}
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -23,6 +23,7 @@
 	state := m.seen.State
 	progress := model.RecordProgress{Ends: append(m.endsOf(state), m.lost(now, state)...)}
 	after := applied(state, progress)
+	m.forgetStops(after)
 	progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now))
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.waiting)
@@ -115,6 +116,9 @@
 func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
 	var out []place.Worker
 	for _, w := range m.waiting {
+		if m.cordons[w.worker.Instance] {
+			continue
+		}
 		if offer, ok := w.worker.offer(now, s); ok && m.workers[w.report.Worker] == w.worker && w.report.Sequence == w.worker.Sequence {
 			out = append(out, offer)
 		}
