--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -9,7 +9,8 @@
 
 const (
 	// lease is how long runs go on without an answer of the leader. It outlives
-	// the election of another leader.
+	// the election of another leader. No release may shorten it without waiting
+	// for the leases of the release before.
 	lease = 3500 * time.Millisecond
 	// idleInterval and busyInterval are the times between two reports of a worker
 	// with and without room for work. The end of a run is reported at once.
@@ -17,6 +18,9 @@
 	busyInterval = 500 * time.Millisecond
 )
 
+// lease returns the time that every leader grants.
+func (m *Machine) lease() time.Duration { return min(lease, m.settings.LeaseMax) }
+
 // answerAll answers reports from the committed state.
 func (m *Machine) answerAll(now time.Time, list []waiter) {
 	for _, w := range list {
@@ -26,11 +30,11 @@
 
 // orders compares the runs that a worker has with those that it should have.
 func (m *Machine) orders(now time.Time, w waiter) Orders {
-	o := Orders{Lease: min(lease, m.settings.LeaseMax), FencingToken: m.term, Next: busyInterval}
+	o := Orders{Lease: m.lease(), FencingToken: m.term, Next: busyInterval}
 	for _, end := range w.report.Ended {
 		o.EndsTo = max(o.EndsTo, end.Position)
 	}
-	if m.workers[w.report.Worker] != w.worker {
+	if m.gone(w.report.Worker) || m.workers[w.report.Worker] != w.worker {
 		return Orders{FencingToken: m.term, EndsTo: o.EndsTo, Next: busyInterval} // replaced by a later incarnation
 	}
 	state := m.seen.State
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -21,6 +21,7 @@
 		return
 	}
 	state := m.seen.State
+	m.forgetEnded(now, state)
 	progress := model.RecordProgress{Ends: append(m.endsOf(state), m.lost(now, state)...)}
 	after := applied(state, progress)
 	m.forgetStops(after)
@@ -85,7 +86,7 @@
 	if w, ok := m.workers[id]; ok {
 		return w.leaseUntil
 	}
-	return leaseEnd(m.leaderSince, m.settings.LeaseMax)
+	return leaseEnd(m.leaderSince, m.lease())
 }
 
 // nextExpiry returns when the next assigned run may count as lost.
@@ -116,7 +117,7 @@
 func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
 	var out []place.Worker
 	for _, w := range m.waiting {
-		if m.cordons[w.worker.Instance] {
+		if m.cordons[w.worker.Instance] || m.gone(w.report.Worker) {
 			continue
 		}
 		if offer, ok := w.worker.offer(now, s); ok && m.workers[w.report.Worker] == w.worker && w.report.Sequence == w.worker.Sequence {
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -46,7 +47,7 @@
 		return
 	}
 	if w == nil {
-		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.settings.LeaseMax)}
+		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease())}
 		m.workers[r.Worker] = w
 	}
 	w.observe(now, r)
@@ -79,7 +80,6 @@
 	for _, other := range m.places(w.Report) {
 		if other != nil && other != w {
 			m.left[other.Worker] = now
-			delete(m.workers, other.Worker)
 		}
 	}
 	m.byName[w.Name], m.byAddress[w.Address] = w, w
@@ -88,6 +88,22 @@
 	}
 }
 
+// forgetEnded drops ended incarnations to which nothing is assigned any more.
+func (m *Machine) forgetEnded(now time.Time, s model.State) {
+	for id, at := range m.left {
+		if !s.Assignments.Has(id) && !at.After(now) && !m.holdsPlace(id) {
+			delete(m.left, id)
+			delete(m.workers, id)
+		}
+	}
+}
+
+// holdsPlace reports whether the incarnation is the last one heard of at its place.
+func (m *Machine) holdsPlace(id model.WorkerID) bool {
+	w := m.workers[id]
+	return w != nil && slices.Contains(m.places(w.Report), w)
+}
+
 // departPause is how long the runs of a worker that has announced its end may
 // still be ending.
 const departPause = time.Second
