Admit control replicas with new names up to a target of voters

Cause: a core instance that is replaced at another address was never admitted, so that the group stayed one replica short. A member without a leader for 2 s asks for admission again.

--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -50,7 +50,7 @@
 func platformSettings(role Role, p settings.Settings) Settings {
 	s := Settings{
 		Name: p.IP, Roles: []Role{role}, Domain: p.Domain,
-		InternalAddress: p.ReplicaAddress(p.IP), OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, FilesRenumbered: true,
+		InternalAddress: p.ReplicaAddress(p.IP), OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, FilesRenumbered: true, TargetVoters: 2*p.LossesBorne + 1,
 		Join: !p.FirstStart, DrainTimeout: p.StopGrace - stopReserve,
 		Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
--- a/cmd/internal/instance/settings.go
+++ b/cmd/internal/instance/settings.go
@@ -44,6 +44,9 @@
 	// OperatorAddress serves operators; role control only.
 	OperatorAddress string
 	DataFolder      string
+	// TargetVoters is the number of voters up to which replicas with new names
+	// join by themselves; 0 for none.
+	TargetVoters int
 	// FilesRenumbered is set where disks come back with other file numbers.
 	FilesRenumbered bool
 	Replicas        []Replica
--- a/replica/command/enroll.go
+++ b/replica/command/enroll.go
@@ -21,6 +21,9 @@
 	enrollEvery = 500 * time.Millisecond
 	// enrollTimeout bounds one call of an attempt.
 	enrollTimeout = 400 * time.Millisecond
+	// askTimeout bounds one request for admission, so that a peer that is gone does
+	// not keep the others from being asked.
+	askTimeout = 150 * time.Millisecond
 )
 
 func (r *Replica) self() raft.Member {
@@ -33,22 +36,26 @@
 	return ok && m.Address == r.settings.Address && m.Domain == r.settings.Domain
 }
 
-// enroll forms a new site with the peers, or asks their leader for admission,
-// until this replica is a member under its present address.
+// enroll forms a new site with the peers, or asks the leader for admission,
+// whenever this replica is not a member under its present address or has heard
+// of no leader for a while: it may have been replaced meanwhile.
 func (r *Replica) enroll(ctx context.Context) {
 	client := newHTTPClient(r.settings.Dial)
 	defer client.CloseIdleConnections()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for attempt := 0; !r.enrolled(); {
+	attempt := 0
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.View().Next:
-			continue
 		case <-timer.C:
 		}
 		timer.Reset(enrollEvery)
+		if r.enrolled() && r.followed() {
+			attempt = 0
+			continue
+		}
 		if !r.form(ctx, client) {
 			r.join(ctx, client)
 		}
@@ -58,6 +65,15 @@
 	}
 }
 
+// leaderless is how long a member hears of no leader before it asks for admission.
+const leaderless = 2 * time.Second
+
+// followed reports whether this replica leads or has heard of a leader lately.
+func (r *Replica) followed() bool {
+	v := r.View()
+	return v.IsLeader || !v.LeaderContact.IsZero() && time.Since(v.LeaderContact) < leaderless
+}
+
 // form writes the first membership if no replica of the site has ever had a
 // log. Only the replica whose name is first does this, so that there is one
 // first membership; it reports whether it did.
@@ -99,13 +115,31 @@
 	return m, resp.Msg.Empty && raft.Name(m.ID) == p.Name
 }
 
-// join asks every peer to admit this replica; the leader among them does.
+// join asks every peer to admit this replica, and the leader that they name.
 func (r *Replica) join(ctx context.Context, client *http.Client) {
 	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
 	defer cancel()
-	req := &replicav1.JoinRequest{Replica: toInfo(r.self())}
+	asked := map[string]bool{}
 	for _, p := range r.others() {
-		// A failure is answered by the next attempt.
-		_, _ = replicav1connect.NewReplicationServiceClient(client, "http://"+p.Address).Join(ctx, connect.NewRequest(req))
+		if leader := r.ask(ctx, client, p.Address, asked); leader != "" {
+			r.ask(ctx, client, leader, asked)
+		}
+	}
+}
+
+// ask asks one replica for admission unless it was asked already, and returns
+// the leader that it names. A failure is answered by the next attempt.
+func (r *Replica) ask(ctx context.Context, client *http.Client, address string, asked map[string]bool) (leader string) {
+	if asked[address] || address == r.settings.Address {
+		return ""
+	}
+	asked[address] = true
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := &replicav1.JoinRequest{Replica: toInfo(r.self())}
+	resp, err := replicav1connect.NewReplicationServiceClient(client, "http://"+address).Join(ctx, connect.NewRequest(req))
+	if err != nil {
+		return ""
 	}
+	return resp.Msg.LeaderAddress
 }
--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -124,7 +124,7 @@
 	if h.r.View().IsLeader {
 		h.r.port.TrySend(joinRequest{fromInfo(req.Msg.GetReplica())})
 	}
-	return connect.NewResponse(&replicav1.JoinResponse{}), nil
+	return connect.NewResponse(&replicav1.JoinResponse{LeaderAddress: h.r.View().LeaderAddress}), nil
 }
 
 // Commands serves Propose. RenewEntry is served elsewhere.
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -51,6 +51,9 @@
 	// ReplaceAfter is how long a replica must be unreachable before a new
 	// incarnation of it is admitted; 3 s if zero.
 	ReplaceAfter time.Duration
+	// TargetVoters is the number of voters up to which replicas with new names
+	// are admitted without an operator; 0 admits none.
+	TargetVoters int
 	// SnapshotEvery is the number of log entries between snapshots; 8192 if zero.
 	SnapshotEvery int
 	// KeepEntries is the number of entries kept before a snapshot, so that a
@@ -110,5 +113,6 @@
 	override(&cfg.ElectionMin, s.ElectionMin)
 	override(&cfg.ElectionMax, s.ElectionMax)
 	override(&cfg.ReplaceAfter, s.ReplaceAfter)
+	cfg.TargetVoters = s.TargetVoters
 	return cfg
 }
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -131,6 +131,20 @@
 		m.change(Change{Kind: AddLearner, Member: learner})
 		return
 	}
+	if m.admits(j.Member) {
+		m.change(Change{Kind: AddLearner, Member: j.Member})
+	}
+}
+
+// maxLearners is the number of members beyond the target that are admitted.
+const maxLearners = 8
+
+// admits reports whether a replica with a new name may join by itself.
+func (m *machine) admits(member Member) bool {
+	if len(m.Members()) >= m.cfg.TargetVoters+maxLearners || m.cfg.TargetVoters == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(m.Members(), func(o Member) bool { return Name(o.ID) == Name(member.ID) })
 }
 
 // maintainMembers takes the next step of a replacement: a caught-up learner
@@ -141,7 +155,13 @@
 		return
 	}
 	for _, learner := range m.Members() {
-		if learner.Voter || learner.Replaces == "" || !m.caughtUp(learner.ID) {
+		if learner.Voter || !m.caughtUp(learner.ID) {
+			continue
+		}
+		if learner.Replaces == "" {
+			if m.promoteSpare(learner) {
+				return
+			}
 			continue
 		}
 		if old, ok := m.Members().Get(learner.Replaces); ok {
@@ -154,3 +174,21 @@
 		return
 	}
 }
+
+// promoteSpare takes the next step for a learner that replaces no incarnation
+// of its own name: it becomes a voter while the target is not met, or takes the
+// place of a voter that is unreachable. It reports whether there was such a step.
+func (m *machine) promoteSpare(learner Member) bool {
+	if m.cfg.TargetVoters == 0 {
+		return false
+	}
+	if m.Members().Voters() < m.cfg.TargetVoters {
+		return m.change(Change{Kind: Promote, Member: learner}).Refusal == Appended
+	}
+	for _, old := range m.Members() {
+		if old.Voter && old.ID != m.cfg.ID && m.unreachable(old.ID) {
+			return m.change(Change{Kind: Remove, Member: old}).Refusal == Appended
+		}
+	}
+	return false
+}
--- a/replica/raft/rules_test.go
+++ b/replica/raft/rules_test.go
@@ -155,3 +155,46 @@
 		}
 	}
 }
+
+// Guards against a group that stays short of a replica whose instance is gone
+// for good, and against one with a new name that takes the place of a working voter.
+func TestReplicaWithNewNameReplacesALostVoter(t *testing.T) {
+	w, leader := quiet(t, 3)
+	for _, id := range w.ids {
+		w.actors[id].state.cfg.TargetVoters = 3
+	}
+	victim := w.ids[0]
+	if victim == leader {
+		victim = w.ids[1]
+	}
+	fresh := model.ReplicaID("r9/1")
+	w.add(fresh)
+	w.step(leader, Join{Member: Member{ID: fresh, Address: "b"}})
+	w.pass(10 * time.Second)
+	members := w.actors[leader].state.Members()
+	_, admitted := members.Get(fresh)
+	assert.Assert(t, admitted && !members.Voter(fresh) && members.Voters() == 3, "%v", members)
+	w.isolate(victim)
+	w.pass(5 * time.Second)
+	members = w.actors[leader].state.Members()
+	_, kept := members.Get(victim)
+	assert.Assert(t, members.Voter(fresh) && !kept && members.Voters() == 3, "%v", members)
+	assert.NilError(t, w.err)
+}
+
+// Guards against a site that bears fewer losses than it has replicas for.
+func TestReplicasWithNewNamesFillUpTheGroup(t *testing.T) {
+	w, leader := quiet(t, 3)
+	for _, id := range w.ids {
+		w.actors[id].state.cfg.TargetVoters = 5
+	}
+	for _, id := range []model.ReplicaID{"r7/1", "r8/1", "r9/1"} {
+		w.add(id)
+		w.step(leader, Join{Member: Member{ID: id, Address: "b"}})
+		w.pass(2 * time.Second)
+	}
+	members := w.actors[leader].state.Members()
+	assert.Equal(t, members.Voters(), 5)
+	assert.Equal(t, len(members), 6)
+	assert.NilError(t, w.err)
+}
--- a/replica/raft/types.go
+++ b/replica/raft/types.go
@@ -143,6 +143,10 @@
 	// ReplaceAfter is how long a member must be unreachable before another
 	// incarnation of the same name may replace it.
 	ReplaceAfter time.Duration
+	// TargetVoters is the number of voters up to which replicas that ask for
+	// admission under a new name become voters without an operator. Further ones
+	// stay learners until a voter is unreachable. 0 admits no new names.
+	TargetVoters int
 	// MaxAppendBytes bounds the entries in one message.
 	MaxAppendBytes int
 	// MaxInflight bounds the entries sent to a follower but not yet acknowledged.
