Act as a leader only on a state that holds an entry of the own term

Cause: a new leader acknowledged ends of runs whose starts it had not applied yet, and started them again (TWICE). Ruled out: an early expiry of leases (the run had ended 3 s before).

--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -53,6 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.view.Term, f.view.IsLeader, f.view.LeaderSince = term, term != 0, time.Now()
+	f.view.State.Term = term // the entry that every leader commits first
 }
 
 // bench is a machine on a running loop and one queue.
--- a/replica/view.go
+++ b/replica/view.go
@@ -62,7 +62,9 @@
 const freshContact = 450 * time.Millisecond
 
 // Leads reports whether the replica with the view certainly leads: a quorum has
-// followed it lately, and since the machine was last suspended.
+// followed it lately, and since the machine was last suspended. Its state must
+// hold an entry of its own term, because before that it may lack entries that
+// an earlier leader has committed.
 func Leads(v *View, g *clock.Guard, now time.Time) bool {
-	return v.IsLeader && now.Sub(v.QuorumContact) < freshContact && g.Trusted(v.QuorumContact)
+	return v.IsLeader && v.State.Term == v.Term && now.Sub(v.QuorumContact) < freshContact && g.Trusted(v.QuorumContact)
 }
--- /dev/null
+++ b/replica/view_test.go
@@ -0,0 +1,25 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/clock"
+)
+
+// Guards against a leader that acts on a state in which entries of an earlier
+// leader are missing, or after it has lost touch with its quorum.
+func TestLeads(t *testing.T) {
+	now := time.Now().Add(time.Second)
+	v := View{IsLeader: true, Term: 4, State: model.State{Term: 4}, QuorumContact: now}
+	guard := clock.NewGuard()
+	assert.Assert(t, Leads(&v, guard, now))
+	assert.Assert(t, !Leads(&v, guard, now.Add(freshContact)))
+	v.State.Term = 3
+	assert.Assert(t, !Leads(&v, guard, now))
+	v.State.Term, v.IsLeader = 4, false
+	assert.Assert(t, !Leads(&v, guard, now))
+}
