--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -28,7 +28,11 @@
 )
 
 func newScheduler(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, log *zap.Logger) *schedule.Machine {
-	return schedule.New(life, l, r, g, schedule.Settings{LeaseMax: p.LeaseMax, Logger: log})
+	s := schedule.Settings{LeaseMax: p.LeaseMax, Logger: log}
+	if p.AdviceAddress != "" {
+		s.Advisor = cloud.New(p.AdviceAddress, p.Name)
+	}
+	return schedule.New(life, l, r, g, s)
 }
 
 func addFleet(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, s *schedule.Machine, log *zap.Logger) {
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -69,7 +69,7 @@
 	}
 	for _, w := range trial.workers {
 		i := slices.IndexFunc(p.workers, func(o Worker) bool { return o.ID == w.ID })
-		p.workers[i].Free = w.Free
+		p.workers[i].Free, p.workers[i].Spare = w.Free, w.Spare
 	}
 	p.held = trial.held
 	p.starts = append(p.starts, trial.starts...)
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -31,16 +31,20 @@
 			pools[w.Pool] = true
 		}
 	}
-	if len(pools) == 0 {
-		return nil
-	}
+	return p.candidatesOf(func(pool model.PoolName) bool { return pools[pool] })
+}
+
+// allCandidates lists the workloads of all pools in the same order.
+func (p *planner) allCandidates() []candidate {
+	return p.candidatesOf(func(model.PoolName) bool { return true })
+}
+
+func (p *planner) candidatesOf(wanted func(model.PoolName) bool) []candidate {
 	var out []candidate
 	for _, w := range p.state.Workloads.All() {
-		q, ok := p.state.Catalog.Queue(w.Queue)
-		if !ok || !pools[q.Pool] {
-			continue
+		if q, ok := p.state.Catalog.Queue(w.Queue); ok && wanted(q.Pool) {
+			out = append(out, p.candidate(w, q))
 		}
-		out = append(out, p.candidate(w, q))
 	}
 	slices.SortStableFunc(out, compare)
 	return out
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -15,8 +15,14 @@
 	Pool   model.PoolName
 	Rack   string
 	Labels []string
+	// Waiting is set if the worker waits for an answer. The others hear of a start
+	// later and get members of gangs only.
+	Waiting bool
 	// Free is what neither assigned nor stopping runs take.
 	Free model.Resources
+	// Spare is the processor time in thousandths that fillers may still share. It
+	// is Free less what the fillers on the worker declare.
+	Spare int64
 	// Doubtful is set for a worker whose runs failed or stalled lately. It gets
 	// work only if no other worker can take it.
 	Doubtful bool
@@ -139,6 +145,9 @@
 }
 
 func (p *planner) fits(c candidate, w *Worker, spec model.Step, ref model.TaskRef) bool {
+	if !w.Waiting && !spec.Gang || spec.Filler && spec.Need.MilliCPU > w.Spare {
+		return false
+	}
 	if !room(w.Free, spec.Reserved()) || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
@@ -202,5 +211,6 @@
 	w.Free.MilliCPU -= need.MilliCPU
 	w.Free.MemoryMB -= need.MemoryMB
 	w.Free.Accelerators -= need.Accelerators
+	w.Spare -= spec.Need.MilliCPU
 	p.starts = append(p.starts, model.RunStart{Run: model.RunRef{Task: ref, Number: number}, Worker: w.ID})
 }
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -45,7 +45,7 @@
 }
 
 func worker(name string, cpu int64) Worker {
-	return Worker{ID: model.WorkerID(name + "@1"), Pool: "p", Rack: "r-" + name, Free: model.Resources{MilliCPU: cpu, MemoryMB: 64000}}
+	return Worker{ID: model.WorkerID(name + "@1"), Pool: "p", Rack: "r-" + name, Waiting: true, Spare: cpu, Free: model.Resources{MilliCPU: cpu, MemoryMB: 64000}}
 }
 
 func step(n int, cpu int64) model.Step {
@@ -130,6 +130,51 @@
 	}
 }
 
+// Guards against a gang that waits for all its workers to report at the same
+// moment, and against another task on a worker that hears of it late.
+func TestOnlyGangsUseWorkersThatReportLater(t *testing.T) {
+	x := newSite(t)
+	gang := step(2, 1000)
+	gang.Gang = true
+	later := worker("b", 1000)
+	later.Waiting = false
+	x.submit(0, 1, step(2, 1000))
+	assert.Equal(t, len(x.plan(Rules{}, worker("a", 1000), later)), 1)
+	y := newSite(t)
+	y.submit(0, 1, gang)
+	assert.Equal(t, len(y.plan(Rules{}, worker("a", 1000), later)), 2)
+}
+
+// Guards against fillers that reserve room, and against more of them than the
+// unused processor time feeds.
+func TestFillersUseSpareTimeOnly(t *testing.T) {
+	x := newSite(t)
+	filler := step(3, 1000)
+	filler.Filler = true
+	x.submit(0, 1, filler)
+	w := worker("a", 4000)
+	w.Spare = 2500
+	starts := x.plan(Rules{}, w)
+	assert.Equal(t, len(starts), 2)
+	x.submit(0, 2, step(4, 1000))
+	assert.Equal(t, len(x.plan(Rules{}, w)), 4+2)
+}
+
+// Guards against urgent work that waits behind work of a lower priority, and
+// against a victim that would not make room.
+func TestPreemption(t *testing.T) {
+	x := newSite(t)
+	x.submit(1, 1, step(4, 1000))
+	x.commit(x.plan(Rules{}, worker("a", 4000)))
+	x.submit(0, 2, step(1, 2000))
+	full := worker("a", 0)
+	assert.Equal(t, len(Preempt(x.s, []Worker{full}, Rules{Now: x.s.Clock})), 0)
+	late := Rules{Now: x.s.Clock.Add(preemptAfter)}
+	assert.Equal(t, len(Preempt(x.s, []Worker{full}, late)), 2)
+	x.s.Catalog.Queues[0].Priority = 1
+	assert.Equal(t, len(Preempt(x.s, []Worker{full}, late)), 0)
+}
+
 // Guards against a round of a scheduled workload that starts before its time.
 func TestRoundsWaitForTheirTime(t *testing.T) {
 	x := newSite(t)
--- /dev/null
+++ b/core/command/place/preempt.go
@@ -0,0 +1,122 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+// preemptAfter is how long a workload of a higher priority waits before runs of
+// a lower one are stopped for it.
+const preemptAfter = 400 * time.Millisecond
+
+// victim is a run that may be stopped for more urgent work.
+type victim struct {
+	run           model.RunRef
+	priority      int
+	size          model.Resources
+	checkpointing bool
+	startedAt     model.Timestamp
+}
+
+// Preempt returns the runs to stop so that the most urgent waiting task of each
+// pool finds room: of a lower priority, not lasting, on one worker. Workers with
+// runs that are being stopped are given no further victims.
+func Preempt(s model.State, workers []Worker, rules Rules) []model.RunRef {
+	p := planner{state: s, rules: rules, workers: workers, held: map[model.WorkerID]map[stepRef]int{}}
+	var out []model.RunRef
+	served := map[model.PoolName]bool{}
+	for _, c := range p.allCandidates() {
+		if served[c.pool] || rules.Now.Sub(c.since) < preemptAfter {
+			continue
+		}
+		spec, ok := firstWaiting(c.workload, rules.Now)
+		if !ok {
+			continue
+		}
+		served[c.pool] = true
+		out = append(out, p.victims(c, spec)...)
+	}
+	return out
+}
+
+// firstWaiting returns the first open step that has a task without a run.
+func firstWaiting(w model.Workload, now model.Timestamp) (model.Step, bool) {
+	for i, round := range w.Rounds {
+		if w.Due(i) > now {
+			break
+		}
+		for j, state := range round.Steps {
+			waits := slices.ContainsFunc(state.Tasks, func(t model.Task) bool { return !t.Done && len(t.Active) == 0 })
+			if waits && w.Open(i, j) && !w.Steps[j].Filler && !w.Steps[j].Gang {
+				return w.Steps[j], true
+			}
+		}
+	}
+	return model.Step{}, false
+}
+
+// victims returns the smallest set of runs on one worker that makes room for a task.
+func (p *planner) victims(c candidate, spec model.Step) []model.RunRef {
+	var best []model.RunRef
+	for _, w := range p.workers {
+		if w.Pool != c.pool || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
+			continue
+		}
+		if room(w.Free, spec.Reserved()) {
+			return nil
+		}
+		if set := p.victimsOn(w, c.priority, spec.Reserved()); set != nil && (best == nil || len(set) < len(best)) {
+			best = set
+		}
+	}
+	return best
+}
+
+func (p *planner) victimsOn(w Worker, priority int, need model.Resources) []model.RunRef {
+	var list []victim
+	a, _ := p.state.Assignments.Get(w.ID)
+	for _, run := range a.Runs {
+		if v, ok := p.victim(run); ok && v.priority > priority {
+			list = append(list, v)
+		}
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(compareBool(b.checkpointing, a.checkpointing), cmp.Compare(b.startedAt, a.startedAt), cmp.Compare(a.run.Task.Workload, b.run.Task.Workload),
+			cmp.Compare(a.run.Task.Index, b.run.Task.Index))
+	})
+	var out []model.RunRef
+	free := w.Free
+	for _, v := range list {
+		out = append(out, v.run)
+		free.MilliCPU += v.size.MilliCPU
+		free.MemoryMB += v.size.MemoryMB
+		free.Accelerators += v.size.Accelerators
+		if room(free, need) {
+			return out
+		}
+	}
+	return nil
+}
+
+func (p *planner) victim(run model.RunRef) (victim, bool) {
+	w, ok := p.state.Workloads.Get(run.Task.Workload)
+	if !ok {
+		return victim{}, false
+	}
+	q, ok := p.state.Catalog.Queue(w.Queue)
+	step := w.Steps[run.Task.Step]
+	if !ok || step.Lasting || step.Gang {
+		return victim{}, false
+	}
+	task, _ := w.Task(run.Task)
+	v := victim{run: run, priority: q.Priority, size: step.Reserved(), checkpointing: step.Checkpointing}
+	for _, r := range task.Active {
+		if r.Number == run.Number {
+			v.startedAt = r.StartedAt
+		}
+	}
+	return v, true
+}
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -86,3 +86,15 @@
 	}
 	return WorkerPool{}, false
 }
+
+// Prioritized reports whether queues of one pool have different priorities.
+func (c *Catalog) Prioritized() bool {
+	first := map[PoolName]int{}
+	for _, q := range c.Queues {
+		if p, ok := first[q.Pool]; ok && p != q.Priority {
+			return true
+		}
+		first[q.Pool] = q.Priority
+	}
+	return false
+}
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -190,6 +190,12 @@
 	return tasks[ref.Index], true
 }
 
+// Has reports whether there is a task at the position.
+func (w Workload) Has(ref TaskRef) bool {
+	_, ok := w.Task(ref)
+	return ok
+}
+
 // Open reports whether all earlier steps that the step waits for are complete.
 func (w Workload) Open(round, step int) bool {
 	for _, before := range w.Steps[step].After {
--- a/node/event/platform.go
+++ b/node/event/platform.go
@@ -15,4 +15,6 @@
 	InstanceOrdered     = define(6010, "instance ordered", zapcore.InfoLevel, "The platform has confirmed a move or an upkeep of an instance; the line names the pool or the order.", "")
 	InstanceOrderFailed = define(6011, "order for an instance failed", zapcore.WarnLevel, "A move or an upkeep was refused, or not confirmed and may have begun. It is decided anew or repeated.", "Check the platform's interface if this repeats.")
 	InstancesUnlisted   = define(6012, "list of instances unread", zapcore.WarnLevel, "The platform's list of instances could not be read; the one before is used.", "Check the platform's interface if this repeats.")
+	AdviceFailed = define(6020, "advice failed", zapcore.WarnLevel, "The policy service did not answer a question about a step; it is asked again.", "Check the policy service if this repeats.")
+	RunStalled   = define(6021, "run stalled", zapcore.WarnLevel, "A run made no progress. It is stopped and its task is started on another worker.", "Check the worker if it is named often.")
 )
--- /dev/null
+++ b/replica/schedule/advice.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+)
+
+// Advisor asks the policy service which workers may run a step.
+type Advisor interface {
+	// Advise returns the tickets of the approved workers by name, and how long
+	// they are valid. It takes one call at a time.
+	Advise(ctx context.Context, workload model.WorkloadID, round, step int, workers []string) (Advice, error)
+}
+
+// Advice is the answer of the policy service.
+type Advice struct {
+	Tickets  map[string]string // by worker name
+	Validity time.Duration
+}
+
+const (
+	// adviceWorkers is the number of workers that are named in one call.
+	adviceWorkers = 30
+	// adviceMargin is the part of a ticket's time that is left unused.
+	adviceMargin = 300 * time.Millisecond
+	// adviceRetry is when a call that failed is repeated.
+	adviceRetry = 300 * time.Millisecond
+)
+
+// stepKey names a step in a round.
+type stepKey struct {
+	workload    model.WorkloadID
+	round, step int
+}
+
+func keyOf(t model.TaskRef) stepKey { return stepKey{t.Workload, t.Round, t.Step} }
+
+// ticket lets a worker run the tasks of a step for a time.
+type ticket struct {
+	text  string // empty if the worker may not run the step
+	until time.Time
+}
+
+// tickets holds what the policy service has answered, by step and worker.
+type tickets struct {
+	known   map[stepKey]map[model.WorkerID]ticket
+	calling bool
+	retryAt time.Time
+}
+
+func newTickets() tickets { return tickets{known: map[stepKey]map[model.WorkerID]ticket{}} }
+
+// get returns the valid ticket of a worker; false if there is none.
+func (t *tickets) get(now time.Time, task model.TaskRef, w model.WorkerID) (string, bool) {
+	k, ok := t.known[keyOf(task)][w]
+	return k.text, ok && k.text != "" && now.Before(k.until)
+}
+
+// asked reports whether the service has to be asked about a worker again. Its
+// policy does not change, so that refused workers are asked about once.
+func (t *tickets) asked(now time.Time, key stepKey, w model.WorkerID) bool {
+	k, ok := t.known[key][w]
+	return ok && (k.text == "" || now.Before(k.until))
+}
+
+// advised is the answer of the service to one call.
+type advised struct {
+	term    model.Term
+	key     stepKey
+	workers map[string]model.WorkerID
+	sent    time.Time
+	advice  Advice
+	err     error
+}
+
+// seekAdvice asks about the first open step that lacks a ticket for its waiting tasks.
+func (m *Machine) seekAdvice(now time.Time, s model.State) {
+	if m.settings.Advisor == nil || m.tickets.calling || now.Before(m.tickets.retryAt) {
+		return
+	}
+	for _, w := range s.Workloads.All() {
+		q, ok := s.Catalog.Queue(w.Queue)
+		if !ok || !q.Advised {
+			continue
+		}
+		for i, round := range w.Rounds {
+			for j, state := range round.Steps {
+				if w.Due(i) <= model.At(now) && w.Open(i, j) && waits(state) && m.callAdvisor(now, stepKey{w.ID, i, j}, q.Pool) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func waits(s model.StepState) bool {
+	for _, t := range s.Tasks {
+		if !t.Done && len(t.Active) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// callAdvisor asks about workers of the pool; false if all are known.
+func (m *Machine) callAdvisor(now time.Time, key stepKey, pool model.PoolName) bool {
+	workers := map[string]model.WorkerID{}
+	var names []string
+	for name, w := range m.byName {
+		if w.Pool != pool || w.Draining || m.gone(w.Worker) || m.tickets.asked(now, key, w.Worker) || len(names) >= adviceWorkers {
+			continue
+		}
+		workers[name] = w.Worker
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return false
+	}
+	m.tickets.calling = true
+	term := m.term
+	go func() {
+		a, err := m.settings.Advisor.Advise(m.ctx, key.workload, key.round, key.step, names)
+		// The loop has ended if the message cannot be sent.
+		_ = m.port.Send(m.ctx, advised{term, key, workers, now, a, err})
+	}()
+	return true
+}
+
+// takeAdvice keeps the tickets of an answer, and forgets those of ended workloads.
+func (m *Machine) takeAdvice(now time.Time, a advised) {
+	m.tickets.calling = false
+	if a.err != nil {
+		m.tickets.retryAt = now.Add(adviceRetry)
+		event.AdviceFailed.Log(m.settings.Logger, zap.String("workload", string(a.key.workload)), zap.Error(a.err))
+		return
+	}
+	if m.tickets.known[a.key] == nil {
+		m.tickets.known[a.key] = map[model.WorkerID]ticket{}
+	}
+	for name, id := range a.workers {
+		m.tickets.known[a.key][id] = ticket{a.advice.Tickets[name], a.sent.Add(a.advice.Validity - adviceMargin)}
+	}
+	for key := range m.tickets.known {
+		if !m.seen.State.Workloads.Has(key.workload) {
+			delete(m.tickets.known, key)
+		}
+	}
+}
--- /dev/null
+++ b/replica/schedule/health.go
@@ -0,0 +1,125 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+)
+
+const (
+	// stallTime is how long a run may make no progress before it is stopped and
+	// started elsewhere.
+	stallTime = 2 * time.Second
+	// startupTime is how long a lasting task may take until it is at work.
+	startupTime = 4 * time.Second
+	// speedWeight is the weight of a new sample in a worker's speed.
+	speedWeight = 0.2
+	// minSamples is the number of samples before a worker's speed is judged.
+	minSamples = 4
+	// slowPart is the part of the median speed of its pool below which a worker is slow.
+	slowPart = 0.4
+	// copyAfter is how much longer than a fresh run the rest of a run on a slow
+	// worker must take before a copy is started.
+	copyAfter = time.Second
+)
+
+// progress is how far a run has come, and when it last moved on.
+type progress struct {
+	percent int
+	at      time.Time
+	since   time.Time // when it was first listed
+}
+
+// track takes the progress of a reported run and returns what a fresh run would
+// need of the time that has passed, as a part; false if nothing can be told.
+func (p progress) track(now time.Time, percent int, estimate time.Duration) (progress, float64, bool) {
+	if p.since.IsZero() {
+		return progress{percent, now, now}, 0, false
+	}
+	moved := percent - p.percent
+	if moved == 0 {
+		return p, 0, false
+	}
+	passed := now.Sub(p.at)
+	next := progress{percent, now, p.since}
+	if moved < 0 || passed <= 0 || estimate <= 0 {
+		return next, 0, false
+	}
+	return next, float64(moved) / 100 * float64(estimate) / float64(passed), true
+}
+
+// stalled reports whether a run of the step stands still.
+func (p progress) stalled(now time.Time, step model.Step) bool {
+	if !step.Lasting {
+		return now.Sub(p.at) > stallTime
+	}
+	return p.percent < atWork && now.Sub(p.at) > stallTime && now.Sub(p.since) > startupTime
+}
+
+// checkHealth finds runs that stand still and workers that are slow.
+func (m *Machine) checkHealth(now time.Time, s model.State) {
+	for _, w := range m.waiting {
+		for _, r := range w.report.Running {
+			workload, ok := s.Workloads.Get(r.Run.Task.Workload)
+			if !ok || m.stopping[r.Run] || !workload.Has(r.Run.Task) {
+				continue
+			}
+			if w.worker.progress[r.Run].stalled(now, workload.Steps[r.Run.Task.Step]) {
+				m.restart(now, w.worker, r.Run)
+			}
+		}
+		if m.slow(w.worker) {
+			w.worker.doubtUntil = now.Add(doubtPause)
+		}
+	}
+}
+
+// restart stops a run that stands still and keeps its task from the worker.
+func (m *Machine) restart(now time.Time, w *worker, run model.RunRef) {
+	m.stopping[run] = true
+	m.avoided.add(now, run.Task, w.Worker)
+	w.doubtUntil = now.Add(doubtPause)
+	event.RunStalled.Log(m.settings.Logger, zap.String("workload", string(run.Task.Workload)), zap.Int("round", run.Task.Round),
+		zap.Int("step", run.Task.Step), zap.Int("task", run.Task.Index), zap.Int("run", run.Number), zap.String("worker", string(w.Worker)),
+		zap.Int("percent", w.progress[run].percent), zap.Duration("still", now.Sub(w.progress[run].at)))
+}
+
+// slow reports whether the worker is much slower than most of its pool.
+func (m *Machine) slow(w *worker) bool {
+	if w.samples < minSamples {
+		return false
+	}
+	var speeds []float64
+	for _, other := range m.byName {
+		if other.Pool == w.Pool && other.samples >= minSamples && !m.gone(other.Worker) {
+			speeds = append(speeds, other.speed)
+		}
+	}
+	slices.Sort(speeds)
+	return len(speeds) >= 3 && w.speed < slowPart*speeds[len(speeds)/2]
+}
+
+// doubtful reports whether a copy of the run should be started: its worker is in
+// doubt, and what is left would take much longer than a fresh run.
+func (m *Machine) doubtful(now time.Time, s model.State, run model.RunRef) bool {
+	workload, _ := s.Workloads.Get(run.Task.Workload)
+	task, _ := workload.Task(run.Task)
+	for _, active := range task.Active {
+		w := m.workers[active.Worker]
+		if active.Number != run.Number || w == nil || !now.Before(w.doubtUntil) {
+			continue
+		}
+		p := w.progress[run]
+		if p.since.IsZero() {
+			return false
+		}
+		passed := now.Sub(p.since)
+		left := passed * time.Duration(100-p.percent) / time.Duration(max(p.percent, 1))
+		return left > workload.Steps[run.Task.Step].Estimate+copyAfter
+	}
+	return false
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -20,7 +20,9 @@
 type Settings struct {
 	// LeaseMax is the longest lease that workers accept.
 	LeaseMax time.Duration
-	Logger   *zap.Logger
+	// Advisor is nil where there is no policy service.
+	Advisor Advisor
+	Logger  *zap.Logger
 }
 
 // Machine is the control state of the scheduling. It implements loop.Machine.
@@ -46,6 +48,9 @@
 	// that workers are told to stop.
 	cordons  map[model.InstanceID]bool
 	stopping map[model.RunRef]bool
+	tickets  tickets
+	// preemptAt is when runs may next be stopped for more urgent work.
+	preemptAt time.Time
 
 	waiting    []waiter
 	committing []waiter
@@ -100,6 +105,10 @@
 		m.depart(now, msg)
 	case committed:
 		m.finish(now, msg)
+	case advised:
+		if msg.term == m.term {
+			m.takeAdvice(now, msg)
+		}
 	}
 }
 
@@ -146,6 +155,7 @@
 	m.workers, m.left = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
+	m.tickets = newTickets()
 }
 
 func (m *Machine) refuseAll(err error) {
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/model"
 )
 
@@ -49,9 +50,10 @@
 		case m.stopping[run]:
 			o.Stop = append(o.Stop, run)
 		case !lists(w.report, run):
-			o.Start = append(o.Start, startOrder(state, run))
+			o.Start = append(o.Start, m.startOrder(now, state, run, w.report.Worker))
 		}
 	}
+	o.Pace = w.worker.paceOrders(now, state)
 	if free := w.worker.free(state); free.MilliCPU >= w.worker.Capacity.MilliCPU/8 {
 		o.Next = idleInterval
 	}
@@ -64,8 +66,43 @@
 		slices.ContainsFunc(r.Ended, func(o Ended) bool { return o.Run == run })
 }
 
-func startOrder(s model.State, run model.RunRef) StartOrder {
+func (m *Machine) startOrder(now time.Time, s model.State, run model.RunRef, id model.WorkerID) StartOrder {
 	w, _ := s.Workloads.Get(run.Task.Workload)
 	task, _ := w.Task(run.Task)
-	return StartOrder{Run: run, Payload: w.Payload, Checkpoint: task.Checkpoint}
+	ticket, _ := m.tickets.get(now, run.Task, id)
+	return StartOrder{Run: run, Payload: w.Payload, Checkpoint: task.Checkpoint, Ticket: ticket}
+}
+
+// paceOrders sets the pace of the fillers on the worker by what the serving tasks
+// beside them measure, and returns it for those that work at another one.
+func (w *worker) paceOrders(now time.Time, s model.State) []PaceOrder {
+	var serving []pace.Serving
+	var fillers []model.RunRef
+	for _, r := range w.Running {
+		workload, ok := s.Workloads.Get(r.Run.Task.Workload)
+		if !ok || !workload.Has(r.Run.Task) {
+			continue
+		}
+		step := workload.Steps[r.Run.Task.Step]
+		if step.Filler {
+			fillers = append(fillers, r.Run)
+		} else if step.TailTarget > 0 {
+			serving = append(serving, pace.Serving{Tail: time.Duration(r.Recent) * time.Millisecond, Target: step.TailTarget})
+		}
+	}
+	w.pace = w.pace.Next(now, serving)
+	told := map[model.RunRef]int{}
+	var out []PaceOrder
+	for _, run := range fillers {
+		before, ok := w.paced[run]
+		if !ok {
+			before = pace.Full
+		}
+		if before != w.pace.Percent {
+			out = append(out, PaceOrder{run, w.pace.Percent})
+		}
+		told[run] = w.pace.Percent
+	}
+	w.paced = told
+	return out
 }
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -25,7 +26,11 @@
 	progress := model.RecordProgress{Ends: append(m.endsOf(state), m.lost(now, state)...)}
 	after := applied(state, progress)
 	m.forgetStops(after)
-	progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now))
+	m.checkHealth(now, after)
+	m.evacuate(after)
+	m.preempt(now, after)
+	m.seekAdvice(now, after)
+	progress.Starts = place.Plan(after, m.offers(now, after, hasGangs(after)), m.rules(now, after))
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.waiting)
 		m.waiting = nil
@@ -113,25 +118,78 @@
 	return b
 }
 
-// offers lists the workers that wait for an answer and can take work.
-func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
-	var out []place.Worker
+// offers lists the workers that can take work: those that wait for an answer,
+// and, with all, those that were heard of lately and will hear of a start at
+// their next report.
+func (m *Machine) offers(now time.Time, s model.State, all bool) []place.Worker {
+	waiting := map[model.WorkerID]bool{}
 	for _, w := range m.waiting {
-		if m.cordons[w.worker.Instance] || m.gone(w.report.Worker) {
+		waiting[w.report.Worker] = w.report.Sequence == w.worker.Sequence
+	}
+	var out []place.Worker
+	for _, w := range m.byName {
+		if m.cordons[w.Instance] || m.gone(w.Worker) || !waiting[w.Worker] && (!all || now.Sub(w.heardAt) > 2*busyInterval) {
 			continue
 		}
-		if offer, ok := w.worker.offer(now, s); ok && m.workers[w.report.Worker] == w.worker && w.report.Sequence == w.worker.Sequence {
+		if offer, ok := w.offer(now, s, waiting[w.Worker]); ok {
 			out = append(out, offer)
 		}
 	}
+	slices.SortFunc(out, func(a, b place.Worker) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
-func (m *Machine) rules(now time.Time) place.Rules {
+// hasGangs reports whether a workload has tasks that must start together.
+func hasGangs(s model.State) bool {
+	for _, w := range s.Workloads.All() {
+		if slices.ContainsFunc(w.Steps, func(step model.Step) bool { return step.Gang }) {
+			return true
+		}
+	}
+	return false
+}
+
+// evacuate stops lasting tasks on workers that are leaving, so that they are at
+// work elsewhere before the worker ends.
+func (m *Machine) evacuate(s model.State) {
+	for _, w := range m.waiting {
+		if !w.report.Draining {
+			continue
+		}
+		a, _ := s.Assignments.Get(w.report.Worker)
+		for _, run := range a.Runs {
+			workload, _ := s.Workloads.Get(run.Task.Workload)
+			if workload.Steps[run.Task.Step].Lasting {
+				m.stopping[run] = true
+			}
+		}
+	}
+}
+
+// preemptInterval is the time between two looks for runs to stop.
+const preemptInterval = 200 * time.Millisecond
+
+// preempt stops runs for more urgent work that finds no room.
+func (m *Machine) preempt(now time.Time, s model.State) {
+	if s.Catalog == nil || now.Before(m.preemptAt) || !s.Catalog.Prioritized() {
+		return
+	}
+	m.preemptAt = now.Add(preemptInterval)
+	for _, run := range place.Preempt(s, m.offers(now, s, true), m.rules(now, s)) {
+		m.stopping[run] = true
+	}
+}
+
+func (m *Machine) rules(now time.Time, s model.State) place.Rules {
 	m.avoided.forget(now)
 	return place.Rules{
 		Now:   max(model.At(now), m.seen.State.Clock),
 		Avoid: func(t model.TaskRef, w model.WorkerID) bool { return m.avoided.has(now, t, w) },
+		Ticket: func(t model.TaskRef, w model.WorkerID) bool {
+			_, ok := m.tickets.get(now, t, w)
+			return ok
+		},
+		Slow: func(run model.RunRef) bool { return m.doubtful(now, s, run) },
 	}
 }
 
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/model"
 )
@@ -25,11 +26,13 @@
 	doubtUntil time.Time
 	// fullUntil is how long the worker gets no work after it has refused a run.
 	fullUntil time.Time
-}
-
-type progress struct {
-	percent int
-	at      time.Time
+	// speed is how fast runs progress against their estimates, on average, and
+	// samples the number of measurements.
+	speed   float64
+	samples int
+	// pace is that of the fillers on the worker; paced is what the worker was told.
+	pace  pace.Worker
+	paced map[model.RunRef]int
 }
 
 const (
@@ -50,16 +53,16 @@
 	return granted.Add(lease + time.Duration(float64(lease)*clockError) + leaseSlack)
 }
 
-// observe takes a newer report.
-func (w *worker) observe(now time.Time, r Report) {
+// observe takes a newer report. The state tells the estimates of runs.
+func (w *worker) observe(now time.Time, r Report, s model.State) {
 	w.Report, w.heardAt = r, now
 	seen := map[model.RunRef]progress{}
 	for _, run := range r.Running {
-		last, ok := w.progress[run.Run]
-		if !ok || last.percent != run.Percent {
-			last = progress{run.Percent, now}
+		next, speed, ok := w.progress[run.Run].track(now, run.Percent, estimateOf(s, run.Run.Task))
+		seen[run.Run] = next
+		if ok {
+			w.sample(speed)
 		}
-		seen[run.Run] = last
 	}
 	w.progress = seen
 	for _, end := range r.Ended {
@@ -67,6 +70,24 @@
 	}
 }
 
+// sample takes a measurement of the speed.
+func (w *worker) sample(speed float64) {
+	if w.samples == 0 {
+		w.speed = speed
+	}
+	w.speed += speedWeight * (speed - w.speed)
+	w.samples++
+}
+
+// estimateOf returns the estimate of a task that ends by itself; 0 if there is none.
+func estimateOf(s model.State, task model.TaskRef) time.Duration {
+	w, ok := s.Workloads.Get(task.Workload)
+	if !ok || !w.Has(task) || w.Steps[task.Step].Lasting {
+		return 0
+	}
+	return w.Steps[task.Step].Estimate
+}
+
 // judge keeps count of failed runs.
 func (w *worker) judge(now time.Time, end Ended) {
 	switch {
@@ -116,7 +137,7 @@
 
 func sizeOf(s model.State, task model.TaskRef) model.Resources {
 	w, ok := s.Workloads.Get(task.Workload)
-	if !ok {
+	if !ok || !w.Has(task) {
 		return model.Resources{}
 	}
 	return w.Steps[task.Step].Reserved()
@@ -127,16 +148,29 @@
 }
 
 // offer returns the worker as the planner sees it; false if it takes no work.
-func (w *worker) offer(now time.Time, s model.State) (place.Worker, bool) {
+func (w *worker) offer(now time.Time, s model.State, waiting bool) (place.Worker, bool) {
 	free := w.free(s)
 	if w.Draining || now.Before(w.fullUntil) {
 		return place.Worker{}, false
 	}
 	return place.Worker{
-		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels, Free: free, Doubtful: now.Before(w.doubtUntil),
+		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels, Waiting: waiting,
+		Free: free, Spare: free.MilliCPU - w.fillers(s), Doubtful: now.Before(w.doubtUntil),
 	}, true
 }
 
+// fillers returns the processor time in thousandths that fillers on the worker declare.
+func (w *worker) fillers(s model.State) int64 {
+	var sum int64
+	a, _ := s.Assignments.Get(w.Worker)
+	for _, run := range a.Runs {
+		if workload, ok := s.Workloads.Get(run.Task.Workload); ok && workload.Steps[run.Task.Step].Filler {
+			sum += workload.Steps[run.Task.Step].Need.MilliCPU
+		}
+	}
+	return sum
+}
+
 // checkpoint returns the last one that the worker has listed for the run.
 func (w *worker) checkpoint(run model.RunRef) string {
 	for _, r := range w.Running {
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
@@ -47,10 +48,10 @@
 		return
 	}
 	if w == nil {
-		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease())}
+		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease()), pace: pace.NewWorker(), paced: map[model.RunRef]int{}}
 		m.workers[r.Worker] = w
 	}
-	w.observe(now, r)
+	w.observe(now, r, m.seen.State)
 	for _, end := range r.Ended {
 		if end.Outcome == model.RunFailed {
 			m.avoided.add(now, end.Run.Task, r.Worker)
