--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -9,15 +9,12 @@
 	"lacewingturn.example/core/model"
 )
 
-// Worker is a worker that can take new runs.
+// Worker is a worker that can take new runs. It hears of them with its next report.
 type Worker struct {
 	ID     model.WorkerID
 	Pool   model.PoolName
 	Rack   string
 	Labels []string
-	// Waiting is set if the worker waits for an answer. The others hear of a start
-	// later and get members of gangs only.
-	Waiting bool
 	// Free is what neither assigned nor stopping runs take.
 	Free model.Resources
 	// Spare is the processor time in thousandths that fillers may still share. It
@@ -145,7 +142,7 @@
 }
 
 func (p *planner) fits(c candidate, w *Worker, spec model.Step, ref model.TaskRef) bool {
-	if !w.Waiting && !spec.Gang || spec.Filler && spec.Need.MilliCPU > w.Spare {
+	if spec.Filler && spec.Need.MilliCPU > w.Spare {
 		return false
 	}
 	if !room(w.Free, spec.Reserved()) || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -51,6 +51,7 @@
 // Move is a change of pool.
 type Move struct {
 	Instance model.InstanceID
+	From     model.PoolName
 	To       model.PoolName
 }
 
@@ -159,7 +160,7 @@
 
 func (p *planner) move(i int, to model.PoolName) {
 	instance := &p.instances[i]
-	p.moves = append(p.moves, Move{instance.ID, to})
+	p.moves = append(p.moves, Move{instance.ID, instance.Pool, to})
 	p.size[instance.Pool]--
 	p.size[to]++
 	instance.Pool, instance.Movable, instance.Off = to, false, false
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -1,18 +1,26 @@
 package query
 
-import "lacewingturn.example/core/model"
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
 
 // Demand is what the workloads of a pool ask for at a time.
 type Demand struct {
-	// Need is what running tasks and those whose turn has come take together.
-	Need model.Resources
+	// Running is what the running tasks take together.
+	Running model.Resources
+	// Waiting is what the tasks take whose turn has come, each weighted by the
+	// part of the clearing time that it is expected to run.
+	Waiting model.Resources
 	// Spread is the number of workers that the lasting steps need to keep their
 	// tasks apart.
 	Spread int
 }
 
-// Demands returns the demand of each pool.
-func Demands(s model.State, now model.Timestamp) map[model.PoolName]Demand {
+// Demands returns the demand of each pool. Waiting tasks should have run within
+// the clearing time.
+func Demands(s model.State, now model.Timestamp, clearing time.Duration) map[model.PoolName]Demand {
 	out := map[model.PoolName]Demand{}
 	for _, w := range s.Workloads.All() {
 		q, ok := s.Catalog.Queue(w.Queue)
@@ -26,7 +34,7 @@
 			}
 			for j, state := range round.Steps {
 				if !state.Complete() && w.Open(i, j) {
-					d.add(w.Steps[j], state)
+					d.add(w.Steps[j], state, clearing)
 				}
 			}
 		}
@@ -35,13 +43,27 @@
 	return out
 }
 
-func (d *Demand) add(step model.Step, state model.StepState) {
-	n := int64(len(state.Tasks) - state.Done)
+func (d *Demand) add(step model.Step, state model.StepState, clearing time.Duration) {
+	active := int64(0)
+	for _, t := range state.Tasks {
+		if len(t.Active) > 0 {
+			active++
+		}
+	}
 	one := step.Reserved()
-	d.Need.MilliCPU += n * one.MilliCPU
-	d.Need.MemoryMB += n * one.MemoryMB
-	d.Need.Accelerators += n * one.Accelerators
+	plus(&d.Running, one, float64(active))
+	part := 1.0
+	if !step.Lasting && !step.Gang {
+		part = min(1, float64(step.Estimate)/float64(clearing))
+	}
+	plus(&d.Waiting, one, part*float64(int64(len(state.Tasks)-state.Done)-active))
 	if step.Lasting && step.MaxPerWorker > 0 {
 		d.Spread = max(d.Spread, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
 	}
 }
+
+func plus(sum *model.Resources, one model.Resources, n float64) {
+	sum.MilliCPU += int64(n * float64(one.MilliCPU))
+	sum.MemoryMB += int64(n * float64(one.MemoryMB))
+	sum.Accelerators += int64(n * float64(one.Accelerators))
+}
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -81,6 +81,7 @@
 // trip is an order to an instance until it is back.
 type trip struct {
 	upkeep    model.UpkeepNumber // 0 for a move
+	from      model.PoolName     // of a move
 	to        model.PoolName     // of a move
 	began     time.Time
 	retryAt   time.Time // when an unconfirmed order is repeated; zero once confirmed
@@ -250,7 +251,7 @@
 		return
 	}
 	t.calling = false
-	fields := []zap.Field{zap.String("id", string(msg.id)), zap.Int64("upkeep", int64(t.upkeep)), zap.String("to", string(t.to)), zap.Uint64("token", uint64(m.term))}
+	fields := []zap.Field{zap.String("id", string(msg.id)), zap.Int64("upkeep", int64(t.upkeep)), zap.String("from", string(t.from)), zap.String("to", string(t.to)), zap.Uint64("token", uint64(m.term))}
 	if msg.err == nil {
 		event.InstanceOrdered.Log(m.settings.Logger, fields...)
 		t.confirmed, t.retryAt = now, time.Time{}
@@ -311,6 +312,6 @@
 		if n >= maxMoves {
 			return
 		}
-		m.begin(now, move.Instance, &trip{to: move.To})
+		m.begin(now, move.Instance, &trip{from: move.From, to: move.To})
 	}
 }
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -34,6 +34,20 @@
 	for _, l := range msg.list {
 		m.listed[l.ID] = l
 	}
+	m.dropGone()
+}
+
+// dropGone records that upkeep is not owed any more for instances that the
+// platform does not list.
+func (m *Machine) dropGone() {
+	for number, u := range m.replica.View().State.Upkeeps.All() {
+		for _, i := range u.Instances {
+			if _, listed := m.listed[i.ID]; !listed && !i.Begun && m.trips[i.ID] == nil {
+				event.InstanceGone.Log(m.settings.Logger, zap.String("id", string(i.ID)), zap.Int64("upkeep", int64(number)))
+				m.record(i.ID, &trip{upkeep: number})
+			}
+		}
+	}
 }
 
 // observe joins what workers report with the platform's list, and ends the
@@ -99,10 +113,10 @@
 // scaleInput describes the pools and the instances that may be moved.
 func (m *Machine) scaleInput(now time.Time, s model.State, instances []model.ObservedInstance) scale.Input {
 	var in scale.Input
-	demands := query.Demands(s, model.At(now))
+	demands := query.Demands(s, model.At(now), clearingTime)
 	for _, p := range s.Catalog.Pools {
 		d := demands[p.Name]
-		in.Pools = append(in.Pools, scale.Pool{Name: p.Name, Standby: p.Standby, Demand: d.Need, Spread: d.Spread})
+		in.Pools = append(in.Pools, scale.Pool{Name: p.Name, Standby: p.Standby, Demand: sum(d.Running, d.Waiting), Spread: d.Spread})
 	}
 	for _, o := range instances {
 		if o.Idle() {
@@ -131,3 +145,11 @@
 	}
 	return in
 }
+
+// clearingTime is the time within which waiting tasks should have run. It leaves
+// room for the move of an instance within the usual target of a queue.
+const clearingTime = 2 * time.Second
+
+func sum(a, b model.Resources) model.Resources {
+	return model.Resources{MilliCPU: a.MilliCPU + b.MilliCPU, MemoryMB: a.MemoryMB + b.MemoryMB, Accelerators: a.Accelerators + b.Accelerators}
+}
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -30,7 +30,7 @@
 	m.evacuate(after)
 	m.preempt(now, after)
 	m.seekAdvice(now, after)
-	progress.Starts = place.Plan(after, m.offers(now, after, hasGangs(after)), m.rules(now, after))
+	progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now, after))
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.waiting)
 		m.waiting = nil
@@ -118,20 +118,15 @@
 	return b
 }
 
-// offers lists the workers that can take work: those that wait for an answer,
-// and, with all, those that were heard of lately and will hear of a start at
-// their next report.
-func (m *Machine) offers(now time.Time, s model.State, all bool) []place.Worker {
-	waiting := map[model.WorkerID]bool{}
-	for _, w := range m.waiting {
-		waiting[w.report.Worker] = w.report.Sequence == w.worker.Sequence
-	}
+// offers lists the workers that can take work: those that were heard of lately.
+// One that does not wait for an answer hears of a start at its next report.
+func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
 	var out []place.Worker
 	for _, w := range m.byName {
-		if m.cordons[w.Instance] || m.gone(w.Worker) || !waiting[w.Worker] && (!all || now.Sub(w.heardAt) > 2*busyInterval) {
+		if m.cordons[w.Instance] || m.gone(w.Worker) || now.Sub(w.heardAt) > offerAge {
 			continue
 		}
-		if offer, ok := w.offer(now, s, waiting[w.Worker]); ok {
+		if offer, ok := w.offer(now, s); ok {
 			out = append(out, offer)
 		}
 	}
@@ -139,15 +134,9 @@
 	return out
 }
 
-// hasGangs reports whether a workload has tasks that must start together.
-func hasGangs(s model.State) bool {
-	for _, w := range s.Workloads.All() {
-		if slices.ContainsFunc(w.Steps, func(step model.Step) bool { return step.Gang }) {
-			return true
-		}
-	}
-	return false
-}
+// offerAge is how long after its last report a worker is given work. It is a
+// little longer than the time between two reports.
+const offerAge = busyInterval + 200*time.Millisecond
 
 // evacuate stops lasting tasks on workers that are leaving, so that they are at
 // work elsewhere before the worker ends.
@@ -175,7 +164,7 @@
 		return
 	}
 	m.preemptAt = now.Add(preemptInterval)
-	for _, run := range place.Preempt(s, m.offers(now, s, true), m.rules(now, s)) {
+	for _, run := range place.Preempt(s, m.offers(now, s), m.rules(now, s)) {
 		m.stopping[run] = true
 	}
 }
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -33,6 +33,7 @@
 	// pace is that of the fillers on the worker; paced is what the worker was told.
 	pace  pace.Worker
 	paced map[model.RunRef]int
+	room  room
 }
 
 const (
@@ -102,15 +103,31 @@
 	}
 }
 
+// room is what was free at a report and a list of assigned runs.
+type room struct {
+	sequence int64
+	runs     []model.RunRef
+	free     model.Resources
+}
+
 // free returns what neither assigned nor other listed runs take.
 func (w *worker) free(s model.State) model.Resources {
+	a, _ := s.Assignments.Get(w.Worker)
+	known := w.room.sequence == w.Sequence && len(w.room.runs) == len(a.Runs) && (len(a.Runs) == 0 || &w.room.runs[0] == &a.Runs[0])
+	if !known {
+		w.room = room{w.Sequence, a.Runs, w.measure(s, a.Runs)}
+	}
+	return w.room.free
+}
+
+// measure subtracts the runs from the capacity.
+func (w *worker) measure(s model.State, assigned []model.RunRef) model.Resources {
 	free := w.Capacity
 	if w.sizes == nil {
 		w.sizes = map[model.RunRef]model.Resources{}
 	}
 	listed := map[model.RunRef]bool{}
-	a, _ := s.Assignments.Get(w.Worker)
-	for _, run := range a.Runs {
+	for _, run := range assigned {
 		listed[run] = true
 		size := sizeOf(s, run.Task)
 		w.sizes[run] = size
@@ -148,13 +165,13 @@
 }
 
 // offer returns the worker as the planner sees it; false if it takes no work.
-func (w *worker) offer(now time.Time, s model.State, waiting bool) (place.Worker, bool) {
+func (w *worker) offer(now time.Time, s model.State) (place.Worker, bool) {
 	free := w.free(s)
 	if w.Draining || now.Before(w.fullUntil) {
 		return place.Worker{}, false
 	}
 	return place.Worker{
-		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels, Waiting: waiting,
+		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels,
 		Free: free, Spare: free.MilliCPU - w.fillers(s), Doubtful: now.Before(w.doubtUntil),
 	}, true
 }
