--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -29,6 +29,7 @@
 	69: reflect.TypeFor[model.ReportWork](),
 	80: reflect.TypeFor[model.PublishCatalog](), 81: reflect.TypeFor[model.SubmitWorkload](), 82: reflect.TypeFor[model.CancelWorkload](),
 	83: reflect.TypeFor[model.RecordProgress](), 84: reflect.TypeFor[model.OrderUpkeep](), 85: reflect.TypeFor[model.BeginUpkeep](),
+	86: reflect.TypeFor[model.RecordOrders](),
 }
 
 var numbers = func() map[reflect.Type]uint16 {
--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -36,6 +36,7 @@
 	Workloads  []model.Workload
 	Finished   []model.FinishedWorkload
 	Upkeeps    []model.Upkeep
+	Orders     []model.InstanceOrder
 }
 
 // EncodeState returns the wire form of s. Equal states give equal bytes.
@@ -47,6 +48,7 @@
 		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(), Changes: s.WorkerChanges.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
 		Catalog: s.Catalog, Workloads: s.Workloads.Values(), Finished: s.Finished.Values(), Upkeeps: s.Upkeeps.Values(),
+		Orders: s.Orders.Values(),
 	})
 }
 
@@ -78,6 +80,7 @@
 		Workloads:     table.FromValues(m.Workloads, func(v model.Workload) model.WorkloadID { return v.ID }),
 		Finished:      table.FromValues(m.Finished, func(v model.FinishedWorkload) model.WorkloadID { return v.ID }),
 		Upkeeps:       table.FromValues(m.Upkeeps, func(v model.Upkeep) model.UpkeepNumber { return v.Number }),
+		Orders:        table.FromValues(m.Orders, func(v model.InstanceOrder) model.InstanceID { return v.Instance }),
 	}), nil
 }
 
--- a/core/command/maintain/maintain.go
+++ b/core/command/maintain/maintain.go
@@ -91,7 +91,7 @@
 		if slots <= 0 {
 			return
 		}
-		if i.Away || i.Leaving || !p.mayEmpty(u, i) {
+		if i.Away || i.Held || i.Leaving || !p.mayEmpty(u, i) {
 			continue
 		}
 		slots--
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -125,8 +125,9 @@
 		p.rules.Slow(model.RunRef{Task: ref, Number: task.Active[0].Number})
 }
 
-// pick returns the worker for a task: near its data, beyond doubt, and with the
-// least room that is enough, so that other workers stay empty.
+// pick returns the worker for a task: beyond doubt, near its data, and with the
+// least room that is enough, so that other workers stay empty. Lasting tasks of
+// a step are spread, so that few of them are lost with a worker.
 func (p *planner) pick(c candidate, spec model.Step, ref model.TaskRef) *Worker {
 	var best *Worker
 	for i := range p.workers {
@@ -134,7 +135,7 @@
 		if w.Pool != c.pool || !p.fits(c, w, spec, ref) {
 			continue
 		}
-		if best == nil || p.better(w, best, spec) {
+		if best == nil || p.better(w, best, spec, stepOf(ref)) {
 			best = w
 		}
 	}
@@ -174,10 +175,13 @@
 	return need.MilliCPU <= free.MilliCPU && need.MemoryMB <= free.MemoryMB && need.Accelerators <= free.Accelerators
 }
 
-func (p *planner) better(a, b *Worker, spec model.Step) bool {
+func (p *planner) better(a, b *Worker, spec model.Step, step stepRef) bool {
 	if a.Doubtful != b.Doubtful {
 		return b.Doubtful
 	}
+	if x, y := p.holds(a.ID, step), p.holds(b.ID, step); spec.Lasting && x != y {
+		return x < y
+	}
 	if spec.NearRack != "" && (a.Rack == spec.NearRack) != (b.Rack == spec.NearRack) {
 		return a.Rack == spec.NearRack
 	}
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -156,6 +156,19 @@
 	assert.Equal(t, len(x.plan(Rules{}, w)), 4+2)
 }
 
+// Guards against lasting tasks that are all lost with one worker.
+func TestLastingTasksAreSpread(t *testing.T) {
+	x := newSite(t)
+	lasting := step(3, 1000)
+	lasting.Lasting = true
+	x.submit(0, 1, lasting)
+	seen := map[model.WorkerID]bool{}
+	for _, start := range x.plan(Rules{}, worker("a", 8000), worker("b", 4000), worker("c", 9000)) {
+		seen[start.Worker] = true
+	}
+	assert.Equal(t, len(seen), 3)
+}
+
 // Guards against urgent work that waits behind work of a lower priority, and
 // against a victim that would not make room.
 func TestPreemption(t *testing.T) {
--- a/core/command/upkeep/upkeep.go
+++ b/core/command/upkeep/upkeep.go
@@ -9,13 +9,18 @@
 	"lacewingturn.example/core/result"
 )
 
-// Apply handles OrderUpkeep and BeginUpkeep.
+// Apply handles OrderUpkeep, BeginUpkeep and RecordOrders.
 func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
 	switch c := env.Command.(type) {
 	case model.OrderUpkeep:
 		return order(s, c.Upkeep), true
 	case model.BeginUpkeep:
 		return begin(s, c), true
+	case model.RecordOrders:
+		for _, id := range c.Instances {
+			s.Orders = s.Orders.Set(id, model.InstanceOrder{Instance: id, Term: s.Term, At: s.Clock})
+		}
+		return result.Result{Code: result.OK}, true
 	}
 	return result.Result{}, false
 }
--- a/core/model/commands_workload.go
+++ b/core/model/commands_workload.go
@@ -61,6 +61,10 @@
 	Instance InstanceID
 }
 
+// RecordOrders records that the leader is about to give orders for instances.
+type RecordOrders struct{ Instances []InstanceID }
+
+func (RecordOrders) isCommand()   {}
 func (PublishCatalog) isCommand() {}
 func (SubmitWorkload) isCommand() {}
 func (CancelWorkload) isCommand() {}
--- a/core/model/observed.go
+++ b/core/model/observed.go
@@ -10,6 +10,8 @@
 	Off bool
 	// Away is set while it is being moved or maintained, or is not heard of.
 	Away bool
+	// Held is set while no order may be given for it.
+	Held bool
 	// Leaving is set once the worker on it has announced its end.
 	Leaving  bool
 	Capacity Resources
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -50,4 +50,6 @@
 	// Assignments is derived from Workloads and kept in step by command/workload.
 	Assignments table.Table[WorkerID, Assignment]
 	Upkeeps     table.Table[UpkeepNumber, Upkeep]
+	// Orders holds the last order to the platform for each instance.
+	Orders table.Table[InstanceID, InstanceOrder]
 }
--- a/core/model/upkeep.go
+++ b/core/model/upkeep.go
@@ -32,3 +32,12 @@
 	}
 	return true
 }
+
+// InstanceOrder is the last order that a leader gave the platform for an
+// instance. It is recorded before the call, so that another leader can keep the
+// pause that the platform asks for between the orders of two processes.
+type InstanceOrder struct {
+	Instance InstanceID
+	Term     Term
+	At       Timestamp
+}
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -30,7 +30,7 @@
 	orderRetry = time.Second
 	// returnSlack is how much longer than stated an instance may be away.
 	returnSlack = 2 * time.Second
-	// dutyMargin is added to the pause before a new leader gives orders.
+	// dutyMargin is added to the pause between the orders of two leaders.
 	dutyMargin = 300 * time.Millisecond
 	// maxMoves is the number of moves that are begun in one look.
 	maxMoves = 8
@@ -67,7 +67,6 @@
 	port      loop.Port
 
 	term    model.Term // of the leadership; 0 if this replica does not lead
-	startAt time.Time  // when the first order may be given
 	next    time.Time
 	listAt  time.Time
 	listing bool
@@ -76,6 +75,7 @@
 	cordons map[model.InstanceID]model.Timestamp
 	idle    map[model.InstanceID]time.Time // since when nothing has run
 	paused  map[model.InstanceID]time.Time // until when a refused order is not repeated
+	fresh   []model.InstanceID             // orders that are not announced yet
 }
 
 // trip is an order to an instance until it is back.
@@ -102,6 +102,11 @@
 		id   model.InstanceID
 		err  error
 	}
+	announced struct {
+		term   model.Term
+		ids    []model.InstanceID
+		result result.Result
+	}
 	recorded struct {
 		term   model.Term
 		id     model.InstanceID
@@ -128,6 +133,10 @@
 		if msg.term == m.term {
 			m.finishOrder(now, msg)
 		}
+	case announced:
+		if msg.term == m.term {
+			m.finishAnnouncement(now, msg)
+		}
 	case recorded:
 		if t := m.trips[msg.id]; msg.term == m.term && t != nil {
 			t.recorded = msg.result.Code.OK()
@@ -148,9 +157,9 @@
 	case !v.IsLeader:
 		m.term, m.next = 0, time.Time{}
 	case m.term != v.Term:
-		m.term, m.startAt, m.next = v.Term, v.LeaderSince.Add(m.settings.DutyPause+dutyMargin), now
-		m.listAt, m.listing, m.listed = m.startAt, false, map[model.InstanceID]Listed{}
-		m.paused = map[model.InstanceID]time.Time{}
+		m.term, m.next = v.Term, now
+		m.listAt, m.listing, m.listed = now, false, map[model.InstanceID]Listed{}
+		m.paused, m.fresh = map[model.InstanceID]time.Time{}, nil
 		m.trips, m.cordons, m.idle = map[model.InstanceID]*trip{}, map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]time.Time{}
 	}
 }
@@ -163,7 +172,7 @@
 	}
 	m.next = now.Add(interval)
 	v := m.replica.View()
-	if now.Before(m.startAt) || v.State.Catalog == nil || !replica.Leads(v, m.guard, now) {
+	if v.State.Catalog == nil || !replica.Leads(v, m.guard, now) {
 		return
 	}
 	if !m.listing && !now.Before(m.listAt) {
@@ -173,6 +182,7 @@
 	m.maintain(now, v.State, instances)
 	m.scale(now, v.State, instances)
 	m.repeatOrders(now)
+	m.announce()
 }
 
 // maintain carries out orders for upkeep.
@@ -222,11 +232,54 @@
 	m.scheduler.SetCordons(all)
 }
 
-// begin gives an order to the platform.
+// begin notes an order that is announced and given at the end of the look.
 func (m *Machine) begin(now time.Time, id model.InstanceID, t *trip) {
-	t.began = now
+	t.began, t.calling = now, true
 	m.trips[id] = t
-	m.call(id, t)
+	m.fresh = append(m.fresh, id)
+}
+
+// announce records the new orders in the log. They are given once that is committed.
+func (m *Machine) announce() {
+	if len(m.fresh) == 0 {
+		return
+	}
+	ids, term := m.fresh, m.term
+	m.fresh = nil
+	go func() {
+		r := m.propose(model.RecordOrders{Instances: ids})
+		// The loop has ended if the message cannot be sent.
+		_ = m.port.Send(m.ctx, announced{term, ids, r})
+	}()
+}
+
+func (m *Machine) propose(c model.Command) result.Result {
+	results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: c}})
+	if err != nil {
+		return result.New(result.Internal, "%v", err)
+	}
+	return results[0]
+}
+
+func (m *Machine) finishAnnouncement(now time.Time, msg announced) {
+	for _, id := range msg.ids {
+		t := m.trips[id]
+		if t == nil {
+			continue
+		}
+		if !msg.result.Code.OK() || !replica.Leads(m.replica.View(), m.guard, now) {
+			delete(m.trips, id)
+			continue
+		}
+		m.call(id, t)
+	}
+}
+
+// mayOrder reports whether the platform's pause since an order of an earlier
+// leader for the instance is over.
+func (m *Machine) mayOrder(now time.Time, s model.State, id model.InstanceID) bool {
+	last, ok := s.Orders.Get(id)
+	return !ok || last.Term == m.term || max(model.At(now), s.Clock).Sub(last.At) > m.settings.DutyPause+dutyMargin
 }
 
 func (m *Machine) call(id model.InstanceID, t *trip) {
@@ -278,14 +331,7 @@
 func (m *Machine) record(id model.InstanceID, t *trip) {
 	term := m.term
 	command := model.BeginUpkeep{Number: t.upkeep, Instance: id}
-	go func() {
-		results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: command}})
-		r := result.New(result.Internal, "%v", err)
-		if err == nil {
-			r = results[0]
-		}
-		_ = m.port.Send(m.ctx, recorded{term, id, r})
-	}()
+	go func() { _ = m.port.Send(m.ctx, recorded{term, id, m.propose(command)}) }()
 }
 
 // repeatOrders repeats orders that were not confirmed, and forgets the trips of
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -79,8 +79,9 @@
 		})
 	}
 	m.endTrips(now, kept)
+	state := m.replica.View().State
 	for i := range kept {
-		kept[i].Away = kept[i].Away || now.Before(m.paused[kept[i].ID])
+		kept[i].Held = now.Before(m.paused[kept[i].ID]) || !m.mayOrder(now, state, kept[i].ID)
 	}
 	return kept
 }
@@ -133,7 +134,7 @@
 		_, cordoned := m.cordons[o.ID]
 		i := scale.Instance{
 			ID: o.ID, Pool: o.Pool, Capacity: o.Capacity, Off: o.Off,
-			Movable: t == nil && o.Idle() && !cordoned && !o.Leaving,
+			Movable: t == nil && o.Idle() && !cordoned && !o.Leaving && !o.Held,
 		}
 		if t != nil && t.upkeep == 0 {
 			i.Pool = t.to
