--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -18,7 +18,7 @@
 	minSize = 2
 	// idleTime is how long an instance must be idle before it is powered off. It
 	// is longer than the time that pays for two moves.
-	idleTime = 2500 * time.Millisecond
+	idleTime = 800 * time.Millisecond
 )
 
 // Input is what a decision depends on.
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -32,6 +32,9 @@
 	returnSlack = 2 * time.Second
 	// dutyMargin is added to the pause between the orders of two leaders.
 	dutyMargin = 300 * time.Millisecond
+	// settleTime is how long after an election instances are not moved, because
+	// pools look small until their workers have reported.
+	settleTime = 2 * time.Second
 	// maxMoves is the number of moves that are begun in one look.
 	maxMoves = 8
 )
@@ -180,7 +183,9 @@
 	}
 	instances := m.observe(now)
 	m.maintain(now, v.State, instances)
-	m.scale(now, v.State, instances)
+	if now.Sub(v.LeaderSince) >= settleTime {
+		m.scale(now, v.State, instances)
+	}
 	m.repeatOrders(now)
 	m.announce()
 }
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -107,6 +107,7 @@
 		since := now.Sub(t.confirmed)
 		if since > away && (o.Off || !o.Away) || since > away+returnSlack {
 			delete(m.trips, o.ID)
+			delete(m.idle, o.ID)
 		}
 	}
 }
