--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -44,8 +44,12 @@
 	Capacity model.Resources
 	// Movable is set if nothing runs on it and no other work is planned for it.
 	Movable bool
-	Off     bool
-	Idle    time.Duration // how long nothing has run on it
+	// Retirable is set if it may be emptied: no lasting task is on it.
+	Retirable bool
+	// Load is what the runs on it take, in thousandths of a processor.
+	Load int64
+	Off  bool
+	Idle time.Duration // how long nothing has run on it
 }
 
 // Move is a change of pool.
@@ -55,9 +59,17 @@
 	To       model.PoolName
 }
 
+// Decision is what to do next.
+type Decision struct {
+	Moves []Move
+	// Retire lists the instances beyond what their pool wants. They get no new
+	// work, so that they can be powered off once they are empty.
+	Retire []model.InstanceID
+}
+
 // Decide returns the moves to begin now: first those that a pool lacks
 // instances for, then those to a standby pool.
-func Decide(in Input) []Move {
+func Decide(in Input) Decision {
 	p := &planner{wanted: map[model.PoolName]int{}, size: map[model.PoolName]int{}}
 	p.instances = slices.Clone(in.Instances)
 	slices.SortFunc(p.instances, func(a, b Instance) int {
@@ -75,7 +87,8 @@
 	}
 	p.grow(in.Pools)
 	p.shrink()
-	return p.moves
+	p.retire()
+	return p.out
 }
 
 type planner struct {
@@ -83,7 +96,7 @@
 	wanted    map[model.PoolName]int
 	size      map[model.PoolName]int
 	standby   model.PoolName // empty if there is none
-	moves     []Move
+	out       Decision
 }
 
 // capacity returns the smallest capacity of an instance of the pool, or of any.
@@ -158,9 +171,25 @@
 	}
 }
 
+// retire chooses the instances with the least load of pools that are too large.
+func (p *planner) retire() {
+	if p.standby == "" {
+		return
+	}
+	slices.SortFunc(p.instances, func(a, b Instance) int {
+		return cmp.Or(cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+	})
+	for _, i := range p.instances {
+		if i.Retirable && !i.Off && p.size[i.Pool] > p.wanted[i.Pool] {
+			p.out.Retire = append(p.out.Retire, i.ID)
+			p.size[i.Pool]--
+		}
+	}
+}
+
 func (p *planner) move(i int, to model.PoolName) {
 	instance := &p.instances[i]
-	p.moves = append(p.moves, Move{instance.ID, instance.Pool, to})
+	p.out.Moves = append(p.out.Moves, Move{instance.ID, instance.Pool, to})
 	p.size[instance.Pool]--
 	p.size[to]++
 	instance.Pool, instance.Movable, instance.Off = to, false, false
--- a/core/command/scale/scale_test.go
+++ b/core/command/scale/scale_test.go
@@ -36,20 +36,20 @@
 
 // Guards against a busy pool that gets no instances while others are off.
 func TestBusyPoolGetsStandbyInstances(t *testing.T) {
-	moves := Decide(Input{
+	d := Decide(Input{
 		Pools:     []Pool{{Name: "a", Demand: cores(100)}, {Name: "off", Standby: true}},
 		Instances: append(instances("a", 3, false, false), instances("off", 8, true, true)...),
 	})
-	assert.Equal(t, count(moves, "a"), 5) // 7 for the demand and 1 in reserve
+	assert.Equal(t, count(d.Moves, "a"), 5) // 7 for the demand and 1 in reserve
 }
 
 // Guards against instances that a pool needs being taken by another one.
 func TestPoolKeepsWhatItNeeds(t *testing.T) {
-	moves := Decide(Input{
+	d := Decide(Input{
 		Pools:     []Pool{{Name: "a", Demand: cores(160)}, {Name: "b", Demand: cores(60)}},
 		Instances: append(instances("a", 2, false, false), instances("b", 6, true, false)...),
 	})
-	assert.Equal(t, count(moves, "a"), 1) // b keeps 4 for its demand and 1 in reserve
+	assert.Equal(t, count(d.Moves, "a"), 1) // b keeps 4 for its demand and 1 in reserve
 }
 
 // Guards against instances that stay powered on without work, and against a
@@ -58,9 +58,20 @@
 	list := append(instances("a", 9, true, false), instances("off", 1, true, true)...)
 	list[0].Movable = false
 	list[1].Idle = 0
-	moves := Decide(Input{Pools: []Pool{{Name: "a", Spread: 5}, {Name: "off", Standby: true}}, Instances: list})
-	assert.Equal(t, count(moves, "off"), 3) // 5 to keep tasks apart and 1 in reserve stay
-	for _, m := range moves {
+	d := Decide(Input{Pools: []Pool{{Name: "a", Spread: 5}, {Name: "off", Standby: true}}, Instances: list})
+	assert.Equal(t, count(d.Moves, "off"), 3) // 5 to keep tasks apart and 1 in reserve stay
+	for _, m := range d.Moves {
 		assert.Assert(t, m.Instance != list[0].ID && m.Instance != list[1].ID)
 	}
 }
+
+// Guards against instances beyond the demand that get new work again and again,
+// and against one with lasting tasks that is emptied.
+func TestLeastLoadedInstancesAreRetired(t *testing.T) {
+	list := append(instances("a", 6, false, false), instances("off", 1, true, true)...)
+	for i := range list {
+		list[i].Retirable, list[i].Load = i != 0, int64(i)
+	}
+	d := Decide(Input{Pools: []Pool{{Name: "a", Demand: cores(40)}, {Name: "off", Standby: true}}, Instances: list})
+	assert.DeepEqual(t, d.Retire, []model.InstanceID{"a-1", "a-2"}) // 3 for the demand and 1 in reserve stay
+}
--- a/core/model/observed.go
+++ b/core/model/observed.go
@@ -25,7 +25,9 @@
 
 // ObservedRun is an assigned run as its worker has last reported it.
 type ObservedRun struct {
-	Run     RunRef
+	Run RunRef
+	// Size is what the run reserves.
+	Size    Resources
 	Lasting bool
 	// Working is set while a lasting task is at work.
 	Working bool
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -35,6 +35,9 @@
 	// settleTime is how long after an election instances are not moved, because
 	// pools look small until their workers have reported.
 	settleTime = 2 * time.Second
+	// retirePatience is how long an instance is beyond the demand before runs on
+	// it are stopped.
+	retirePatience = time.Second
 	// maxMoves is the number of moves that are begun in one look.
 	maxMoves = 8
 )
@@ -76,9 +79,10 @@
 	listed  map[model.InstanceID]Listed
 	trips   map[model.InstanceID]*trip
 	cordons map[model.InstanceID]model.Timestamp
-	idle    map[model.InstanceID]time.Time // since when nothing has run
-	paused  map[model.InstanceID]time.Time // until when a refused order is not repeated
-	fresh   []model.InstanceID             // orders that are not announced yet
+	retired map[model.InstanceID]model.Timestamp // since when instances get no new work
+	idle    map[model.InstanceID]time.Time       // since when nothing has run
+	paused  map[model.InstanceID]time.Time       // until when a refused order is not repeated
+	fresh   []model.InstanceID                   // orders that are not announced yet
 }
 
 // trip is an order to an instance until it is back.
@@ -162,6 +166,7 @@
 	case m.term != v.Term:
 		m.term, m.next = v.Term, now
 		m.listAt, m.listing, m.listed = now, false, map[model.InstanceID]Listed{}
+		m.retired = nil
 		m.paused, m.fresh = map[model.InstanceID]time.Time{}, nil
 		m.trips, m.cordons, m.idle = map[model.InstanceID]*trip{}, map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]time.Time{}
 	}
@@ -233,6 +238,9 @@
 	for id := range m.trips {
 		all[id] = true
 	}
+	for id := range m.retired {
+		all[id] = true
+	}
 	m.cordons = next
 	m.scheduler.SetCordons(all)
 }
@@ -359,10 +367,37 @@
 
 // scale lets pools follow their demand.
 func (m *Machine) scale(now time.Time, s model.State, instances []model.ObservedInstance) {
-	for n, move := range scale.Decide(m.scaleInput(now, s, instances)) {
+	d := scale.Decide(m.scaleInput(now, s, instances))
+	m.retire(model.At(now), d.Retire, instances)
+	for n, move := range d.Moves {
 		if n >= maxMoves {
 			return
 		}
 		m.begin(now, move.Instance, &trip{from: move.From, to: move.To})
 	}
 }
+
+// retire keeps new work from instances beyond the demand. Runs that keep their
+// progress are stopped after a while, so that they go on elsewhere.
+func (m *Machine) retire(now model.Timestamp, ids []model.InstanceID, instances []model.ObservedInstance) {
+	next := map[model.InstanceID]model.Timestamp{}
+	for _, id := range ids {
+		since, ok := m.retired[id]
+		if !ok {
+			since = now
+		}
+		next[id] = since
+	}
+	m.retired = next
+	for _, o := range instances {
+		since, ok := next[o.ID]
+		if !ok || now.Sub(since) < retirePatience {
+			continue
+		}
+		for _, r := range o.Runs {
+			if r.Checkpointing && !r.Lasting && !r.Stopping {
+				m.scheduler.StopRun(r.Run)
+			}
+		}
+	}
+}
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -137,6 +137,11 @@
 			ID: o.ID, Pool: o.Pool, Capacity: o.Capacity, Off: o.Off,
 			Movable: t == nil && o.Idle() && !cordoned && !o.Leaving && !o.Held,
 		}
+		i.Retirable = t == nil && !cordoned && !o.Leaving
+		for _, r := range o.Runs {
+			i.Load += r.Size.MilliCPU
+			i.Retirable = i.Retirable && !r.Lasting
+		}
 		if t != nil && t.upkeep == 0 {
 			i.Pool = t.to
 		}
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -42,7 +42,7 @@
 	workload, _ := s.Workloads.Get(run.Task.Workload)
 	step := workload.Steps[run.Task.Step]
 	task, _ := workload.Task(run.Task)
-	o := model.ObservedRun{Run: run, Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
+	o := model.ObservedRun{Run: run, Size: step.Reserved(), Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
 	for _, active := range task.Active {
 		if active.Number == run.Number {
 			o.Age = s.Clock.Sub(active.StartedAt)
