Log each decision on a workload within a budget, and measure scheduling

One line for each answer to a caller, start of a step, early end of a run, end of a workload and change of what the leader believes of a worker. Lines never block; those beyond 100 a second are sampled by workload, and drops are counted.

--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
@@ -29,7 +30,8 @@
 	s := platformSettings(role, p)
 	proc := &Process{settings: s}
 	options := []fx.Option{
-		fx.Supply(s, path, p, fx.Annotate(w, fx.As(new(io.Writer)))),
+		fx.Supply(s, path, p),
+		boundedLog(w),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.DrainTimeout),
 		processModule,
@@ -45,6 +47,19 @@
 	return proc, trace.Wrap(proc.app.Err())
 }
 
+// boundedLog writes log lines to w without ever waiting for it, and within a budget.
+func boundedLog(w io.Writer) fx.Option {
+	return fx.Options(
+		fx.Provide(func(lc fx.Lifecycle, r *prometheus.Registry) *telemetry.Bound {
+			b := telemetry.NewBound(w, r)
+			lc.Append(fx.StopHook(b.Flush))
+			return b
+		}),
+		fx.Provide(func(b *telemetry.Bound) io.Writer { return b }),
+		fx.Decorate(func(l *zap.Logger, b *telemetry.Bound) *zap.Logger { return b.Limit(l) }),
+	)
+}
+
 // platformSettings converts the platform's settings to those of an instance.
 // Replicas are named by their IP number, which is all that seeds tell.
 func platformSettings(role Role, p settings.Settings) Settings {
--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -27,8 +28,8 @@
 	fx.Invoke(addFleet, routePlatformControl),
 )
 
-func newScheduler(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, log *zap.Logger) *schedule.Machine {
-	s := schedule.Settings{LeaseMax: p.LeaseMax, Logger: log}
+func newScheduler(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, metrics prometheus.Registerer, log *zap.Logger) *schedule.Machine {
+	s := schedule.Settings{LeaseMax: p.LeaseMax, Metrics: schedule.NewMetrics(metrics), Logger: log}
 	if p.AdviceAddress != "" {
 		s.Advisor = cloud.New(p.AdviceAddress, p.Name)
 	}
--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -27,13 +28,14 @@
 	Servers   *servers
 	Client    *http.Client
 	Metrics   metricsHandler
+	Registry  prometheus.Registerer
 	Log       *zap.Logger
 }
 
 func routePlatformEntry(p platformEntryParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
 	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
-	commands := platformcommand.NewCallers(control, p.Log)
+	commands := platformcommand.NewCallers(control, platformcommand.NewMetrics(p.Registry), p.Log)
 	queries := platformquery.NewCallers(control, p.Log)
 	ready := platformquery.NewReady(control, p.Log)
 	callers := mux.NewRouter().SkipClean(true)
--- /dev/null
+++ b/node/telemetry/bounded_test.go
@@ -0,0 +1,78 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a log that grows with the load, one whose lines about one
+// workload are torn apart, and drops that nobody sees.
+func TestBudget(t *testing.T) {
+	b := NewBound(&bytes.Buffer{}, prometheus.NewRegistry())
+	now := time.Unix(1000, 0)
+	admitted := map[string]int{}
+	total := 0
+	for i := range 1000 {
+		subject := fmt.Sprint(i % 50)
+		if b.admit(now, zapcore.InfoLevel, subject) {
+			admitted[subject]++
+			total++
+		}
+	}
+	assert.Assert(t, total <= lineBudget && total > sampleAbove, "%d", total)
+	assert.Equal(t, testutil.ToFloat64(b.dropped), float64(1000-total))
+	assert.Assert(t, b.admit(now.Add(time.Second), zapcore.InfoLevel, "0"))
+}
+
+// Guards against warnings that are left out before ordinary lines.
+func TestWarningsAreNotSampled(t *testing.T) {
+	b := NewBound(&bytes.Buffer{}, prometheus.NewRegistry())
+	now := time.Unix(1000, 0)
+	for range sampleAbove {
+		b.admit(now, zapcore.InfoLevel, "x")
+	}
+	for range lineBudget - sampleAbove {
+		assert.Assert(t, b.admit(now, zapcore.WarnLevel, "y"))
+	}
+}
+
+// blocked never takes a line until it is released.
+type blocked struct{ release sync.WaitGroup }
+
+func (b *blocked) Write(p []byte) (int, error) {
+	b.release.Wait()
+	return len(p), nil
+}
+
+// Guards against a control loop that waits for the log.
+func TestBusyOutputDoesNotBlock(t *testing.T) {
+	out := &blocked{}
+	out.release.Add(1)
+	defer out.release.Done()
+	b := NewBound(out, prometheus.NewRegistry())
+	for range lineQueue + 10 {
+		_, err := b.Write([]byte("line\n"))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, testutil.ToFloat64(b.dropped) >= 8)
+}
+
+// Guards against fields that are lost behind the bound.
+func TestLimitKeepsFields(t *testing.T) {
+	var out bytes.Buffer
+	l, err := NewLogger(LogSettings{Level: "info", JSON: true}, &out)
+	assert.NilError(t, err)
+	l = NewBound(&bytes.Buffer{}, prometheus.NewRegistry()).Limit(l).With(zap.String("instance", "i"))
+	l.Info("text", zap.String(SubjectKey, "w"))
+	assert.Assert(t, strings.Contains(out.String(), `"instance":"i","workload":"w"`), out.String())
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -12,6 +12,7 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/clock"
+	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/replica"
 )
@@ -22,6 +23,7 @@
 	LeaseMax time.Duration
 	// Advisor is nil where there is no policy service.
 	Advisor Advisor
+	Metrics *Metrics
 	Logger  *zap.Logger
 }
 
@@ -52,10 +54,12 @@
 	// preemptAt is when runs may next be stopped for more urgent work.
 	preemptAt time.Time
 
-	waiting    []waiter
-	committing []waiter
-	busy       bool
-	deadline   time.Time
+	waiting  []waiter
+	inCommit *turn // the turn that is being committed; nil if none is
+	// logged holds the workloads whose end was logged in the turn that was
+	// committed last.
+	logged   map[model.WorkloadID]bool
+	deadline time.Time
 }
 
 // waiter is a worker's report that has not been answered.
@@ -125,7 +129,7 @@
 	if m.term == 0 {
 		return
 	}
-	if !m.busy {
+	if m.inCommit == nil {
 		m.turn(now)
 	}
 	m.deadline = m.nextExpiry(now)
@@ -142,8 +146,9 @@
 	case !v.IsLeader:
 		if m.term != 0 {
 			m.refuseAll(errNotLeader)
+			event.SchedulingEnded.Log(m.settings.Logger, zap.Uint64("term", uint64(m.term)))
 		}
-		m.term, m.busy, m.workers = 0, false, nil
+		m.term, m.workers = 0, nil
 	case m.term != v.Term:
 		m.lead(v)
 	}
@@ -151,7 +156,8 @@
 
 func (m *Machine) lead(v *replica.View) {
 	m.refuseAll(errNotLeader)
-	m.term, m.leaderSince, m.busy = v.Term, v.LeaderSince, false
+	m.term, m.leaderSince = v.Term, v.LeaderSince
+	event.SchedulingBegun.Log(m.settings.Logger, zap.Uint64("term", uint64(v.Term)), zap.Uint64("state", uint64(v.State.Index)), zap.Duration("lease", m.lease()))
 	m.workers, m.left = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
@@ -159,8 +165,13 @@
 }
 
 func (m *Machine) refuseAll(err error) {
-	for _, w := range append(m.waiting, m.committing...) {
+	for _, w := range m.waiting {
 		w.reply <- answer{err: err}
 	}
-	m.waiting, m.committing = nil, nil
+	if m.inCommit != nil {
+		for _, w := range m.inCommit.waiting {
+			w.reply <- answer{err: err}
+		}
+	}
+	m.waiting, m.inCommit = nil, nil
 }
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -8,7 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/core/command"
@@ -61,6 +64,7 @@
 	t       *testing.T
 	replica *fakeReplica
 	machine *Machine
+	logs    *observer.ObservedLogs
 	seq     int64
 }
 
@@ -73,8 +77,10 @@
 			Queues: []model.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxFailures: 3, Stretch: 2, Target: time.Second}},
 		}
 		b.propose(model.PublishCatalog{Catalog: catalog})
+		core, logs := observer.New(zapcore.InfoLevel)
+		b.logs = logs
 		l := loop.New(64)
-		b.machine = New(ctx, l, b.replica, clock.NewGuard(), Settings{LeaseMax: leaseMax, Logger: zap.NewNop()})
+		b.machine = New(ctx, l, b.replica, clock.NewGuard(), Settings{LeaseMax: leaseMax, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.New(core)})
 		done := make(chan struct{})
 		go func() { defer close(done); l.Run(ctx) }()
 		test(b)
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -25,8 +25,12 @@
 // answerAll answers reports from the committed state.
 func (m *Machine) answerAll(now time.Time, list []waiter) {
 	for _, w := range list {
+		m.settings.Metrics.age.Observe(now.Sub(w.at).Seconds())
 		w.reply <- answer{orders: m.orders(now, w)}
 	}
+	m.settings.Metrics.workers.Set(float64(len(m.workers)))
+	m.settings.Metrics.active.Set(float64(m.seen.State.Workloads.Len()))
+	m.settings.Metrics.waiting.Set(float64(len(m.waiting)))
 }
 
 // orders compares the runs that a worker has with those that it should have.
--- /dev/null
+++ b/replica/schedule/record.go
@@ -0,0 +1,107 @@
+package schedule
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/command/place"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/telemetry"
+)
+
+// Causes of the end of a run, as the log and the metrics name them.
+const (
+	causeReported = "reported by the worker"
+	causeLease    = "lease over"
+	causeReplaced = "worker replaced or left"
+	causeUnheard  = "worker not heard of since the election"
+)
+
+// endCause tells why a run that the worker did not end itself counts as ended.
+func (m *Machine) endCause(id model.WorkerID) string {
+	switch {
+	case m.gone(id):
+		return causeReplaced
+	case m.workers[id] == nil:
+		return causeUnheard
+	}
+	return causeLease
+}
+
+// logProgress writes the lines and the metrics of a committed turn. Before is
+// the state that the turn was decided on.
+func (m *Machine) logProgress(now time.Time, t turn) {
+	m.settings.Metrics.turnDone(now.Sub(t.began), t.progress)
+	for _, end := range t.progress.Ends {
+		cause := t.causes[end.Run]
+		m.settings.Metrics.ended.WithLabelValues(end.Outcome.String(), cause).Inc()
+		if end.Outcome != model.RunDone {
+			event.RunEnded.Log(m.settings.Logger, append(runFields(end.Run), zap.String("worker", string(end.Worker)), zap.Stringer("outcome", end.Outcome),
+				zap.String("cause", cause), zap.String("checkpoint", end.Checkpoint), zap.Uint64("state", uint64(t.before.Index)))...)
+		}
+		m.logFinished(now, t.before, end.Run.Task.Workload)
+	}
+	m.logStarts(now, t)
+}
+
+func runFields(run model.RunRef) []zap.Field {
+	return []zap.Field{
+		zap.String(telemetry.SubjectKey, string(run.Task.Workload)), zap.Int("round", run.Task.Round), zap.Int("step", run.Task.Step),
+		zap.Int("task", run.Task.Index), zap.Int("run", run.Number),
+	}
+}
+
+// logStarts writes one line for the starts of each step.
+func (m *Machine) logStarts(now time.Time, t turn) {
+	for first := 0; first < len(t.progress.Starts); {
+		key := keyOf(t.progress.Starts[first].Run.Task)
+		var tasks []int
+		var workers []string
+		var age time.Duration
+		last := first
+		for ; last < len(t.progress.Starts) && keyOf(t.progress.Starts[last].Run.Task) == key; last++ {
+			start := t.progress.Starts[last]
+			tasks = append(tasks, start.Run.Task.Index)
+			workers = append(workers, string(start.Worker))
+			if w := m.workers[start.Worker]; w != nil {
+				age = max(age, t.began.Sub(w.heardAt))
+			}
+		}
+		first = last
+		w, _ := t.before.Workloads.Get(key.workload)
+		waited := max(model.At(now), t.before.Clock).Sub(w.AcceptedAt)
+		if !w.Started() {
+			m.settings.Metrics.wait.Observe(waited.Seconds())
+		}
+		event.RunsStarted.Log(m.settings.Logger, zap.String(telemetry.SubjectKey, string(key.workload)), zap.Int("round", key.round), zap.Int("step", key.step),
+			zap.Ints("tasks", tasks), zap.Strings("workers", workers), zap.Duration("since_accepted", waited), zap.Duration("report_age", age),
+			zap.Uint64("state", uint64(t.before.Index)))
+	}
+}
+
+// logFinished writes a line if the workload has reached a final phase in this turn.
+func (m *Machine) logFinished(now time.Time, before model.State, id model.WorkloadID) {
+	w, active := before.Workloads.Get(id)
+	f, ended := m.replica.View().State.Finished.Get(id)
+	if !active || !ended || m.logged[id] {
+		return
+	}
+	m.logged[id] = true
+	q, _ := before.Catalog.Queue(w.Queue)
+	took, late := f.EndedAt.Sub(w.AcceptedAt), max(0, f.EndedAt.Sub(place.Deadline(w, q)))
+	m.settings.Metrics.finished.WithLabelValues(f.Phase.String()).Inc()
+	if f.Phase == model.WorkloadCompleted {
+		m.settings.Metrics.duration.WithLabelValues(string(w.Queue)).Observe(took.Seconds())
+		m.settings.Metrics.overtime.Observe(late.Seconds())
+	}
+	event.WorkloadEnded.Log(m.settings.Logger, zap.String(telemetry.SubjectKey, string(id)), zap.String("queue", string(w.Queue)), zap.Stringer("phase", f.Phase),
+		zap.String("reason", f.Reason), zap.Duration("took", took), zap.Duration("late", late), zap.Int64("catalog", int64(before.Catalog.Version)))
+}
+
+// logWorker writes a line about what the leader believes of a worker.
+func (m *Machine) logWorker(e event.Event, r Report) {
+	e.Log(m.settings.Logger, zap.String("worker", string(r.Worker)), zap.String("id", string(r.Instance)), zap.String("pool", string(r.Pool)),
+		zap.String("address", r.Address), zap.Int64("sequence", r.Sequence), zap.Int("running", len(r.Running)))
+}
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -14,6 +14,15 @@
 	"lacewingturn.example/replica"
 )
 
+// turn is a planning turn that is being committed.
+type turn struct {
+	began    time.Time
+	before   model.State
+	progress model.RecordProgress
+	causes   map[model.RunRef]string // why runs have ended
+	waiting  []waiter
+}
+
 // turn records the ends that were reported, plans starts for the workers that
 // wait for an answer, and commits both. Reports without news are answered at once.
 func (m *Machine) turn(now time.Time) {
@@ -23,7 +32,8 @@
 	}
 	state := m.seen.State
 	m.forgetEnded(now, state)
-	progress := model.RecordProgress{Ends: append(m.endsOf(state), m.lost(now, state)...)}
+	causes := map[model.RunRef]string{}
+	progress := model.RecordProgress{Ends: append(m.endsOf(state, causes), m.lost(now, state, causes)...)}
 	after := applied(state, progress)
 	m.forgetStops(after)
 	m.checkHealth(now, after)
@@ -36,7 +46,8 @@
 		m.waiting = nil
 		return
 	}
-	m.committing, m.waiting = m.waiting, nil
+	m.inCommit = &turn{began: now, before: state, progress: progress, causes: causes, waiting: m.waiting}
+	m.waiting = nil
 	m.commit(progress)
 }
 
@@ -50,12 +61,13 @@
 }
 
 // endsOf lists the reported ends of runs that are recorded as active.
-func (m *Machine) endsOf(s model.State) []model.RunEnd {
+func (m *Machine) endsOf(s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
 	for _, w := range m.waiting {
 		a, _ := s.Assignments.Get(w.report.Worker)
 		for _, end := range w.report.Ended {
 			if slices.Contains(a.Runs, end.Run) {
+				causes[end.Run] = causeReported
 				out = append(out, model.RunEnd{Run: end.Run, Worker: w.report.Worker, Outcome: end.Outcome, Checkpoint: end.Checkpoint})
 			}
 		}
@@ -65,7 +77,7 @@
 
 // lost lists the runs of workers whose lease has certainly ended, that have
 // left, or that were replaced by a later incarnation.
-func (m *Machine) lost(now time.Time, s model.State) []model.RunEnd {
+func (m *Machine) lost(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
 	for id, a := range s.Assignments.All() {
 		if m.aliveUntil(id).After(now) {
@@ -74,6 +86,7 @@
 		w := m.workers[id]
 		for _, run := range a.Runs {
 			end := model.RunEnd{Run: run, Worker: id, Outcome: model.RunInterrupted}
+			causes[run] = m.endCause(id)
 			if w != nil {
 				end.Checkpoint = w.checkpoint(run)
 			}
@@ -184,7 +197,6 @@
 
 // commit proposes the progress. The result comes back as a message.
 func (m *Machine) commit(p model.RecordProgress) {
-	m.busy = true
 	term := m.term
 	go func() {
 		results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: p}})
@@ -195,12 +207,11 @@
 
 // finish answers the workers whose ends and starts are committed.
 func (m *Machine) finish(now time.Time, c committed) {
-	if c.term != m.term {
+	if c.term != m.term || m.inCommit == nil {
 		return
 	}
-	m.busy = false
-	waiting := m.committing
-	m.committing = nil
+	t := m.inCommit
+	m.inCommit = nil
 	err := c.err
 	if err == nil && !c.results[0].Code.OK() {
 		err = c.results[0]
@@ -209,12 +220,14 @@
 		err = errNotLeader
 	}
 	if err != nil {
-		for _, w := range waiting {
+		for _, w := range t.waiting {
 			w.reply <- answer{err: trace.Wrap(err)}
 		}
 		return
 	}
-	m.answerAll(now, waiting)
+	m.logged = map[model.WorkloadID]bool{}
+	m.logProgress(now, *t)
+	m.answerAll(now, t.waiting)
 }
 
 var errNotLeader = result.New(result.NotLeader, "this replica does not lead")
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -8,6 +8,7 @@
 	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
 )
 
 // Report takes a worker's heartbeat and returns its orders.
@@ -50,13 +51,22 @@
 	if w == nil {
 		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease()), pace: pace.NewWorker(), paced: map[model.RunRef]int{}}
 		m.workers[r.Worker] = w
+		m.logWorker(event.WorkerAppeared, r)
 	}
+	if r.Draining && !w.Draining {
+		m.logWorker(event.WorkerLeaving, r)
+	}
+	doubted := now.Before(w.doubtUntil)
 	w.observe(now, r, m.seen.State)
 	for _, end := range r.Ended {
 		if end.Outcome == model.RunFailed {
 			m.avoided.add(now, end.Run.Task, r.Worker)
 		}
 	}
+	if !doubted && now.Before(w.doubtUntil) {
+		m.logWorker(event.WorkerDoubted, r)
+	}
+	m.settings.Metrics.reports.Inc()
 	m.replace(now, w)
 	m.waiting = append(m.waiting, waiter{worker: w, report: r, at: now, reply: msg.reply})
 }
@@ -81,6 +91,7 @@
 	for _, other := range m.places(w.Report) {
 		if other != nil && other != w {
 			m.left[other.Worker] = now
+			m.logWorker(event.WorkerReplaced, other.Report)
 		}
 	}
 	m.byName[w.Name], m.byAddress[w.Address] = w, w
@@ -117,6 +128,7 @@
 	if w := m.byName[msg.name]; w != nil {
 		if _, known := m.left[w.Worker]; !known {
 			m.left[w.Worker] = now.Add(departPause)
+			m.logWorker(event.WorkerLeft, w.Report)
 		}
 		w.Draining = true
 	}
