--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -139,7 +139,7 @@
 }
 
 func (c *Client) attempt(ctx context.Context, address string, req *replicav1.ProposeRequest) answer {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, attemptTime(ctx))
 	defer cancel()
 	resp, err := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address).Propose(ctx, connect.NewRequest(req))
 	if err != nil {
@@ -162,6 +162,16 @@
 	return a
 }
 
+// attemptTime returns how long one call may take: half of what is left, so that
+// a replica that is silent leaves time for another one.
+func attemptTime(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return attemptTimeout
+	}
+	return min(attemptTimeout, max(time.Until(deadline)/2, minBackoff))
+}
+
 // notSent reports whether the request certainly did not reach a replica, or
 // was refused by its server before it was handled.
 func notSent(err error) bool {
@@ -187,7 +197,7 @@
 	}
 	switch env.Command.(type) {
 	case model.Noop, model.ClaimRequest, model.SettleClaim, model.AnnounceTarget, model.RemoveTarget, model.RemoveEntry,
-		model.ReportWork:
+		model.ReportWork, model.SubmitWorkload, model.CancelWorkload, model.PublishCatalog, model.OrderUpkeep, model.BeginUpkeep:
 		return true
 	}
 	return false
--- /dev/null
+++ b/replica/client/client_test.go
@@ -0,0 +1,94 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/api/codec"
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
+	workloadv1 "lacewingturn.example/api/gen/lacewingturn/workload/v1"
+	"lacewingturn.example/api/gen/lacewingturn/workload/v1/workloadv1connect"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+// standIn is a replica that answers every call, or none while it is silent.
+type standIn struct {
+	replicav1connect.UnimplementedReplicaCommandServiceHandler
+	workloadv1connect.UnimplementedWorkloadQueryServiceHandler
+	silent   bool
+	address  string
+	leader   string // empty if it leads itself
+	replicas []string
+}
+
+func (s *standIn) wait(ctx context.Context) {
+	if s.silent {
+		<-ctx.Done()
+	}
+}
+
+func (s *standIn) Propose(ctx context.Context, req *connect.Request[replicav1.ProposeRequest]) (*connect.Response[replicav1.ProposeResponse], error) {
+	s.wait(ctx)
+	if s.leader != "" {
+		return connect.NewResponse(&replicav1.ProposeResponse{NotLeader: true, LeaderAddress: s.leader}), nil
+	}
+	data, err := codec.EncodeResult(result.Result{Code: result.Accepted})
+	return connect.NewResponse(&replicav1.ProposeResponse{Results: [][]byte{data}}), err
+}
+
+func (s *standIn) Find(ctx context.Context, _ *connect.Request[workloadv1.FindRequest]) (*connect.Response[workloadv1.FindResponse], error) {
+	s.wait(ctx)
+	lead := &workloadv1.Leadership{NotLeader: s.leader != "", LeaderAddress: s.leader, Replicas: s.replicas}
+	return connect.NewResponse(&workloadv1.FindResponse{Leadership: lead, CatalogKnown: true, QueueKnown: true, WorkloadKnown: true, Phase: 3}), nil
+}
+
+func serve(t *testing.T, s *standIn) string {
+	mux := http.NewServeMux()
+	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(s))
+	mux.Handle(workloadv1connect.NewWorkloadQueryServiceHandler(s))
+	server := httptest.NewUnstartedServer(mux)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols = protocols
+	server.Start()
+	t.Cleanup(server.Close)
+	s.address = server.Listener.Addr().String()
+	return s.address
+}
+
+var submission = []model.Envelope{{Command: model.SubmitWorkload{Host: "h", Path: "/q/1"}}}
+
+// Guards against a submission that is given up because the replica that was
+// asked first is silent, although another one could take it in time.
+func TestSilentReplicaLeavesTimeForAnother(t *testing.T) {
+	silent, leader := serve(t, &standIn{silent: true}), serve(t, &standIn{})
+	c := New([]string{silent, leader}, NewHTTPClient())
+	c.leader.Store(&silent)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	results, err := c.Propose(ctx, submission)
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.Accepted)
+}
+
+// Guards against a client that knows only replicas that were replaced.
+func TestClientLearnsTheMembers(t *testing.T) {
+	leader := &standIn{}
+	address := serve(t, leader)
+	follower := serve(t, &standIn{leader: address, replicas: []string{address}})
+	leader.replicas = []string{address}
+	c := New([]string{follower}, NewHTTPClient())
+	found, err := c.Find(t.Context(), "h", "/q/1")
+	assert.NilError(t, err)
+	assert.Equal(t, found, Found{QueueKnown: true, WorkloadKnown: true, Phase: model.WorkloadCompleted})
+	assert.DeepEqual(t, *c.addresses.Load(), []string{address})
+}
