--- /dev/null
+++ b/replica/fleet/machine_test.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/clock"
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica"
+)
+
+const dutyPause = 3 * time.Second
+
+// fakeReplica applies commands at once and always has a quorum.
+type fakeReplica struct {
+	mu   sync.Mutex
+	view replica.View
+}
+
+func (f *fakeReplica) View() *replica.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.view
+	v.QuorumContact = time.Now()
+	return &v
+}
+
+func (f *fakeReplica) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]result.Result, len(commands))
+	for i, env := range commands {
+		env.Time = model.At(time.Now())
+		f.view.State, out[i] = command.Apply(f.view.State, f.view.State.Index+1, f.view.Term, env)
+	}
+	return out, nil
+}
+
+func (f *fakeReplica) lead(term model.Term) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Term, f.view.State.Term, f.view.IsLeader, f.view.LeaderSince = term, term, true, time.Now()
+}
+
+// fakeScheduler reports the instances that the test sets.
+type fakeScheduler struct {
+	mu        sync.Mutex
+	instances []model.ObservedInstance
+	stopped   []model.RunRef
+}
+
+func (f *fakeScheduler) Observe(time.Time) []model.ObservedInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]model.ObservedInstance(nil), f.instances...)
+}
+
+func (f *fakeScheduler) Present(time.Time, model.TaskRef) bool     { return true }
+func (f *fakeScheduler) SetCordons(map[model.InstanceID]bool)      {}
+func (f *fakeScheduler) InstanceEnded(time.Time, model.InstanceID) {}
+func (f *fakeScheduler) StopRun(r model.RunRef)                    { f.stopped = append(f.stopped, r) }
+func (f *fakeScheduler) set(instances ...model.ObservedInstance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = instances
+}
+
+// order is a call that the platform received.
+type order struct {
+	at   time.Time
+	what string
+	term model.Term
+}
+
+// fakePlatform answers every call as the test says.
+type fakePlatform struct {
+	mu     sync.Mutex
+	list   []Listed
+	answer error
+	orders []order
+	// recorded reports whether the order was recorded when the call came.
+	recorded func(model.InstanceID) bool
+	early    bool
+}
+
+func (p *fakePlatform) Instances(context.Context) ([]Listed, error) { return p.list, nil }
+
+func (p *fakePlatform) take(id model.InstanceID, what string, term model.Term) error {
+	recorded := p.recorded(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.early = p.early || !recorded
+	p.orders = append(p.orders, order{time.Now(), what, term})
+	return p.answer
+}
+
+func (p *fakePlatform) Move(_ context.Context, id model.InstanceID, to model.PoolName, term model.Term) error {
+	return p.take(id, fmt.Sprintf("%s to %s", id, to), term)
+}
+
+func (p *fakePlatform) Maintain(_ context.Context, id model.InstanceID, n model.UpkeepNumber, term model.Term) error {
+	return p.take(id, fmt.Sprintf("%s for %d", id, n), term)
+}
+
+func (p *fakePlatform) calls() []order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]order(nil), p.orders...)
+}
+
+type bench struct {
+	t         *testing.T
+	replica   *fakeReplica
+	scheduler *fakeScheduler
+	platform  *fakePlatform
+}
+
+func run(t *testing.T, test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bench{t, &fakeReplica{}, &fakeScheduler{}, &fakePlatform{}}
+		b.replica.lead(1)
+		b.platform.recorded = func(id model.InstanceID) bool { return b.replica.View().State.Orders.Has(id) }
+		b.propose(model.PublishCatalog{Catalog: model.Catalog{Version: 1, Pools: []model.WorkerPool{{Name: "p"}, {Name: "off", Standby: true}}}})
+		l := loop.New(64)
+		New(ctx, l, b.replica, clock.NewGuard(), b.scheduler, b.platform, Settings{
+			DutyPause: dutyPause, MoveTime: time.Second, UpkeepTime: 2 * time.Second, Logger: zap.NewNop(),
+		})
+		done := make(chan struct{})
+		go func() { defer close(done); l.Run(ctx) }()
+		test(b)
+		cancel()
+		<-done
+	})
+}
+
+func (b *bench) propose(c model.Command) {
+	_, err := b.replica.Propose(context.Background(), []model.Envelope{{Command: c}})
+	assert.NilError(b.t, err)
+}
+
+func (b *bench) upkeep(limit int, ids ...model.InstanceID) {
+	u := model.Upkeep{Number: 7, Limit: limit, Duration: 20 * time.Second}
+	for _, id := range ids {
+		u.Instances = append(u.Instances, model.UpkeepInstance{ID: id})
+	}
+	b.propose(model.OrderUpkeep{Upkeep: u})
+}
+
+func (b *bench) complete() bool {
+	u, _ := b.replica.View().State.Upkeeps.Get(7)
+	return u.Complete()
+}
+
+func idle(id model.InstanceID) model.ObservedInstance {
+	return model.ObservedInstance{ID: id, Pool: "p", Capacity: model.Resources{MilliCPU: 16000}, Settled: true}
+}
+
+// busy returns an instance with a lasting task, which is not moved.
+func busy(id model.InstanceID) model.ObservedInstance {
+	i := idle(id)
+	i.Runs = []model.ObservedRun{{Run: model.RunRef{Number: 1}, Lasting: true}}
+	return i
+}
+
+// Guards against an order that is given before another leader could know of it,
+// and an upkeep that is complete before the platform has confirmed it.
+func TestOrdersAreRecordedFirst(t *testing.T) {
+	run(t, func(b *bench) {
+		b.scheduler.set(idle("a"), busy("b"))
+		b.platform.answer = errors.New("no answer")
+		b.upkeep(1, "a")
+		time.Sleep(time.Second)
+		assert.Assert(t, !b.complete())
+		b.platform.mu.Lock()
+		b.platform.answer = nil
+		b.platform.mu.Unlock()
+		time.Sleep(2 * orderRetry)
+		assert.Assert(t, b.complete())
+		assert.Assert(t, !b.platform.early)
+		assert.Equal(t, b.platform.calls()[0].what, "a for 7")
+	})
+}
+
+// Guards against two leaders that take turns with one instance, and against a
+// new leader that leaves all other instances alone for that time.
+func TestNewLeaderPausesForOrderedInstancesOnly(t *testing.T) {
+	run(t, func(b *bench) {
+		b.scheduler.set(idle("a"), idle("c"), busy("b"))
+		b.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
+		ordered := time.Now()
+		b.replica.lead(2)
+		b.upkeep(2, "a", "c")
+		time.Sleep(dutyPause + 2*time.Second)
+		at := map[string]time.Duration{}
+		for _, o := range b.platform.calls() {
+			if _, seen := at[o.what]; !seen {
+				at[o.what] = o.at.Sub(ordered)
+			}
+			assert.Equal(t, o.term, model.Term(2))
+		}
+		assert.Assert(t, at["c for 7"] < time.Second)
+		assert.Assert(t, at["a for 7"] > dutyPause, "%v", at)
+	})
+}
+
+// Guards against a refused order that is repeated without a pause.
+func TestRefusedOrdersArePaced(t *testing.T) {
+	run(t, func(b *bench) {
+		b.scheduler.set(idle("a"), busy("b"))
+		b.platform.answer = Refused{Reason: "busy"}
+		b.upkeep(1, "a")
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, len(b.platform.calls()) <= 6, "%d", len(b.platform.calls()))
+		assert.Assert(t, !b.complete())
+	})
+}
+
+// Guards against an upkeep that is never complete because an instance is gone,
+// and one that is complete because an instance is down for a while.
+func TestUpkeepOfInstancesThatAreGone(t *testing.T) {
+	run(t, func(b *bench) {
+		b.platform.list = []Listed{{ID: "down", Pool: "p", Gone: true}}
+		b.scheduler.set(busy("b"))
+		b.upkeep(1, "gone", "down")
+		time.Sleep(2 * listInterval)
+		u, _ := b.replica.View().State.Upkeeps.Get(7)
+		assert.Assert(t, u.Instances[0].Begun && !u.Instances[1].Begun)
+	})
+}
+
+// Guards against instances that stay on without work, against one that is moved
+// with work on it, and against moves before workers have reported to a new leader.
+func TestIdleInstancesGoToStandby(t *testing.T) {
+	run(t, func(b *bench) {
+		b.scheduler.set(busy("b"), busy("c"), idle("d"), idle("e"))
+		time.Sleep(settleTime - interval)
+		assert.Equal(t, len(b.platform.calls()), 0)
+		time.Sleep(3 * time.Second)
+		moved := map[string]bool{}
+		for _, o := range b.platform.calls() {
+			moved[o.what] = true
+		}
+		assert.DeepEqual(t, moved, map[string]bool{"d to off": true, "e to off": true})
+	})
+}
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -34,15 +34,22 @@
 	for _, l := range msg.list {
 		m.listed[l.ID] = l
 	}
-	m.dropGone()
+	m.dropGone(now)
 }
 
 // dropGone records that upkeep is not owed any more for instances that the
-// platform does not list.
-func (m *Machine) dropGone() {
+// platform does not list and whose workers are not heard of.
+func (m *Machine) dropGone(now time.Time) {
+	present := map[model.InstanceID]bool{}
+	for id := range m.listed {
+		present[id] = true
+	}
+	for _, o := range m.scheduler.Observe(now) {
+		present[o.ID] = present[o.ID] || !o.Away
+	}
 	for number, u := range m.replica.View().State.Upkeeps.All() {
 		for _, i := range u.Instances {
-			if _, listed := m.listed[i.ID]; !listed && !i.Begun && m.trips[i.ID] == nil {
+			if !present[i.ID] && !i.Begun && m.trips[i.ID] == nil {
 				event.InstanceGone.Log(m.settings.Logger, zap.String("id", string(i.ID)), zap.Int64("upkeep", int64(number)))
 				m.record(i.ID, &trip{upkeep: number})
 			}
