--- a/core/model/observed.go
+++ b/core/model/observed.go
@@ -4,8 +4,10 @@
 
 // ObservedInstance is what the leader sees of an instance that runs workers.
 type ObservedInstance struct {
-	ID   InstanceID
-	Pool PoolName
+	ID InstanceID
+	// Worker is the incarnation that was heard of last; empty if none was.
+	Worker WorkerID
+	Pool   PoolName
 	// Off is set while the instance is powered off in a standby pool.
 	Off bool
 	// Away is set while it is being moved or maintained, or is not heard of.
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -48,7 +48,7 @@
 	Present(now time.Time, task model.TaskRef) bool
 	SetCordons(map[model.InstanceID]bool)
 	StopRun(model.RunRef)
-	InstanceEnded(now time.Time, id model.InstanceID)
+	WorkerEnded(now time.Time, id model.WorkerID)
 }
 
 // Settings of the machine.
@@ -77,6 +77,7 @@
 	listAt  time.Time
 	listing bool
 	listed  map[model.InstanceID]Listed
+	workers map[model.InstanceID]model.WorkerID // heard of last
 	trips   map[model.InstanceID]*trip
 	cordons map[model.InstanceID]model.Timestamp
 	retired map[model.InstanceID]model.Timestamp // since when instances get no new work
@@ -87,6 +88,9 @@
 
 // trip is an order to an instance until it is back.
 type trip struct {
+	// worker is the incarnation that the order ends. A confirmation may come after
+	// the next one has reported.
+	worker    model.WorkerID
 	upkeep    model.UpkeepNumber // 0 for a move
 	from      model.PoolName     // of a move
 	to        model.PoolName     // of a move
@@ -213,6 +217,12 @@
 	for id, t := range m.trips {
 		in.Down[id] = t.upkeep != 0
 	}
+	for id, last := range s.Orders.All() {
+		// The order of an earlier leader may have been for upkeep.
+		if last.Term != m.term && in.Now.Sub(last.At) < m.settings.UpkeepTime+returnSlack {
+			in.Down[id] = true
+		}
+	}
 	d := maintain.Decide(in)
 	m.cordon(in.Now, d)
 	for _, run := range d.Stop {
@@ -247,7 +257,7 @@
 
 // begin notes an order that is announced and given at the end of the look.
 func (m *Machine) begin(now time.Time, id model.InstanceID, t *trip) {
-	t.began, t.calling = now, true
+	t.began, t.calling, t.worker = now, true, m.workers[id]
 	m.trips[id] = t
 	m.fresh = append(m.fresh, id)
 }
@@ -321,7 +331,7 @@
 	if msg.err == nil {
 		event.InstanceOrdered.Log(m.settings.Logger, fields...)
 		t.confirmed, t.retryAt = now, time.Time{}
-		m.scheduler.InstanceEnded(now, msg.id)
+		m.scheduler.WorkerEnded(now, t.worker)
 		if t.upkeep != 0 {
 			m.record(msg.id, t)
 		}
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -58,6 +58,7 @@
 	mu        sync.Mutex
 	instances []model.ObservedInstance
 	stopped   []model.RunRef
+	ended     []model.WorkerID
 }
 
 func (f *fakeScheduler) Observe(time.Time) []model.ObservedInstance {
@@ -66,10 +67,14 @@
 	return append([]model.ObservedInstance(nil), f.instances...)
 }
 
-func (f *fakeScheduler) Present(time.Time, model.TaskRef) bool     { return true }
-func (f *fakeScheduler) SetCordons(map[model.InstanceID]bool)      {}
-func (f *fakeScheduler) InstanceEnded(time.Time, model.InstanceID) {}
-func (f *fakeScheduler) StopRun(r model.RunRef)                    { f.stopped = append(f.stopped, r) }
+func (f *fakeScheduler) Present(time.Time, model.TaskRef) bool { return true }
+func (f *fakeScheduler) SetCordons(map[model.InstanceID]bool)  {}
+func (f *fakeScheduler) WorkerEnded(_ time.Time, id model.WorkerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended = append(f.ended, id)
+}
+func (f *fakeScheduler) StopRun(r model.RunRef) { f.stopped = append(f.stopped, r) }
 func (f *fakeScheduler) set(instances ...model.ObservedInstance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -164,7 +169,7 @@
 }
 
 func idle(id model.InstanceID) model.ObservedInstance {
-	return model.ObservedInstance{ID: id, Pool: "p", Capacity: model.Resources{MilliCPU: 16000}, Settled: true}
+	return model.ObservedInstance{ID: id, Worker: model.MakeWorkerID(string(id), 1), Pool: "p", Capacity: model.Resources{MilliCPU: 16000}, Settled: true}
 }
 
 // busy returns an instance with a lasting task, which is not moved.
@@ -193,6 +198,42 @@
 	})
 }
 
+// Guards against a confirmation that comes late and ends the worker that has
+// come back meanwhile.
+func TestLateConfirmationEndsTheOldWorkerOnly(t *testing.T) {
+	run(t, func(b *bench) {
+		b.scheduler.set(idle("a"), busy("b"))
+		b.platform.answer = errors.New("no answer")
+		b.upkeep(1, "a")
+		time.Sleep(500 * time.Millisecond)
+		back := idle("a")
+		back.Worker = model.MakeWorkerID("a", 2)
+		b.scheduler.set(back, busy("b"))
+		b.platform.mu.Lock()
+		b.platform.answer = nil
+		b.platform.mu.Unlock()
+		time.Sleep(2 * orderRetry)
+		assert.DeepEqual(t, b.scheduler.ended, []model.WorkerID{model.MakeWorkerID("a", 1)})
+	})
+}
+
+// Guards against upkeep beyond the limit because a new leader does not know
+// which instances an earlier one has taken down.
+func TestUpkeepOfEarlierLeadersCounts(t *testing.T) {
+	run(t, func(b *bench) {
+		b.upkeep(1, "a", "c")
+		b.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
+		b.propose(model.BeginUpkeep{Number: 7, Instance: "a"})
+		b.scheduler.set(busy("b"), idle("c"))
+		begun := time.Now()
+		b.replica.lead(2)
+		time.Sleep(5 * time.Second)
+		first := b.platform.calls()[0]
+		assert.Equal(t, first.what, "c for 7")
+		assert.Assert(t, first.at.Sub(begun) >= 2*time.Second)
+	})
+}
+
 // Guards against two leaders that take turns with one instance, and against a
 // new leader that leaves all other instances alone for that time.
 func TestNewLeaderPausesForOrderedInstancesOnly(t *testing.T) {
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -62,6 +62,10 @@
 func (m *Machine) observe(now time.Time) []model.ObservedInstance {
 	catalog := m.replica.View().State.Catalog
 	out := m.scheduler.Observe(now)
+	m.workers = make(map[model.InstanceID]model.WorkerID, len(out))
+	for _, o := range out {
+		m.workers[o.ID] = o.Worker
+	}
 	heard := map[model.InstanceID]bool{}
 	for i := range out {
 		o := &out[i]
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -24,7 +24,7 @@
 
 func (m *Machine) observed(now time.Time, id model.InstanceID, w *worker) model.ObservedInstance {
 	o := model.ObservedInstance{
-		ID: id, Pool: w.Pool, Capacity: w.Capacity, Leaving: w.Draining, Settled: true,
+		ID: id, Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity, Leaving: w.Draining, Settled: true,
 		Away: m.gone(w.Worker) || now.Sub(w.heardAt) > silence,
 	}
 	state := m.replica.View().State
@@ -85,10 +85,10 @@
 // StopRun tells the worker to stop a run at its next report.
 func (m *Machine) StopRun(run model.RunRef) { m.stopping[run] = true }
 
-// InstanceEnded notes that everything on the instance has ended.
-func (m *Machine) InstanceEnded(now time.Time, id model.InstanceID) {
-	if w := m.byInstance[id]; w != nil {
-		m.left[w.Worker] = now
+// WorkerEnded notes that everything on an incarnation has ended.
+func (m *Machine) WorkerEnded(now time.Time, id model.WorkerID) {
+	if m.workers[id] != nil {
+		m.left[id] = now
 	}
 }
 
