--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -23,6 +23,9 @@
 	// Doubtful is set for a worker whose runs failed or stalled lately. It gets
 	// work only if no other worker can take it.
 	Doubtful bool
+	// Retiring is set for a worker beyond the demand of its pool, which is to
+	// become empty. It gets work only if no other worker has room.
+	Retiring bool
 }
 
 // Rules are what a plan depends on besides the state.
@@ -179,6 +182,9 @@
 	if a.Doubtful != b.Doubtful {
 		return b.Doubtful
 	}
+	if a.Retiring != b.Retiring {
+		return b.Retiring
+	}
 	if x, y := p.holds(a.ID, step), p.holds(b.ID, step); spec.Lasting && x != y {
 		return x < y
 	}
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -156,6 +156,19 @@
 	assert.Equal(t, len(x.plan(Rules{}, w)), 4+2)
 }
 
+// Guards against a task that waits although a worker that is to become empty
+// has room, and against one that keeps such a worker busy without need.
+func TestRetiringWorkersComeLast(t *testing.T) {
+	x := newSite(t)
+	x.submit(0, 1, step(2, 1000))
+	retiring := worker("a", 1000)
+	retiring.Retiring = true
+	starts := x.plan(Rules{}, retiring, worker("b", 1500))
+	assert.Equal(t, len(starts), 2)
+	assert.Equal(t, starts[0].Worker, model.WorkerID("b@1"))
+	assert.Equal(t, starts[1].Worker, retiring.ID)
+}
+
 // Guards against lasting tasks that are all lost with one worker.
 func TestLastingTasksAreSpread(t *testing.T) {
 	x := newSite(t)
--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -62,8 +62,8 @@
 // Decision is what to do next.
 type Decision struct {
 	Moves []Move
-	// Retire lists the instances beyond what their pool wants. They get no new
-	// work, so that they can be powered off once they are empty.
+	// Retire lists the instances beyond what their pool wants. They get work last,
+	// so that they can be powered off once they are empty.
 	Retire []model.InstanceID
 }
 
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -47,6 +47,7 @@
 	Observe(now time.Time) []model.ObservedInstance
 	Present(now time.Time, task model.TaskRef) bool
 	SetCordons(map[model.InstanceID]bool)
+	SetRetiring(map[model.InstanceID]model.Timestamp)
 	StopRun(model.RunRef)
 	WorkerEnded(now time.Time, id model.WorkerID)
 }
@@ -80,7 +81,7 @@
 	workers map[model.InstanceID]model.WorkerID // heard of last
 	trips   map[model.InstanceID]*trip
 	cordons map[model.InstanceID]model.Timestamp
-	retired map[model.InstanceID]model.Timestamp // since when instances get no new work
+	retired map[model.InstanceID]model.Timestamp // since when instances get work last
 	idle    map[model.InstanceID]time.Time       // since when nothing has run
 	paused  map[model.InstanceID]time.Time       // until when a refused order is not repeated
 	fresh   []model.InstanceID                   // orders that are not announced yet
@@ -248,9 +249,6 @@
 	for id := range m.trips {
 		all[id] = true
 	}
-	for id := range m.retired {
-		all[id] = true
-	}
 	m.cordons = next
 	m.scheduler.SetCordons(all)
 }
@@ -387,7 +385,7 @@
 	}
 }
 
-// retire keeps new work from instances beyond the demand. Runs that keep their
+// retire lets instances beyond the demand get work last. Runs that keep their
 // progress are stopped after a while, so that they go on elsewhere.
 func (m *Machine) retire(now model.Timestamp, ids []model.InstanceID, instances []model.ObservedInstance) {
 	next := map[model.InstanceID]model.Timestamp{}
@@ -399,6 +397,7 @@
 		next[id] = since
 	}
 	m.retired = next
+	m.scheduler.SetRetiring(next)
 	for _, o := range instances {
 		since, ok := next[o.ID]
 		if !ok || now.Sub(since) < retirePatience {
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -74,7 +74,8 @@
 	defer f.mu.Unlock()
 	f.ended = append(f.ended, id)
 }
-func (f *fakeScheduler) StopRun(r model.RunRef) { f.stopped = append(f.stopped, r) }
+func (f *fakeScheduler) SetRetiring(map[model.InstanceID]model.Timestamp) {}
+func (f *fakeScheduler) StopRun(r model.RunRef)                           { f.stopped = append(f.stopped, r) }
 func (f *fakeScheduler) set(instances ...model.ObservedInstance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -82,6 +82,13 @@
 // SetCordons replaces the instances whose workers get no new runs.
 func (m *Machine) SetCordons(cordons map[model.InstanceID]bool) { m.cordons = cordons }
 
+// SetRetiring replaces the instances whose workers get work last.
+func (m *Machine) SetRetiring(retiring map[model.InstanceID]model.Timestamp) {
+	for id, w := range m.byInstance {
+		_, w.retiring = retiring[id]
+	}
+}
+
 // StopRun tells the worker to stop a run at its next report.
 func (m *Machine) StopRun(run model.RunRef) { m.stopping[run] = true }
 
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -34,6 +34,8 @@
 	pace  pace.Worker
 	paced map[model.RunRef]int
 	room  room
+	// retiring is set while the instance is beyond the demand of its pool.
+	retiring bool
 }
 
 const (
@@ -172,7 +174,7 @@
 	}
 	return place.Worker{
 		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels,
-		Free: free, Spare: free.MilliCPU - w.fillers(s), Doubtful: now.Before(w.doubtUntil),
+		Free: free, Spare: free.MilliCPU - w.fillers(s), Doubtful: now.Before(w.doubtUntil), Retiring: w.retiring,
 	}, true
 }
 
