Let a heartbeat without news cost the same at every size of the fleet

Cause: each turn looked for lost runs, compared speeds and planned on all workers. Plans are made when something has changed, else every 100 ms.

--- /dev/null
+++ b/api/codec/workload_test.go
@@ -0,0 +1,62 @@
+package codec
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+)
+
+// workloads returns a state with n workloads of ten tasks, half of them started.
+func workloads(n int) model.State {
+	s := model.State{Catalog: &model.Catalog{
+		Version: 3, Document: []byte(`{}`), Pools: []model.WorkerPool{{Name: "p"}}, Queues: []model.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p"}},
+	}}
+	apply := func(c model.Command) {
+		s, _ = command.Apply(s, s.Index+1, 1, model.Envelope{Time: s.Clock + 1, Command: c})
+	}
+	for i := range n {
+		id := fmt.Sprintf("%016x", i)
+		apply(model.SubmitWorkload{Host: "h", Path: "/" + id, Workload: model.Workload{Payload: "text", Steps: []model.Step{{Count: 10}}}})
+		var p model.RecordProgress
+		for k := range 5 {
+			ref := model.TaskRef{Workload: model.WorkloadID(id), Index: k}
+			p.Starts = append(p.Starts, model.RunStart{Run: model.RunRef{Task: ref, Number: 1}, Worker: model.MakeWorkerID(fmt.Sprint(k), 1)})
+		}
+		apply(p)
+	}
+	apply(model.CancelWorkload{Host: "h", Path: "/" + fmt.Sprintf("%016x", 0)})
+	apply(model.OrderUpkeep{Upkeep: model.Upkeep{Number: 1, Limit: 1, Instances: []model.UpkeepInstance{{ID: "i"}}}})
+	apply(model.RecordOrders{Instances: []model.InstanceID{"i"}})
+	return s
+}
+
+// Guards against workloads, outcomes, upkeep or assignments that a snapshot loses.
+func TestWorkloadsSurviveASnapshot(t *testing.T) {
+	s := workloads(4)
+	data, err := EncodeState(s)
+	assert.NilError(t, err)
+	got, err := DecodeState(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Workloads.Values(), s.Workloads.Values())
+	assert.DeepEqual(t, got.Finished.Values(), s.Finished.Values())
+	assert.DeepEqual(t, got.Upkeeps.Values(), s.Upkeeps.Values())
+	assert.DeepEqual(t, got.Orders.Values(), s.Orders.Values())
+	assert.DeepEqual(t, got.Catalog, s.Catalog)
+	assert.Equal(t, got.Assignments.Len(), s.Assignments.Len())
+}
+
+func BenchmarkRecoverWorkloads(b *testing.B) {
+	data, err := EncodeState(workloads(1000))
+	assert.NilError(b, err)
+	b.ReportMetric(float64(len(data)), "bytes")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeState(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/core/command/workload/assign.go
+++ b/core/command/workload/assign.go
@@ -37,17 +37,19 @@
 
 // Assignments derives the runs of each worker from the workloads of a snapshot.
 func Assignments(s model.State) model.State {
+	byWorker := map[model.WorkerID]model.Assignment{}
 	for _, w := range s.Workloads.All() {
-		for i, round := range w.Rounds {
-			for j, step := range round.Steps {
-				for k, task := range step.Tasks {
-					for _, run := range task.Active {
-						ref := model.TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}
-						assign(&s, model.RunStart{Run: model.RunRef{Task: ref, Number: run.Number}, Worker: run.Worker})
-					}
-				}
+		for ref, task := range w.Tasks() {
+			for _, run := range task.Active {
+				a := byWorker[run.Worker]
+				a.Worker = run.Worker
+				a.Runs = append(a.Runs, model.RunRef{Task: ref, Number: run.Number})
+				byWorker[run.Worker] = a
 			}
 		}
 	}
+	for id, a := range byWorker {
+		s.Assignments = s.Assignments.Set(id, a)
+	}
 	return s
 }
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -124,13 +124,9 @@
 
 // finish moves a workload to its final phase and drops outcomes past retention.
 func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string) {
-	for _, round := range w.Rounds {
-		for _, step := range round.Steps {
-			for _, task := range step.Tasks {
-				for _, run := range task.Active {
-					unassign(s, run.Worker, w.ID)
-				}
-			}
+	for _, task := range w.Tasks() {
+		for _, run := range task.Active {
+			unassign(s, run.Worker, w.ID)
 		}
 	}
 	s.Workloads = s.Workloads.Delete(w.ID)
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 )
 
@@ -158,13 +159,9 @@
 
 // Started reports whether a run of any task was ever started.
 func (w Workload) Started() bool {
-	for _, r := range w.Rounds {
-		for _, s := range r.Steps {
-			for _, t := range s.Tasks {
-				if t.LastRun > 0 {
-					return true
-				}
-			}
+	for _, t := range w.Tasks() {
+		if t.LastRun > 0 {
+			return true
 		}
 	}
 	return false
@@ -190,6 +187,21 @@
 	return tasks[ref.Index], true
 }
 
+// Tasks iterates over all tasks with their positions.
+func (w Workload) Tasks() iter.Seq2[TaskRef, Task] {
+	return func(yield func(TaskRef, Task) bool) {
+		for i, round := range w.Rounds {
+			for j, step := range round.Steps {
+				for k, task := range step.Tasks {
+					if !yield(TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}, task) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // Has reports whether there is a task at the position.
 func (w Workload) Has(ref TaskRef) bool {
 	_, ok := w.Task(ref)
--- /dev/null
+++ b/replica/fleet/upkeep.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"time"
+
+	"lacewingturn.example/core/command/maintain"
+	"lacewingturn.example/core/model"
+)
+
+// maintain carries out orders for upkeep.
+func (m *Machine) maintain(now time.Time, s model.State, instances []model.ObservedInstance) {
+	in := maintain.Input{
+		Now: model.At(now), Instances: instances, Down: map[model.InstanceID]bool{}, Cordoned: m.cordons,
+		Present: func(t model.TaskRef) bool { return m.scheduler.Present(now, t) },
+		Allowed: func(t model.TaskRef) (int, int) {
+			w, _ := s.Workloads.Get(t.Workload)
+			return w.Steps[t.Step].Count, w.Steps[t.Step].Missable
+		},
+	}
+	for _, u := range s.Upkeeps.All() {
+		if !u.Complete() {
+			in.Upkeeps = append(in.Upkeeps, u)
+		}
+	}
+	for id, t := range m.trips {
+		in.Down[id] = t.upkeep != 0
+	}
+	for id, last := range s.Orders.All() {
+		// The order of an earlier leader may have been for upkeep.
+		if last.Term != m.term && in.Now.Sub(last.At) < m.settings.UpkeepTime+returnSlack {
+			in.Down[id] = true
+		}
+	}
+	d := maintain.Decide(in)
+	m.cordon(in.Now, d)
+	for _, run := range d.Stop {
+		m.scheduler.StopRun(run)
+	}
+	for _, u := range d.Begin {
+		if m.trips[u.Instance] == nil {
+			m.begin(now, u.Instance, &trip{upkeep: u.Number})
+		}
+	}
+}
+
+// cordon keeps new runs from instances that are being emptied or are away.
+func (m *Machine) cordon(now model.Timestamp, d maintain.Decision) {
+	next, all := map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]bool{}
+	for _, id := range d.Cordon {
+		since, ok := m.cordons[id]
+		if !ok {
+			since = now
+		}
+		next[id], all[id] = since, true
+	}
+	for id := range m.trips {
+		all[id] = true
+	}
+	m.cordons = next
+	m.scheduler.SetCordons(all)
+}
--- a/replica/schedule/health.go
+++ b/replica/schedule/health.go
@@ -20,6 +20,8 @@
 	speedWeight = 0.2
 	// minSamples is the number of samples before a worker's speed is judged.
 	minSamples = 4
+	// minPeers is the number of measured workers of a pool that are compared.
+	minPeers = 3
 	// slowPart is the part of the median speed of its pool below which a worker is slow.
 	slowPart = 0.4
 	// copyAfter is how much longer than a fresh run the rest of a run on a slow
@@ -72,7 +74,7 @@
 				m.restart(now, w.worker, r.Run)
 			}
 		}
-		if m.slow(w.worker) {
+		if m.slow(now, w.worker) {
 			w.worker.doubtUntil = now.Add(doubtPause)
 		}
 	}
@@ -89,18 +91,34 @@
 }
 
 // slow reports whether the worker is much slower than most of its pool.
-func (m *Machine) slow(w *worker) bool {
+func (m *Machine) slow(now time.Time, w *worker) bool {
 	if w.samples < minSamples {
 		return false
 	}
-	var speeds []float64
-	for _, other := range m.byName {
-		if other.Pool == w.Pool && other.samples >= minSamples && !m.gone(other.Worker) {
-			speeds = append(speeds, other.speed)
+	if now.Sub(m.typicalAt) >= typicalInterval {
+		m.typical, m.typicalAt = m.typicalSpeeds(), now
+	}
+	return w.speed < slowPart*m.typical[w.Pool]
+}
+
+// typicalInterval is the time between two comparisons of all workers.
+const typicalInterval = 500 * time.Millisecond
+
+// typicalSpeeds returns the median speed of each pool with several measured workers.
+func (m *Machine) typicalSpeeds() map[model.PoolName]float64 {
+	speeds := map[model.PoolName][]float64{}
+	for _, w := range m.byName {
+		if w.samples >= minSamples && !m.gone(w.Worker) {
+			speeds[w.Pool] = append(speeds[w.Pool], w.speed)
+		}
+	}
+	out := map[model.PoolName]float64{}
+	for pool, list := range speeds {
+		if slices.Sort(list); len(list) >= minPeers {
+			out[pool] = list[len(list)/2]
 		}
 	}
-	slices.Sort(speeds)
-	return len(speeds) >= 3 && w.speed < slowPart*speeds[len(speeds)/2]
+	return out
 }
 
 // doubtful reports whether a copy of the run should be started: its worker is in
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -54,6 +54,16 @@
 	// preemptAt is when runs may next be stopped for more urgent work.
 	preemptAt time.Time
 
+	// expiryAt is when the first assigned run may count as lost. Leases only get
+	// longer, so that it is never too late.
+	expiryAt time.Time
+	// plannedIndex and plannedAt tell the state and the time of the last plan.
+	plannedIndex model.Index
+	plannedAt    time.Time
+	// typical is the median speed of the workers of each pool.
+	typical   map[model.PoolName]float64
+	typicalAt time.Time
+
 	waiting  []waiter
 	inCommit *turn // the turn that is being committed; nil if none is
 	// logged holds the workloads whose end was logged in the turn that was
@@ -132,7 +142,9 @@
 	if m.inCommit == nil {
 		m.turn(now)
 	}
-	m.deadline = m.nextExpiry(now)
+	if m.seen.State.Assignments.Len() > 0 {
+		m.deadline = maxTime(m.expiryAt, now.Add(expiryPause))
+	}
 }
 
 // follow notices elections.
@@ -162,6 +174,7 @@
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 	m.tickets = newTickets()
+	m.expiryAt, m.plannedAt, m.typicalAt = time.Time{}, time.Time{}, time.Time{}
 }
 
 func (m *Machine) refuseAll(err error) {
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -95,7 +95,7 @@
 // WorkerEnded notes that everything on an incarnation has ended.
 func (m *Machine) WorkerEnded(now time.Time, id model.WorkerID) {
 	if m.workers[id] != nil {
-		m.left[id] = now
+		m.end(id, now)
 	}
 }
 
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -35,12 +35,16 @@
 	causes := map[model.RunRef]string{}
 	progress := model.RecordProgress{Ends: append(m.endsOf(state, causes), m.lost(now, state, causes)...)}
 	after := applied(state, progress)
+	changed := len(progress.Ends) > 0 || state.Index != m.plannedIndex
 	m.forgetStops(after)
 	m.checkHealth(now, after)
 	m.evacuate(after)
 	m.preempt(now, after)
 	m.seekAdvice(now, after)
-	progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now, after))
+	if changed || now.Sub(m.plannedAt) >= planInterval {
+		m.plannedIndex, m.plannedAt = state.Index, now
+		progress.Starts = place.Plan(after, m.offers(now, after), m.rules(now, after))
+	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.waiting)
 		m.waiting = nil
@@ -51,6 +55,10 @@
 	m.commit(progress)
 }
 
+// planInterval is the time between two plans on a state that has not changed.
+// Workers may have got room meanwhile.
+const planInterval = 100 * time.Millisecond
+
 // applied returns the state as it will be once the progress is committed.
 func applied(s model.State, p model.RecordProgress) model.State {
 	if len(p.Ends) == 0 {
@@ -78,9 +86,14 @@
 // lost lists the runs of workers whose lease has certainly ended, that have
 // left, or that were replaced by a later incarnation.
 func (m *Machine) lost(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
+	if now.Before(m.expiryAt) {
+		return nil
+	}
 	var out []model.RunEnd
+	next := now.Add(m.lease())
 	for id, a := range s.Assignments.All() {
-		if m.aliveUntil(id).After(now) {
+		if until := m.aliveUntil(id); until.After(now) {
+			next = minTime(next, until)
 			continue
 		}
 		w := m.workers[id]
@@ -93,6 +106,7 @@
 			out = append(out, end)
 		}
 	}
+	m.expiryAt = maxTime(next, now.Add(expiryPause))
 	return out
 }
 
@@ -107,20 +121,6 @@
 	return leaseEnd(m.leaderSince, m.lease())
 }
 
-// nextExpiry returns when the next assigned run may count as lost.
-func (m *Machine) nextExpiry(now time.Time) time.Time {
-	var next time.Time
-	for id := range m.seen.State.Assignments.All() {
-		if at := m.aliveUntil(id); next.IsZero() || at.Before(next) {
-			next = at
-		}
-	}
-	if next.IsZero() {
-		return next
-	}
-	return maxTime(next, now.Add(expiryPause))
-}
-
 // expiryPause bounds how often expired leases are looked for.
 const expiryPause = 20 * time.Millisecond
 
@@ -131,6 +131,13 @@
 	return b
 }
 
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // offers lists the workers that can take work: those that were heard of lately.
 // One that does not wait for an answer hears of a start at its next report.
 func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -56,6 +56,9 @@
 	if r.Draining && !w.Draining {
 		m.logWorker(event.WorkerLeaving, r)
 	}
+	if w.Sequence == 0 || len(r.Ended) > 0 || len(r.Running) != len(w.Running) {
+		m.plannedAt = time.Time{} // the worker may have room that it had not before
+	}
 	doubted := now.Before(w.doubtUntil)
 	w.observe(now, r, m.seen.State)
 	for _, end := range r.Ended {
@@ -90,7 +93,7 @@
 func (m *Machine) replace(now time.Time, w *worker) {
 	for _, other := range m.places(w.Report) {
 		if other != nil && other != w {
-			m.left[other.Worker] = now
+			m.end(other.Worker, now)
 			m.logWorker(event.WorkerReplaced, other.Report)
 		}
 	}
@@ -100,6 +103,12 @@
 	}
 }
 
+// end notes that everything on an incarnation has ended at the time.
+func (m *Machine) end(id model.WorkerID, at time.Time) {
+	m.left[id] = at
+	m.expiryAt = minTime(m.expiryAt, at)
+}
+
 // forgetEnded drops ended incarnations to which nothing is assigned any more.
 func (m *Machine) forgetEnded(now time.Time, s model.State) {
 	for id, at := range m.left {
@@ -127,7 +136,7 @@
 	}
 	if w := m.byName[msg.name]; w != nil {
 		if _, known := m.left[w.Worker]; !known {
-			m.left[w.Worker] = now.Add(departPause)
+			m.end(w.Worker, now.Add(departPause))
 			m.logWorker(event.WorkerLeft, w.Report)
 		}
 		w.Draining = true
