--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -302,3 +302,18 @@
 		assert.Equal(t, len(o.Stop), 1)
 	})
 }
+
+// Guards against a task that is never run because its run was to be stopped
+// before the worker had heard of it.
+func TestRunStoppedBeforeItBegan(t *testing.T) {
+	run(t, func(b *bench) {
+		b.submit(1, oneTask)
+		start := b.mustReport("a", 1, nil)
+		b.machine.StopRun(start.Start[0].Run)
+		b.mustReport("a", 1, nil) // the first answer was lost
+		time.Sleep(planInterval)
+		o := b.mustReport("a", 1, nil)
+		assert.Equal(t, len(o.Start), 1)
+		assert.Equal(t, o.Start[0].Run.Number, 2)
+	})
+}
--- a/replica/schedule/record.go
+++ b/replica/schedule/record.go
@@ -13,10 +13,11 @@
 
 // Causes of the end of a run, as the log and the metrics name them.
 const (
-	causeReported = "reported by the worker"
-	causeLease    = "lease over"
-	causeReplaced = "worker replaced or left"
-	causeUnheard  = "worker not heard of since the election"
+	causeReported  = "reported by the worker"
+	causeLease     = "lease over"
+	causeReplaced  = "worker replaced or left"
+	causeUnstarted = "stopped before it began"
+	causeUnheard   = "worker not heard of since the election"
 )
 
 // endCause tells why a run that the worker did not end itself counts as ended.
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -68,7 +68,8 @@
 	return next
 }
 
-// endsOf lists the reported ends of runs that are recorded as active.
+// endsOf lists the reported ends of runs that are recorded as active, and the
+// stops of runs that have not begun.
 func (m *Machine) endsOf(s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
 	for _, w := range m.waiting {
@@ -79,6 +80,14 @@
 				out = append(out, model.RunEnd{Run: end.Run, Worker: w.report.Worker, Outcome: end.Outcome, Checkpoint: end.Checkpoint})
 			}
 		}
+		for _, run := range a.Runs {
+			// The worker has never had a run that it does not list: its start was lost,
+			// or not sent because the run is to be stopped.
+			if m.stopping[run] && !lists(w.report, run) {
+				causes[run] = causeUnstarted
+				out = append(out, model.RunEnd{Run: run, Worker: w.report.Worker, Outcome: model.RunInterrupted})
+			}
+		}
 	}
 	return out
 }
