Trust the platform's list about an instance only if it is newer than its worker's last report

Early ends of runs are not sampled in the log any more, because their causes were missing in the trace.

--- a/core/model/observed.go
+++ b/core/model/observed.go
@@ -8,6 +8,8 @@
 	// Worker is the incarnation that was heard of last; empty if none was.
 	Worker WorkerID
 	Pool   PoolName
+	// HeardAgo is how long ago its worker was last heard of.
+	HeardAgo time.Duration
 	// Off is set while the instance is powered off in a standby pool.
 	Off bool
 	// Away is set while it is being moved or maintained, or is not heard of.
--- a/node/event/platform.go
+++ b/node/event/platform.go
@@ -21,7 +21,7 @@
 
 	WorkloadTaken   = define(6030, "caller answered", zapcore.InfoLevel, "A submission or cancellation was carried out; the line names the result and how long the commit took.", "")
 	RunsStarted     = define(6031, "runs started", zapcore.InfoLevel, "The leader has started runs of a step. The line names the tasks, the workers, how long the workload has waited and the age of the oldest report that decided it.", "")
-	RunEnded        = define(6032, "run ended early", zapcore.InfoLevel, "A run failed or was interrupted. The line names the cause: reported by the worker, lease over, worker replaced or worker left.", "Compare the lines of the same worker.")
+	RunEnded        = define(6032, "run ended early", zapcore.WarnLevel, "A run failed or was interrupted. The line names the cause: reported by the worker, lease over, worker replaced or worker left.", "Compare the lines of the same worker.")
 	WorkloadEnded   = define(6033, "workload ended", zapcore.InfoLevel, "A workload reached a final phase. The line names the phase, the reason, how long it took and by when it should have been complete.", "")
 	WorkerAppeared  = define(6034, "worker appeared", zapcore.InfoLevel, "The leader has heard of an incarnation of a worker for the first time.", "")
 	WorkerReplaced  = define(6035, "worker replaced", zapcore.InfoLevel, "A later incarnation reports from the same name, instance or address. The runs of the earlier one have ended.", "")
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -74,14 +74,23 @@
 	next    time.Time
 	listAt  time.Time
 	listing bool
-	listed  map[model.InstanceID]Listed
-	workers map[model.InstanceID]model.WorkerID // heard of last
-	trips   map[model.InstanceID]*trip
-	cordons map[model.InstanceID]model.Timestamp
-	retired map[model.InstanceID]model.Timestamp // since when instances get work last
-	idle    map[model.InstanceID]time.Time       // since when nothing has run
-	paused  map[model.InstanceID]time.Time       // until when a refused order is not repeated
-	fresh   []model.InstanceID                   // orders that are not announced yet
+	listed  map[model.InstanceID]known
+	// calledAt is when the last reading of the list was asked for.
+	calledAt time.Time
+	workers  map[model.InstanceID]model.WorkerID // heard of last
+	trips    map[model.InstanceID]*trip
+	cordons  map[model.InstanceID]model.Timestamp
+	retired  map[model.InstanceID]model.Timestamp // since when instances get work last
+	idle     map[model.InstanceID]time.Time       // since when nothing has run
+	paused   map[model.InstanceID]time.Time       // until when a refused order is not repeated
+	fresh    []model.InstanceID                   // orders that are not announced yet
+}
+
+// known is what the platform has told of an instance, by its list or by
+// confirming a move, and when.
+type known struct {
+	Listed
+	at time.Time
 }
 
 // trip is an order to an instance until it is back.
@@ -167,7 +176,7 @@
 		m.term, m.next = 0, time.Time{}
 	case m.term != v.Term:
 		m.term, m.next = v.Term, now
-		m.listAt, m.listing, m.listed = now, false, map[model.InstanceID]Listed{}
+		m.listAt, m.listing, m.listed = now, false, map[model.InstanceID]known{}
 		m.retired = nil
 		m.paused, m.fresh = map[model.InstanceID]time.Time{}, nil
 		m.trips, m.cordons, m.idle = map[model.InstanceID]*trip{}, map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]time.Time{}
@@ -186,7 +195,7 @@
 		return
 	}
 	if !m.listing && !now.Before(m.listAt) {
-		m.list()
+		m.list(now)
 	}
 	instances := m.observe(now)
 	m.maintain(now, v.State, instances)
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -297,3 +297,24 @@
 		assert.DeepEqual(t, moved, map[string]bool{"d to off": true, "e to off": true})
 	})
 }
+
+// Guards against an instance that is silent for a while and is taken for one
+// that is off, because the list was read before it was moved.
+func TestSilentInstanceIsNotOff(t *testing.T) {
+	run(t, func(b *bench) {
+		b.platform.list = []Listed{{ID: "a", Pool: "off", Up: true, Capacity: model.Resources{MilliCPU: 16000}}}
+		b.scheduler.set(busy("b"), busy("c"), busy("d"))
+		time.Sleep(settleTime)
+		assert.Equal(t, len(b.platform.calls()), 0)
+		moved := busy("a")
+		for i := range 25 { // shorter than the time to the next reading of the list
+			moved.HeardAgo = time.Duration(i) * interval
+			moved.Away = moved.HeardAgo > time.Second
+			b.scheduler.set(busy("b"), moved)
+			time.Sleep(interval)
+		}
+		for _, o := range b.platform.calls() {
+			assert.Assert(t, o.what != "a to p", "%v", o)
+		}
+	})
+}
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -10,8 +10,8 @@
 )
 
 // list reads the platform's list.
-func (m *Machine) list() {
-	m.listing = true
+func (m *Machine) list(now time.Time) {
+	m.listing, m.calledAt = true, now
 	term := m.term
 	go func() {
 		list, err := m.platform.Instances(m.ctx)
@@ -28,9 +28,13 @@
 		return
 	}
 	m.listAt = now.Add(listInterval)
-	m.listed = make(map[model.InstanceID]Listed, len(msg.list))
+	before := m.listed
+	m.listed = make(map[model.InstanceID]known, len(msg.list))
 	for _, l := range msg.list {
-		m.listed[l.ID] = l
+		m.listed[l.ID] = known{l, m.calledAt}
+		if old := before[l.ID]; old.at.After(m.calledAt) {
+			m.listed[l.ID] = old // moved while the list was read
+		}
 	}
 	m.dropGone(now)
 }
@@ -67,7 +71,7 @@
 	heard := map[model.InstanceID]bool{}
 	for i := range out {
 		o := &out[i]
-		if o.Away && m.powersOff(catalog, o.ID) {
+		if o.Away && m.isOff(catalog, o.ID, now.Add(-o.HeardAgo)) {
 			continue
 		}
 		heard[o.ID] = true
@@ -95,10 +99,12 @@
 	return kept
 }
 
-// powersOff reports whether the instance was last moved to, or listed in, a standby pool.
-func (m *Machine) powersOff(c *model.Catalog, id model.InstanceID) bool {
-	pool, _ := c.Pool(m.listed[id].Pool)
-	return pool.Standby
+// isOff reports whether the platform has told, after the worker on the instance
+// was last heard of, that the instance is in a standby pool.
+func (m *Machine) isOff(c *model.Catalog, id model.InstanceID, heard time.Time) bool {
+	l := m.listed[id]
+	pool, _ := c.Pool(l.Pool)
+	return pool.Standby && l.at.After(heard)
 }
 
 // endTrips forgets the trips of instances whose worker has come back, and of
--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -90,7 +90,11 @@
 		m.scheduler.WorkerEnded(now, t.worker)
 		if t.upkeep != 0 {
 			m.record(msg.id, t)
+			return
 		}
+		l := m.listed[msg.id]
+		l.ID, l.Pool, l.at = msg.id, t.to, now
+		m.listed[msg.id] = l
 		return
 	}
 	event.InstanceOrderFailed.Log(m.settings.Logger, append(fields, zap.Error(msg.err))...)
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -24,7 +24,7 @@
 
 func (m *Machine) observed(now time.Time, id model.InstanceID, w *worker) model.ObservedInstance {
 	o := model.ObservedInstance{
-		ID: id, Worker: w.Worker, Pool: w.Pool, Capacity: w.Capacity, Leaving: w.Draining, Settled: true,
+		ID: id, Worker: w.Worker, Pool: w.Pool, HeardAgo: now.Sub(w.heardAt), Capacity: w.Capacity, Leaving: w.Draining, Settled: true,
 		Away: m.gone(w.Worker) || now.Sub(w.heardAt) > silence,
 	}
 	state := m.replica.View().State
