--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -15,7 +15,7 @@
 	priority int
 	advised  bool
 	lasting  bool
-	since    model.Timestamp // when its present step could start, at the earliest
+	since    model.Timestamp // when it was accepted
 	// deadline is when it should be complete; late is set once it cannot be.
 	deadline model.Timestamp
 	late     bool
