Observe starts that are being committed; cordon an instance in the look that orders it

Cause, found by reading: an instance was idle by the state while a start on it was in commit, and got work for 200 ms after it was ordered.

--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -198,10 +198,11 @@
 		m.list(now)
 	}
 	instances := m.observe(now)
-	m.maintain(now, v.State, instances)
+	emptied := m.maintain(now, v.State, instances)
 	if now.Sub(v.LeaderSince) >= settleTime {
 		m.scale(now, v.State, instances)
 	}
 	m.repeatOrders(now)
+	m.cordon(model.At(now), emptied)
 	m.announce()
 }
--- a/replica/fleet/upkeep.go
+++ b/replica/fleet/upkeep.go
@@ -7,8 +7,8 @@
 	"lacewingturn.example/core/model"
 )
 
-// maintain carries out orders for upkeep.
-func (m *Machine) maintain(now time.Time, s model.State, instances []model.ObservedInstance) {
+// maintain carries out orders for upkeep and returns the instances that are emptied for it.
+func (m *Machine) maintain(now time.Time, s model.State, instances []model.ObservedInstance) []model.InstanceID {
 	in := maintain.Input{
 		Now: model.At(now), Instances: instances, Down: map[model.InstanceID]bool{}, Cordoned: m.cordons,
 		Present: func(t model.TaskRef) bool { return m.scheduler.Present(now, t) },
@@ -32,7 +32,6 @@
 		}
 	}
 	d := maintain.Decide(in)
-	m.cordon(in.Now, d)
 	for _, run := range d.Stop {
 		m.scheduler.StopRun(run)
 	}
@@ -41,12 +40,14 @@
 			m.begin(now, u.Instance, &trip{upkeep: u.Number})
 		}
 	}
+	return d.Cordon
 }
 
-// cordon keeps new runs from instances that are being emptied or are away.
-func (m *Machine) cordon(now model.Timestamp, d maintain.Decision) {
+// cordon keeps new runs from instances that are being emptied or have been
+// given an order, in the same look as that was decided.
+func (m *Machine) cordon(now model.Timestamp, emptied []model.InstanceID) {
 	next, all := map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]bool{}
-	for _, id := range d.Cordon {
+	for _, id := range emptied {
 		since, ok := m.cordons[id]
 		if !ok {
 			since = now
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -317,3 +317,19 @@
 		assert.Equal(t, o.Start[0].Run.Number, 2)
 	})
 }
+
+// Guards against an instance that counts as idle while a start on it is being
+// committed, and is moved with it.
+func TestStartsInCommitAreObserved(t *testing.T) {
+	r := &fakeReplica{}
+	r.lead(1)
+	m := New(t.Context(), loop.New(1), r, clock.NewGuard(), Settings{LeaseMax: leaseMax, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop()})
+	now := time.Now()
+	m.Flush(now)
+	id := model.MakeWorkerID("a", 1)
+	m.Handle(now, reported{Report{Worker: id, Name: "a", StartedAt: 1, Address: "a", Instance: "m", Pool: "p", Sequence: 1}, make(chan answer, 1)})
+	assert.Assert(t, m.Observe(now)[0].Idle())
+	ref := model.TaskRef{Workload: "00000000000000ff"}
+	m.inCommit = &turn{progress: model.RecordProgress{Starts: []model.RunStart{{Run: model.RunRef{Task: ref, Number: 1}, Worker: id}}}}
+	assert.Assert(t, !m.Observe(now)[0].Idle())
+}
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -32,6 +32,13 @@
 	for _, run := range a.Runs {
 		o.Runs = append(o.Runs, m.observedRun(state, w, run))
 	}
+	if m.inCommit != nil {
+		for _, start := range m.inCommit.progress.Starts {
+			if start.Worker == w.Worker {
+				o.Runs = append(o.Runs, m.observedRun(state, w, start.Run))
+			}
+		}
+	}
 	for _, r := range w.Running {
 		o.Settled = o.Settled && slices.Contains(a.Runs, r.Run)
 	}
@@ -39,7 +46,10 @@
 }
 
 func (m *Machine) observedRun(s model.State, w *worker, run model.RunRef) model.ObservedRun {
-	workload, _ := s.Workloads.Get(run.Task.Workload)
+	workload, ok := s.Workloads.Get(run.Task.Workload)
+	if !ok {
+		return model.ObservedRun{Run: run} // cancelled while its start is committed
+	}
 	step := workload.Steps[run.Task.Step]
 	task, _ := workload.Task(run.Task)
 	o := model.ObservedRun{Run: run, Size: step.Reserved(), Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
