--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -61,6 +61,12 @@
 	ended     []model.WorkerID
 }
 
+func (f *fakeScheduler) endedWorkers() []model.WorkerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]model.WorkerID(nil), f.ended...)
+}
+
 func (f *fakeScheduler) Observe(time.Time) []model.ObservedInstance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +106,18 @@
 	early    bool
 }
 
-func (p *fakePlatform) Instances(context.Context) ([]Listed, error) { return p.list, nil }
+func (p *fakePlatform) Instances(context.Context) ([]Listed, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list, nil
+}
+
+// set replaces the list and the answer to orders.
+func (p *fakePlatform) set(answer error, list ...Listed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answer, p.list = answer, list
+}
 
 func (p *fakePlatform) take(id model.InstanceID, what string, term model.Term) error {
 	recorded := p.recorded(id)
@@ -185,13 +202,11 @@
 func TestOrdersAreRecordedFirst(t *testing.T) {
 	run(t, func(b *bench) {
 		b.scheduler.set(idle("a"), busy("b"))
-		b.platform.answer = errors.New("no answer")
+		b.platform.set(errors.New("no answer"))
 		b.upkeep(1, "a")
 		time.Sleep(time.Second)
 		assert.Assert(t, !b.complete())
-		b.platform.mu.Lock()
-		b.platform.answer = nil
-		b.platform.mu.Unlock()
+		b.platform.set(nil)
 		time.Sleep(2 * orderRetry)
 		assert.Assert(t, b.complete())
 		assert.Assert(t, !b.platform.early)
@@ -204,17 +219,15 @@
 func TestLateConfirmationEndsTheOldWorkerOnly(t *testing.T) {
 	run(t, func(b *bench) {
 		b.scheduler.set(idle("a"), busy("b"))
-		b.platform.answer = errors.New("no answer")
+		b.platform.set(errors.New("no answer"))
 		b.upkeep(1, "a")
 		time.Sleep(500 * time.Millisecond)
 		back := idle("a")
 		back.Worker = model.MakeWorkerID("a", 2)
 		b.scheduler.set(back, busy("b"))
-		b.platform.mu.Lock()
-		b.platform.answer = nil
-		b.platform.mu.Unlock()
+		b.platform.set(nil)
 		time.Sleep(2 * orderRetry)
-		assert.DeepEqual(t, b.scheduler.ended, []model.WorkerID{model.MakeWorkerID("a", 1)})
+		assert.DeepEqual(t, b.scheduler.endedWorkers(), []model.WorkerID{model.MakeWorkerID("a", 1)})
 	})
 }
 
@@ -261,7 +274,7 @@
 func TestRefusedOrdersArePaced(t *testing.T) {
 	run(t, func(b *bench) {
 		b.scheduler.set(idle("a"), busy("b"))
-		b.platform.answer = Refused{Reason: "busy"}
+		b.platform.set(Refused{Reason: "busy"})
 		b.upkeep(1, "a")
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, len(b.platform.calls()) <= 6, "%d", len(b.platform.calls()))
@@ -273,8 +286,9 @@
 // and one that is complete because an instance is down for a while.
 func TestUpkeepOfInstancesThatAreGone(t *testing.T) {
 	run(t, func(b *bench) {
-		b.platform.list = []Listed{{ID: "down", Pool: "p", Gone: true}}
+		b.platform.set(nil, Listed{ID: "down", Pool: "p", Gone: true})
 		b.scheduler.set(busy("b"))
+		time.Sleep(listInterval + time.Second)
 		b.upkeep(1, "gone", "down")
 		time.Sleep(2 * listInterval)
 		u, _ := b.replica.View().State.Upkeeps.Get(7)
@@ -302,7 +316,7 @@
 // that is off, because the list was read before it was moved.
 func TestSilentInstanceIsNotOff(t *testing.T) {
 	run(t, func(b *bench) {
-		b.platform.list = []Listed{{ID: "a", Pool: "off", Up: true, Capacity: model.Resources{MilliCPU: 16000}}}
+		b.platform.set(nil, Listed{ID: "a", Pool: "off", Up: true, Capacity: model.Resources{MilliCPU: 16000}})
 		b.scheduler.set(busy("b"), busy("c"), busy("d"))
 		time.Sleep(settleTime)
 		assert.Equal(t, len(b.platform.calls()), 0)
--- a/replica/schedule/health_test.go
+++ b/replica/schedule/health_test.go
@@ -69,7 +69,7 @@
 func TestAdvice(t *testing.T) {
 	run(t, func(b *bench) {
 		a := &advisor{}
-		b.machine.settings.Advisor = a
+		b.onLoop(func() { b.machine.settings.Advisor = a })
 		b.replica.mu.Lock()
 		catalog := *b.replica.view.State.Catalog
 		catalog.Queues = append([]model.Queue(nil), catalog.Queues...)
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -65,9 +65,25 @@
 	replica *fakeReplica
 	machine *Machine
 	logs    *observer.ObservedLogs
+	loop    loop.Port
 	seq     int64
 }
 
+// caller runs functions on the goroutine of the loop, where other machines call.
+type caller struct{}
+
+func (caller) Handle(_ time.Time, m loop.Message) { m.(func())() }
+func (caller) Tick(time.Time)                     {}
+func (caller) Deadline() time.Time                { return time.Time{} }
+func (caller) Flush(time.Time)                    {}
+
+// onLoop runs f on the goroutine of the loop and waits for it.
+func (b *bench) onLoop(f func()) {
+	done := make(chan struct{})
+	assert.NilError(b.t, b.loop.Send(context.Background(), func() { f(); close(done) }))
+	<-done
+}
+
 func run(t *testing.T, test func(b *bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -81,6 +97,7 @@
 		b.logs = logs
 		l := loop.New(64)
 		b.machine = New(ctx, l, b.replica, clock.NewGuard(), Settings{LeaseMax: leaseMax, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.New(core)})
+		b.loop = l.Add(caller{})
 		done := make(chan struct{})
 		go func() { defer close(done); l.Run(ctx) }()
 		test(b)
@@ -294,8 +311,10 @@
 	run(t, func(b *bench) {
 		b.submit(1, oneTask)
 		start := b.mustReport("a", 1, nil)
-		b.machine.SetCordons(map[model.InstanceID]bool{"m-a": true})
-		b.machine.StopRun(start.Start[0].Run)
+		b.onLoop(func() {
+			b.machine.SetCordons(map[model.InstanceID]bool{"m-a": true})
+			b.machine.StopRun(start.Start[0].Run)
+		})
 		b.submit(2, oneTask)
 		o := b.mustReport("a", 1, running(start.Start...))
 		assert.Equal(t, len(o.Start), 0)
@@ -309,7 +328,7 @@
 	run(t, func(b *bench) {
 		b.submit(1, oneTask)
 		start := b.mustReport("a", 1, nil)
-		b.machine.StopRun(start.Start[0].Run)
+		b.onLoop(func() { b.machine.StopRun(start.Start[0].Run) })
 		b.mustReport("a", 1, nil) // the first answer was lost
 		time.Sleep(planInterval)
 		o := b.mustReport("a", 1, nil)
