--- a/replica/storage/snapshot.go
+++ b/replica/storage/snapshot.go
@@ -122,7 +122,7 @@
 // readSnapshot reads the newest snapshot. Older ones are left over from a crash.
 func (s *Store) readSnapshot(names []string, r *Recovery) error {
 	for _, name := range names {
-		if strings.HasPrefix(name, snapshotPrefix) && name > s.snapshot {
+		if strings.HasPrefix(name, snapshotPrefix) && !strings.HasSuffix(name, temporary) && name > s.snapshot {
 			s.snapshot = name
 		}
 	}
