--- a/core/command/maintain/maintain_test.go
+++ b/core/command/maintain/maintain_test.go
@@ -30,7 +30,7 @@
 }
 
 func lastingRun(index int) model.ObservedRun {
-	return model.ObservedRun{Run: model.RunRef{Task: model.TaskRef{Workload: "w", Index: index}, Number: 1}, Lasting: true, Working: true}
+	return model.ObservedRun{Run: model.RunRef{Task: model.TaskRef{Workload: "w", Index: index}, Number: 1}, Lasting: true}
 }
 
 // Guards against more upkeep at the same time than the order allows.
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -149,7 +149,7 @@
 	if spec.Filler && spec.Need.MilliCPU > w.Spare {
 		return false
 	}
-	if !room(w.Free, spec.Reserved()) || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
+	if !w.Free.Fits(spec.Reserved()) || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
 	if spec.MaxPerWorker > 0 && p.holds(w.ID, stepOf(ref)) >= spec.MaxPerWorker {
@@ -174,10 +174,6 @@
 	return slices.ContainsFunc(task.Active, func(r model.Run) bool { return r.Worker == id })
 }
 
-func room(free, need model.Resources) bool {
-	return need.MilliCPU <= free.MilliCPU && need.MemoryMB <= free.MemoryMB && need.Accelerators <= free.Accelerators
-}
-
 func (p *planner) better(a, b *Worker, spec model.Step, step stepRef) bool {
 	if a.Doubtful != b.Doubtful {
 		return b.Doubtful
@@ -214,10 +210,7 @@
 func (p *planner) start(w *Worker, spec model.Step, ref model.TaskRef, number int) {
 	p.holds(w.ID, stepOf(ref))
 	p.held[w.ID][stepOf(ref)]++
-	need := spec.Reserved()
-	w.Free.MilliCPU -= need.MilliCPU
-	w.Free.MemoryMB -= need.MemoryMB
-	w.Free.Accelerators -= need.Accelerators
+	w.Free = w.Free.Sub(spec.Reserved())
 	w.Spare -= spec.Need.MilliCPU
 	p.starts = append(p.starts, model.RunStart{Run: model.RunRef{Task: ref, Number: number}, Worker: w.ID})
 }
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -65,7 +65,7 @@
 		if w.Pool != c.pool || spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 			continue
 		}
-		if room(w.Free, spec.Reserved()) {
+		if w.Free.Fits(spec.Reserved()) {
 			return nil
 		}
 		if set := p.victimsOn(w, c.priority, spec.Reserved()); set != nil && (best == nil || len(set) < len(best)) {
@@ -91,10 +91,8 @@
 	free := w.Free
 	for _, v := range list {
 		out = append(out, v.run)
-		free.MilliCPU += v.size.MilliCPU
-		free.MemoryMB += v.size.MemoryMB
-		free.Accelerators += v.size.Accelerators
-		if room(free, need) {
+		free = free.Add(v.size)
+		if free.Fits(need) {
 			return out
 		}
 	}
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -34,16 +34,12 @@
 
 // submit accepts a workload. One that is known already is accepted again without effect.
 func submit(s *model.State, c model.SubmitWorkload) result.Result {
-	if s.Catalog == nil {
-		return result.New(result.NoCatalog, "no catalog of queues is published yet")
-	}
-	queue, rest, ok := s.Catalog.Resolve(c.Host, c.Path)
-	if !ok {
-		return result.New(result.NotFound, "no queue at %s%s", c.Host, c.Path)
+	queue, id, r := resolve(s, c.Host, c.Path)
+	if !r.Code.OK() {
+		return r
 	}
-	id := model.WorkloadID(rest)
 	if !validID(id) {
-		return result.New(result.InvalidInput, "%q is not an ID of 16 hexadecimal digits", rest)
+		return result.New(result.InvalidInput, "%q is not an ID of 16 hexadecimal digits", id)
 	}
 	if s.Workloads.Has(id) || s.Finished.Has(id) {
 		return result.Result{Code: result.Unchanged, Value: string(id)}
@@ -67,6 +63,18 @@
 	return result.Result{Code: result.Accepted, Value: string(id)}
 }
 
+// resolve returns the queue and the workload that an address names.
+func resolve(s *model.State, host, path string) (model.Queue, model.WorkloadID, result.Result) {
+	if s.Catalog == nil {
+		return model.Queue{}, "", result.New(result.NoCatalog, "no catalog of queues is published yet")
+	}
+	queue, rest, ok := s.Catalog.Resolve(host, path)
+	if !ok {
+		return model.Queue{}, "", result.New(result.NotFound, "no queue at %s%s", host, path)
+	}
+	return queue, model.WorkloadID(rest), result.Result{Code: result.OK}
+}
+
 func validID(id model.WorkloadID) bool {
 	if len(id) != 16 {
 		return false
@@ -104,14 +112,10 @@
 
 // cancel ends a workload. Its runs are stopped because nothing assigns them any more.
 func cancel(s *model.State, c model.CancelWorkload) result.Result {
-	if s.Catalog == nil {
-		return result.New(result.NoCatalog, "no catalog of queues is published yet")
-	}
-	_, rest, ok := s.Catalog.Resolve(c.Host, c.Path)
-	if !ok {
-		return result.New(result.NotFound, "no queue at %s%s", c.Host, c.Path)
+	_, id, r := resolve(s, c.Host, c.Path)
+	if !r.Code.OK() {
+		return r
 	}
-	id := model.WorkloadID(rest)
 	if w, active := s.Workloads.Get(id); active {
 		finish(s, w, model.WorkloadCancelled, "")
 		return result.Result{Code: result.OK}
@@ -119,7 +123,7 @@
 	if s.Finished.Has(id) {
 		return result.Result{Code: result.Unchanged}
 	}
-	return result.New(result.Expired, "workload %q is not known", rest)
+	return result.New(result.Expired, "workload %q is not known", id)
 }
 
 // finish moves a workload to its final phase and drops outcomes past retention.
--- a/core/model/observed.go
+++ b/core/model/observed.go
@@ -33,13 +33,8 @@
 	// Size is what the run reserves.
 	Size    Resources
 	Lasting bool
-	// Working is set while a lasting task is at work.
-	Working bool
 	// Stopping is set once the worker was told to stop it.
 	Stopping bool
 	// Checkpointing is set if a stop keeps the progress.
 	Checkpointing bool
-	Percent       int
-	// Age is how long ago it was started.
-	Age time.Duration
 }
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -69,18 +69,13 @@
 		m.workers[o.ID] = o.Worker
 	}
 	heard := map[model.InstanceID]bool{}
-	for i := range out {
-		o := &out[i]
+	kept := out[:0]
+	for _, o := range out {
 		if o.Away && m.isOff(catalog, o.ID, now.Add(-o.HeardAgo)) {
 			continue
 		}
 		heard[o.ID] = true
-	}
-	kept := out[:0]
-	for _, o := range out {
-		if heard[o.ID] {
-			kept = append(kept, o)
-		}
+		kept = append(kept, o)
 	}
 	for id, l := range m.listed {
 		if heard[id] {
--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -117,8 +117,7 @@
 	go func() { _ = m.port.Send(m.ctx, recorded{term, id, m.propose(command)}) }()
 }
 
-// repeatOrders repeats orders that were not confirmed, and forgets the trips of
-// instances that are back.
+// repeatOrders repeats orders that were not confirmed, and records of upkeep that failed.
 func (m *Machine) repeatOrders(now time.Time) {
 	for id, t := range m.trips {
 		switch {
--- a/replica/fleet/scale.go
+++ b/replica/fleet/scale.go
@@ -52,7 +52,7 @@
 	demands := query.Demands(s, model.At(now), clearingTime)
 	for _, p := range s.Catalog.Pools {
 		d := demands[p.Name]
-		in.Pools = append(in.Pools, scale.Pool{Name: p.Name, Standby: p.Standby, Demand: sum(d.Running, d.Waiting), Spread: d.Spread})
+		in.Pools = append(in.Pools, scale.Pool{Name: p.Name, Standby: p.Standby, Demand: d.Running.Add(d.Waiting), Spread: d.Spread})
 	}
 	for _, o := range instances {
 		if o.Idle() {
@@ -90,7 +90,3 @@
 // clearingTime is the time within which waiting tasks should have run. It leaves
 // room for the move of an instance within the usual target of a queue.
 const clearingTime = 2 * time.Second
-
-func sum(a, b model.Resources) model.Resources {
-	return model.Resources{MilliCPU: a.MilliCPU + b.MilliCPU, MemoryMB: a.MemoryMB + b.MemoryMB, Accelerators: a.Accelerators + b.Accelerators}
-}
--- a/replica/schedule/health.go
+++ b/replica/schedule/health.go
@@ -85,9 +85,8 @@
 	m.stopping[run] = true
 	m.avoided.add(now, run.Task, w.Worker)
 	w.doubtUntil = now.Add(doubtPause)
-	event.RunStalled.Log(m.settings.Logger, zap.String("workload", string(run.Task.Workload)), zap.Int("round", run.Task.Round),
-		zap.Int("step", run.Task.Step), zap.Int("task", run.Task.Index), zap.Int("run", run.Number), zap.String("worker", string(w.Worker)),
-		zap.Int("percent", w.progress[run].percent), zap.Duration("still", now.Sub(w.progress[run].at)))
+	event.RunStalled.Log(m.settings.Logger, append(runFields(run), zap.String("worker", string(w.Worker)),
+		zap.Int("percent", w.progress[run].percent), zap.Duration("still", now.Sub(w.progress[run].at)))...)
 }
 
 // slow reports whether the worker is much slower than most of its pool.
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -178,13 +178,15 @@
 }
 
 func (m *Machine) refuseAll(err error) {
-	for _, w := range m.waiting {
-		w.reply <- answer{err: err}
-	}
+	refuse(m.waiting, err)
 	if m.inCommit != nil {
-		for _, w := range m.inCommit.waiting {
-			w.reply <- answer{err: err}
-		}
+		refuse(m.inCommit.waiting, err)
 	}
 	m.waiting, m.inCommit = nil, nil
 }
+
+func refuse(list []waiter, err error) {
+	for _, w := range list {
+		w.reply <- answer{err: err}
+	}
+}
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -30,12 +30,12 @@
 	state := m.replica.View().State
 	a, _ := state.Assignments.Get(w.Worker)
 	for _, run := range a.Runs {
-		o.Runs = append(o.Runs, m.observedRun(state, w, run))
+		o.Runs = append(o.Runs, m.observedRun(state, run))
 	}
 	if m.inCommit != nil {
 		for _, start := range m.inCommit.progress.Starts {
 			if start.Worker == w.Worker {
-				o.Runs = append(o.Runs, m.observedRun(state, w, start.Run))
+				o.Runs = append(o.Runs, m.observedRun(state, start.Run))
 			}
 		}
 	}
@@ -45,25 +45,13 @@
 	return o
 }
 
-func (m *Machine) observedRun(s model.State, w *worker, run model.RunRef) model.ObservedRun {
+func (m *Machine) observedRun(s model.State, run model.RunRef) model.ObservedRun {
 	workload, ok := s.Workloads.Get(run.Task.Workload)
 	if !ok {
 		return model.ObservedRun{Run: run} // cancelled while its start is committed
 	}
 	step := workload.Steps[run.Task.Step]
-	task, _ := workload.Task(run.Task)
-	o := model.ObservedRun{Run: run, Size: step.Reserved(), Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
-	for _, active := range task.Active {
-		if active.Number == run.Number {
-			o.Age = s.Clock.Sub(active.StartedAt)
-		}
-	}
-	for _, r := range w.Running {
-		if r.Run == run {
-			o.Percent, o.Working = r.Percent, r.Percent >= atWork
-		}
-	}
-	return o
+	return model.ObservedRun{Run: run, Size: step.Reserved(), Lasting: step.Lasting, Checkpointing: step.Checkpointing, Stopping: m.stopping[run]}
 }
 
 // atWork is the progress in percent of a lasting task that serves.
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -189,10 +189,13 @@
 
 // preempt stops runs for more urgent work that finds no room.
 func (m *Machine) preempt(now time.Time, s model.State) {
-	if s.Catalog == nil || now.Before(m.preemptAt) || !s.Catalog.Prioritized() {
+	if s.Catalog == nil || now.Before(m.preemptAt) {
 		return
 	}
 	m.preemptAt = now.Add(preemptInterval)
+	if !s.Catalog.Prioritized() {
+		return
+	}
 	for _, run := range place.Preempt(s, m.offers(now, s), m.rules(now, s)) {
 		m.stopping[run] = true
 	}
@@ -236,9 +239,7 @@
 		err = errNotLeader
 	}
 	if err != nil {
-		for _, w := range t.waiting {
-			w.reply <- answer{err: trace.Wrap(err)}
-		}
+		refuse(t.waiting, trace.Wrap(err))
 		return
 	}
 	m.logged = map[model.WorkloadID]bool{}
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -133,7 +133,7 @@
 		listed[run] = true
 		size := sizeOf(s, run.Task)
 		w.sizes[run] = size
-		free = minus(free, size)
+		free = free.Sub(size)
 	}
 	for _, run := range w.Running {
 		if listed[run.Run] {
@@ -144,7 +144,7 @@
 		if !known {
 			return model.Resources{}
 		}
-		free = minus(free, size)
+		free = free.Sub(size)
 	}
 	for run := range w.sizes {
 		if !listed[run] {
@@ -162,10 +162,6 @@
 	return w.Steps[task.Step].Reserved()
 }
 
-func minus(a, b model.Resources) model.Resources {
-	return model.Resources{MilliCPU: a.MilliCPU - b.MilliCPU, MemoryMB: a.MemoryMB - b.MemoryMB, Accelerators: a.Accelerators - b.Accelerators}
-}
-
 // offer returns the worker as the planner sees it; false if it takes no work.
 func (w *worker) offer(now time.Time, s model.State) (place.Worker, bool) {
 	free := w.free(s)
