--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -37,10 +37,13 @@
 		processModule,
 		fx.Populate(&proc.life, &proc.servers),
 	}
-	if role == RoleControl {
-		options = append(options, controlModule, platformControlModule, fx.Populate(&proc.Replica, &proc.Liveness))
-	} else {
+	switch {
+	case role == RoleEntry:
 		options = append(options, platformEntryModule)
+	case p.DataFolder == "":
+		options = append(options, platformRedirectModule)
+	default:
+		options = append(options, controlModule, platformControlModule, fx.Populate(&proc.Replica, &proc.Liveness))
 	}
 	options = append(options, fx.Invoke(runLoop), fx.Invoke(announceStart))
 	proc.app = fx.New(options...)
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -40,6 +40,14 @@
 	return Found{resp.QueueKnown, resp.WorkloadKnown, model.WorkloadPhase(resp.Phase)}, nil
 }
 
+// Leader returns the address of the replica that leads.
+func (c *Client) Leader(ctx context.Context) (string, error) {
+	if _, err := c.Find(ctx, "", ""); err != nil {
+		return "", err
+	}
+	return *c.leader.Load(), nil
+}
+
 // CountPending returns the number of workloads that have not started in the
 // queue at the address; false if there is no such queue.
 func (c *Client) CountPending(ctx context.Context, host, path string) (int, bool, error) {
--- a/replica/command/enroll.go
+++ b/replica/command/enroll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -75,19 +76,20 @@
 }
 
 // form writes the first membership if no replica of the site has ever had a
-// log. Only the replica whose name is first does this, so that there is one
-// first membership; it reports whether it did.
+// log. Only the replica whose name is first among the peers does this, so that
+// there is one first membership; it reports whether it did. Peers that serve no
+// replica do not count.
 func (r *Replica) form(ctx context.Context, client *http.Client) bool {
-	if r.Status().Last > 0 {
+	if r.settings.JoinOnly || r.Status().Last > 0 {
 		return false
 	}
 	members := raft.Membership{r.self()}
 	for _, p := range r.others() {
-		if p.Name < r.settings.Name {
-			return false
+		info, err := r.identify(ctx, client, p)
+		if connect.CodeOf(err) == connect.CodeUnimplemented {
+			continue // an instance without a disk serves no replica
 		}
-		info, ok := r.identify(ctx, client, p)
-		if !ok {
+		if err != nil || p.Name < r.settings.Name {
 			return false
 		}
 		members = append(members, info)
@@ -103,16 +105,22 @@
 	return true
 }
 
-// identify asks a peer for its ID; it reports false unless the peer is empty.
-func (r *Replica) identify(ctx context.Context, client *http.Client, p Peer) (raft.Member, bool) {
+var errNotEmpty = errors.New("the peer has a log or another name")
+
+// identify asks a peer for its ID. It fails unless the peer is empty, with the
+// code Unimplemented if no replica is served there.
+func (r *Replica) identify(ctx context.Context, client *http.Client, p Peer) (raft.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, enrollTimeout)
 	defer cancel()
 	resp, err := replicav1connect.NewReplicationServiceClient(client, "http://"+p.Address).Identify(ctx, connect.NewRequest(&replicav1.IdentifyRequest{}))
 	if err != nil {
-		return raft.Member{}, false
+		return raft.Member{}, err
 	}
 	m := fromInfo(resp.Msg.GetReplica())
-	return m, resp.Msg.Empty && raft.Name(m.ID) == p.Name
+	if !resp.Msg.Empty || raft.Name(m.ID) != p.Name {
+		return raft.Member{}, errNotEmpty
+	}
+	return m, nil
 }
 
 // join asks every peer to admit this replica, and the leader that they name.
--- a/replica/command/kill_test.go
+++ b/replica/command/kill_test.go
@@ -156,7 +156,12 @@
 	mux := http.NewServeMux()
 	mux.Handle(r.Replication().Route())
 	mux.Handle(commandRoute(r))
+	return server(mux)
+}
+
+// server serves HTTP/2 without TLS.
+func server(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: mux, Protocols: protocols, HTTP2: ServerHTTP2()}
+	return &http.Server{Handler: h, Protocols: protocols, HTTP2: ServerHTTP2()}
 }
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -42,8 +42,11 @@
 	// Peers are the replicas of the site, with or without this one. They are
 	// used to form a new site and to ask for admission; after that the
 	// membership in the log counts.
-	Peers  []Peer
-	Logger *zap.Logger
+	Peers []Peer
+	// JoinOnly keeps an empty replica from forming a new site with its peers: the
+	// site exists already, even if all peers have lost their disks.
+	JoinOnly bool
+	Logger   *zap.Logger
 
 	Heartbeat   time.Duration // 150 ms if zero
 	ElectionMin time.Duration // 500 ms if zero
