--- a/cmd/internal/faults/process.go
+++ b/cmd/internal/faults/process.go
@@ -48,6 +48,7 @@
 
 	t    testing.TB
 	args []string
+	env  []string
 	pids *sync.Map // ids of all processes of the site
 	cmd  *exec.Cmd
 	log  *buffer
@@ -55,6 +56,25 @@
 	err  error // how the process ended; read after done
 }
 
+// NewProcess returns a process that has not been started, with its arguments and
+// with variables of its environment.
+func NewProcess(t testing.TB, name string, env []string, args ...string) *Process {
+	return &Process{Name: name, t: t, args: args, env: env, pids: &sync.Map{}, log: &buffer{}}
+}
+
+// Running reports whether the process was started and has not ended.
+func (p *Process) Running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // Start runs the process with the settings it had before.
 func (p *Process) Start() {
 	p.t.Helper()
@@ -63,7 +83,10 @@
 		p.t.Fatal(err)
 	}
 	cmd, done := exec.Command(binary, p.args...), make(chan struct{})
-	cmd.Stderr = p.log
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if p.env != nil {
+		cmd.Env = append(os.Environ(), p.env...)
+	}
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
--- a/cmd/internal/faults/relay.go
+++ b/cmd/internal/faults/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Direction of the bytes on a connection; directions combine with |.
@@ -34,6 +35,7 @@
 	mu      sync.Mutex // guards the fields below; a test helper holds no control state
 	cut     map[int]Direction
 	cutAll  Direction
+	delay   time.Duration
 	links   map[*link]bool
 	changed chan struct{} // closed at each change of the faults
 }
@@ -87,6 +89,26 @@
 	return n
 }
 
+// Delay holds all bytes for the time from now on.
+func (r *Relay) Delay(d time.Duration) { r.change(func() { r.delay = d }) }
+
+// ResetOpen resets the connections that are open now.
+func (r *Relay) ResetOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.links {
+		reset(l.client)
+		reset(l.server)
+	}
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it the close is orderly, which is milder
+	}
+	_ = c.Close()
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	close(r.done)
@@ -150,7 +172,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if !r.pass(l, d) {
+		if !r.pass(l, d) || !r.hold() {
 			return
 		}
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
@@ -179,6 +201,24 @@
 	}
 }
 
+// hold waits for the delay; it reports false when the relay ends.
+func (r *Relay) hold() bool {
+	r.mu.Lock()
+	delay := r.delay
+	r.mu.Unlock()
+	if delay == 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
 // opener finds which of the processes opened a connection: all of them have the
 // same IP address, and ports are chosen by the kernel.
 func opener(conn net.Conn, pids []int) int {
--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -68,7 +68,7 @@
 func platformSettings(role Role, p settings.Settings) Settings {
 	s := Settings{
 		Name: p.IP, Roles: []Role{role}, Domain: p.Domain,
-		InternalAddress: p.ReplicaAddress(p.IP), OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, FilesRenumbered: true, TargetVoters: 2*p.LossesBorne + 1,
+		InternalAddress: p.ReplicaAddress(p.IP), InternalListen: p.InternalListen, OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, FilesRenumbered: true, TargetVoters: 2*p.LossesBorne + 1,
 		Join: !p.FirstStart, DrainTimeout: p.StopGrace - stopReserve,
 		Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
--- /dev/null
+++ b/cmd/internal/soak/site_test.go
@@ -0,0 +1,185 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/cmd/internal/faults"
+	"lacewingturn.example/platform/standin"
+)
+
+const (
+	firstPort    = 11000
+	coreCount    = 3
+	nodeCount    = 5 // the others hold no replica
+	workerCount  = 10
+	workerCPU    = 16000 // thousandths
+	startTimeout = 20 * time.Second
+)
+
+// node is an instance with its two processes and the relay in front of its replica.
+type node struct {
+	standin.Node
+	file    string // of the settings of the control process
+	control *faults.Process
+	entry   *faults.Process
+	relay   *faults.Relay // nil without a disk
+}
+
+// system is a running site on loopback.
+type system struct {
+	t       *testing.T
+	nodes   []*node
+	workers []*standin.Worker
+	cloud   standin.Cloud
+	ledger  *ledger
+	all     sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// queues of the soak. Jobs of the second fail more often than is allowed.
+var queues = []standin.Queue{
+	{Name: "tickets", Prefix: "/tickets/", Pool: "counter", Attempts: 3},
+	{Name: "orders", Prefix: "/orders/", Pool: "workshop", Attempts: 2},
+}
+
+// startSystem starts all processes on addresses of their own, which the seed chooses.
+func startSystem(t *testing.T, rng *rand.Rand) *system {
+	t.Helper()
+	s := &system{t: t, ledger: newLedger()}
+	ctx, cancel := context.WithCancel(t.Context())
+	s.cancel = cancel
+	t.Cleanup(s.stop)
+	network := fmt.Sprintf("127.%d.%d", 2+rng.IntN(250), rng.IntN(256))
+	cloud, err := net.Listen("tcp", net.JoinHostPort(network+".200", "9000"))
+	assert.NilError(t, err)
+	server := &http.Server{Handler: s.cloud.Handler()}
+	s.all.Go(func() { _ = server.Serve(cloud) }) // ends with the listener
+	t.Cleanup(func() { _ = server.Close() })
+	folder := t.TempDir()
+	var seeds []string
+	for i := range coreCount {
+		seeds = append(seeds, fmt.Sprintf("%s.%d", network, i+1))
+	}
+	for i := range nodeCount {
+		n := &node{Node: standin.Node{
+			Name: fmt.Sprintf("n%d", i), IP: fmt.Sprintf("%s.%d", network, i+1), Zone: fmt.Sprintf("z%d", i%coreCount), Zones: []string{"z0", "z1", "z2"},
+			FirstPort: firstPort, Seeds: seeds, FirstStart: true, Cloud: cloud.Addr().String(),
+		}}
+		s.nodes = append(s.nodes, n)
+		s.startNode(n, folder, i < coreCount)
+	}
+	s.startWorkers(ctx, network)
+	return s
+}
+
+func (s *system) startNode(n *node, folder string, disk bool) {
+	listen := n.Internal()
+	if disk {
+		n.DataFolder = filepath.Join(folder, n.Name)
+		listen = net.JoinHostPort(n.IP, fmt.Sprint(firstPort+standin.Ports))
+		relay, err := faults.NewRelay(n.Internal(), listen, s.pids)
+		assert.NilError(s.t, err)
+		n.relay = relay
+	}
+	n.file = filepath.Join(folder, n.Name+"-control.yaml")
+	entryFile := filepath.Join(folder, n.Name+"-entry.yaml")
+	n.write(s.t)
+	assert.NilError(s.t, n.Write(entryFile))
+	n.control = faults.NewProcess(s.t, n.Name+"-control", []string{"LACEWINGTURN_BOOT=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
+	n.entry = faults.NewProcess(s.t, n.Name+"-entry", []string{"LACEWINGTURN_BOOT=" + entryFile}, "platform", "entry")
+	n.control.Start()
+	n.entry.Start()
+}
+
+// write writes the settings of the control process.
+func (n *node) write(t *testing.T) {
+	control := n.Node
+	control.Control = true
+	assert.NilError(t, control.Write(n.file))
+}
+
+func (s *system) startWorkers(ctx context.Context, network string) {
+	var listed []standin.Listed
+	for i := range workerCount {
+		queue := queues[i%len(queues)]
+		w := standin.NewWorker(standin.Worker{
+			Name: fmt.Sprintf("w%d", i), Instance: fmt.Sprintf("m%d", i), Pool: queue.Pool, Address: fmt.Sprintf("%s.%d:80", network, 100+i),
+			Zone: fmt.Sprintf("z%d", i%coreCount), Rack: fmt.Sprintf("r%d", i/4), MilliCPU: workerCPU, Controls: s.controls, Observer: s.ledger,
+		})
+		s.workers = append(s.workers, w)
+		listed = append(listed, standin.Listed{Instance: w.Instance, Pool: w.Pool, Worker: w.Name, Zone: w.Zone, Rack: w.Rack, MilliCPU: w.MilliCPU})
+		s.all.Go(func() { w.Run(ctx) })
+	}
+	s.cloud.Set(listed)
+}
+
+func (s *system) controls() (out []string) {
+	for _, n := range s.nodes {
+		out = append(out, n.ControlAddress())
+	}
+	return out
+}
+
+func (s *system) processes() (out []*faults.Process) {
+	for _, n := range s.nodes {
+		out = append(out, n.control, n.entry)
+	}
+	return out
+}
+
+func (s *system) pids() (out []int) {
+	for _, p := range s.processes() {
+		if p != nil && p.Running() {
+			out = append(out, p.PID())
+		}
+	}
+	return out
+}
+
+// stop ends all that was started; logs are kept if the test has failed.
+func (s *system) stop() {
+	s.cancel()
+	for _, p := range s.processes() {
+		if p != nil {
+			p.Kill()
+		}
+	}
+	for _, n := range s.nodes {
+		if n.relay != nil {
+			n.relay.Close()
+		}
+	}
+	if !s.t.Failed() {
+		return
+	}
+	folder, err := os.MkdirTemp("", "lacewingturn-soak-")
+	assert.NilError(s.t, err)
+	for _, p := range s.processes() {
+		assert.NilError(s.t, os.WriteFile(filepath.Join(folder, p.Name+".log"), []byte(p.Log()), 0o600))
+	}
+	s.t.Logf("logs are in %s", folder)
+}
+
+// until waits for a condition.
+func (s *system) until(what string, limit time.Duration, condition func() bool) {
+	s.t.Helper()
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for end := time.Now().Add(limit); !condition(); <-ticker.C {
+		if time.Now().After(end) {
+			s.t.Errorf("not within %s: %s", limit, what)
+			return
+		}
+	}
+}
--- a/cmd/lacewingturnd/platform.go
+++ b/cmd/lacewingturnd/platform.go
@@ -18,6 +18,8 @@
 type platformCommand struct {
 	Role     string `arg:"" help:"Role of this process: control or entry." enum:"control,entry"`
 	Settings string `help:"Settings file of the platform." env:"${platform_settings}" required:""`
+	// InternalListen is for tests that put a proxy in front of a replica.
+	InternalListen string `help:"Address to listen on when other processes reach the internal address through a forwarder." env:"LACEWINGTURN_INTERNAL_LISTEN" placeholder:"IP:PORT"`
 }
 
 // Run serves on the users' platform until a signal.
@@ -26,6 +28,7 @@
 	if err != nil {
 		return trace.Wrap(err, "wrong settings; nothing was started")
 	}
+	s.InternalListen = c.InternalListen
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
 	}
