End the process of a replica once its failed disk takes writes again

Two disks that were full one after the other left the site without a quorum for good. Ruled out: partitions and kills (all had ended; the logs show 'storage failed' on two of three replicas and no later event).

The storage tests a failed disk every 0.5 s; once it takes writes again the process ends with code 1, and its next start finds out what reached the disk. The soak starts processes again that have ended by themselves.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -13,6 +13,7 @@
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
+	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
@@ -131,12 +132,22 @@
 }
 
 // runReplica gives up leadership first when the process stops, and closes the
-// data folder last.
-func runReplica(lc fx.Lifecycle, life *life, r *replicacommand.Replica) {
+// data folder last. The process stops when the replica has to be started anew.
+func runReplica(lc fx.Lifecycle, life *life, r *replicacommand.Replica, shutdown fx.Shutdowner, log *zap.Logger) {
 	done := make(chan error, 1)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() { done <- r.Run(life) }()
+			go func() {
+				err := r.Run(life)
+				done <- err
+				if err == nil || life.Err() != nil {
+					return
+				}
+				event.ReplicaEnded.Log(log, zap.Error(err))
+				if err := shutdown.Shutdown(fx.ExitCode(1)); err != nil {
+					event.ReplicaEnded.Log(log, zap.Error(err))
+				}
+			}()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -70,6 +70,9 @@
 // Start opens the listeners and starts the roles.
 func (p *Process) Start(ctx context.Context) error { return trace.Wrap(p.app.Start(ctx)) }
 
+// Ended receives a signal when a part of the process asks for its end.
+func (p *Process) Ended() <-chan fx.ShutdownSignal { return p.app.Wait() }
+
 // Stop is a graceful shutdown. It returns when no request is in flight.
 func (p *Process) Stop(ctx context.Context) error { return trace.Wrap(p.app.Stop(ctx)) }
 
--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -23,6 +23,8 @@
 	maxPause = 1200 * time.Millisecond
 	// catchUp is how long a replica that has lost its disk counts as lost.
 	catchUp = 6 * time.Second
+	// restartDelay is the time from the end of a process to its next start.
+	restartDelay = 300 * time.Millisecond
 	// stopGrace is the time from SIGTERM to SIGKILL.
 	stopGrace = 6 * time.Second
 )
@@ -37,8 +39,25 @@
 	wiped time.Time // until when a disk counts as lost
 }
 
-// run injects faults for the time and returns when all have ended.
-func (s *series) run(ctx context.Context, d time.Duration) {
+// supervise starts processes again that have ended by themselves, as the
+// platform does, until ctx ends.
+func (s *series) supervise(ctx context.Context) {
+	for wait.For(ctx, restartDelay) == nil {
+		for _, p := range s.processes() {
+			if s.hold(p) == nil {
+				continue
+			}
+			if !p.Running() {
+				s.ledger.disturb()
+				p.Start()
+			}
+			s.release(p)
+		}
+	}
+}
+
+// inject injects faults for the time and returns when all have ended.
+func (s *series) inject(ctx context.Context, d time.Duration) {
 	end := time.Now().Add(d)
 	kinds := []func(){
 		s.kill, s.kill, s.pause, s.terminate, s.reload, s.cut, s.oneWay, s.silence, s.reset, s.delay, s.wipe, s.fullDisk, s.killCore,
@@ -100,9 +119,16 @@
 	}
 }
 
+// signal sends a signal to a process unless it has ended by itself.
+func signal(p *faults.Process, sig syscall.Signal) {
+	if p.Running() {
+		p.Signal(sig)
+	}
+}
+
 func (s *series) pause() {
 	if p := s.anyProcess(); p != nil {
-		s.during(func() { p.Signal(syscall.SIGSTOP) }, func() { p.Signal(syscall.SIGCONT); s.release(p) })
+		s.during(func() { signal(p, syscall.SIGSTOP) }, func() { signal(p, syscall.SIGCONT); s.release(p) })
 	}
 }
 
@@ -111,7 +137,7 @@
 	if p == nil {
 		return
 	}
-	p.Signal(syscall.SIGTERM)
+	signal(p, syscall.SIGTERM)
 	s.all.Go(func() {
 		timer := time.AfterFunc(stopGrace, p.Kill)
 		_ = p.Wait() // a process that was killed after its grace is no fault of its own here
@@ -123,7 +149,7 @@
 
 func (s *series) reload() {
 	if p := s.anyProcess(); p != nil {
-		p.Signal(syscall.SIGHUP)
+		signal(p, syscall.SIGHUP)
 		s.release(p)
 	}
 }
@@ -188,7 +214,7 @@
 
 func (s *series) limitFiles(p *faults.Process, bytes uint64) {
 	if !p.Running() {
-		return // it has given up on the disk by itself and is started again below
+		return // it has ended by itself and is started again
 	}
 	limit := unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
 	assert.Check(s.t, unix.Prlimit(p.PID(), unix.RLIMIT_FSIZE, &limit, nil))
--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -44,6 +44,7 @@
 	cloud   standin.Cloud
 	ledger  *ledger
 	all     sync.WaitGroup
+	ctx     context.Context // ends with the site
 	cancel  context.CancelFunc
 }
 
@@ -58,7 +59,7 @@
 	t.Helper()
 	s := &system{t: t, ledger: newLedger()}
 	ctx, cancel := context.WithCancel(t.Context())
-	s.cancel = cancel
+	s.ctx, s.cancel = ctx, cancel
 	t.Cleanup(s.stop)
 	network := fmt.Sprintf("127.%d.%d", 2+rng.IntN(250), rng.IntN(256))
 	cloud, err := net.Listen("tcp", net.JoinHostPort(network+".200", "9000"))
@@ -150,6 +151,7 @@
 // stop ends all that was started; logs are kept if the test has failed.
 func (s *system) stop() {
 	s.cancel()
+	s.all.Wait()
 	for _, p := range s.processes() {
 		if p != nil {
 			p.Kill()
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -36,16 +36,18 @@
 
 // regressions are seeds that have failed, with the cause.
 var regressions = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	length time.Duration
+	cause  string
 }{
-	{1, "none; the short run of CI"},
+	{1, 6 * time.Second, "none; the short run of CI"},
+	{103, 12 * time.Second, "two replicas whose disks had been full for a while took no part any more until a new start"},
 }
 
 // Guards against promises that are broken when faults of several kinds overlap.
 func TestSeedsThatFailed(t *testing.T) {
 	for _, r := range regressions {
-		t.Run(fmt.Sprint(r.seed), func(t *testing.T) { soak(t, r.seed, 6*time.Second) })
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) { soak(t, r.seed, r.length) })
 	}
 }
 
@@ -76,7 +78,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	work.run(ctx, seed)
 	series := &series{system: s, rng: rng, held: map[*faults.Process]bool{}}
-	series.run(ctx, length)
+	s.all.Go(func() { series.supervise(s.ctx) })
+	series.inject(ctx, length)
 	cancel()
 	work.all.Wait()
 	s.settle(work, rng)
--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -65,14 +65,18 @@
 	return runUntil(ctx, p)
 }
 
-// runUntil runs the process until ctx ends and then shuts it down gracefully.
+// runUntil runs the process until ctx ends or a part of it asks for a new start,
+// and then shuts it down gracefully.
 func runUntil(ctx context.Context, p *instance.Process) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := p.Start(starting); err != nil {
 		return trace.Wrap(err)
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-p.Ended():
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), p.Settings().DrainTimeout)
 	defer cancel()
 	return trace.Wrap(p.Stop(stopping))
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -141,15 +141,21 @@
 }
 
 // Run works until ctx ends and returns once the data folder is closed. The loop
-// must run meanwhile.
+// must run meanwhile. It returns ErrRestart after a failure of the disk that is over.
 func (r *Replica) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
-	wg.Go(func() { r.writer.run(ctx, r.port) })
+	var failed error
+	wg.Go(func() {
+		failed = r.writer.run(ctx, r.port)
+		cancel()
+	})
 	wg.Go(func() { r.senders.run(ctx) })
 	wg.Go(func() { r.enroll(ctx) })
 	wg.Go(func() { r.tasks.run(ctx, func(ctx context.Context, m any) error { return r.port.Send(ctx, m) }) })
 	wg.Wait()
-	return trace.Wrap(r.store.Close())
+	return trace.NewAggregate(failed, r.store.Close())
 }
 
 // Resign hands leadership over before a planned stop and waits until another
--- /dev/null
+++ b/replica/command/restart_test.go
@@ -0,0 +1,47 @@
+package command
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/node/loop"
+	"lacewingturn.example/replica/raft"
+	"lacewingturn.example/replica/storage"
+)
+
+// ignore is a machine that takes every message.
+type ignore struct{}
+
+func (ignore) Handle(time.Time, loop.Message) {}
+func (ignore) Tick(time.Time)                 {}
+func (ignore) Deadline() time.Time            { return time.Time{} }
+func (ignore) Flush(time.Time)                {}
+
+// Guards against a replica that takes no part for ever after its disk was full
+// or failed for a while; with a second one the site had no quorum any more.
+func TestReplicaEndsOnceItsDiskTakesWritesAgain(t *testing.T) {
+	folder, err := storage.OpenFolder(t.TempDir())
+	assert.NilError(t, err)
+	disk := &failingFS{FS: folder}
+	store, _, err := storage.Open(disk, "r1", "1")
+	assert.NilError(t, err)
+	defer store.Close()
+	l := loop.New(1)
+	port := l.Add(ignore{})
+	go l.Run(t.Context())
+	w := newWriter(store)
+	w.jobs <- job{writes: []raft.Write{{Seq: 1, Hard: &raft.HardState{Term: 1}}}}
+	disk.failing.Store(true)
+	ended := make(chan error, 1)
+	go func() { ended <- w.run(context.Background(), port) }()
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with %v while the disk fails", err)
+	case <-time.After(2 * probeInterval):
+	}
+	disk.failing.Store(false)
+	assert.ErrorIs(t, <-ended, ErrRestart)
+}
--- a/replica/command/writer.go
+++ b/replica/command/writer.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
+	"lacewingturn.example/node/wait"
 	"lacewingturn.example/replica/raft"
 	"lacewingturn.example/replica/storage"
 )
@@ -32,19 +34,40 @@
 	return &writer{store: store, jobs: make(chan job, 1), stopped: make(chan struct{})}
 }
 
-// run carries out jobs until ctx ends.
-func (w *writer) run(ctx context.Context, port loop.Port) {
+// ErrRestart is returned by Run once a disk that had failed takes writes again.
+// What it holds is known only after a new start.
+var ErrRestart = errors.New("the disk takes writes again; the replica must be started anew")
+
+// probeInterval is the time between two tests of a disk that has failed.
+const probeInterval = 500 * time.Millisecond
+
+// run carries out jobs until ctx ends. After a failure it waits until the disk
+// takes writes again and returns ErrRestart.
+func (w *writer) run(ctx context.Context, port loop.Port) error {
 	defer close(w.stopped)
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case j := <-w.jobs:
-			if port.Send(ctx, w.do(j)) != nil {
-				return
+			done := w.do(j)
+			if port.Send(ctx, done) != nil {
+				return nil
 			}
+			if done.err != nil {
+				return w.awaitDisk(ctx)
+			}
+		}
+	}
+}
+
+func (w *writer) awaitDisk(ctx context.Context) error {
+	for wait.For(ctx, probeInterval) == nil {
+		if w.store.Probe() == nil {
+			return ErrRestart
 		}
 	}
+	return nil
 }
 
 func (w *writer) do(j job) written {
--- a/replica/storage/store.go
+++ b/replica/storage/store.go
@@ -161,6 +161,24 @@
 	return append(log[:keep:keep], entries...), nil
 }
 
+const (
+	probeFile = "probe" + temporary
+	probeSize = 64 << 10 // bytes
+)
+
+// Probe tests whether the folder takes writes, with a file that it removes.
+func (s *Store) Probe() error {
+	f, err := s.fs.Create(probeFile)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, failed := f.Write(make([]byte, probeSize))
+	if failed == nil {
+		failed = f.Sync()
+	}
+	return trace.NewAggregate(failed, f.Close(), s.fs.Remove(probeFile))
+}
+
 // fail makes every later write fail.
 func (s *Store) fail(err error) error {
 	if s.failed == nil {
