Explain workloads and workers to operators, and show workloads, worker pools and upkeep in the views

The command line against a deployment with a catalog showed empty jobs, pools and waves, and explain job knew no workload. The chain of a workload moves from the placement to the queries, which both use.

--- a/cmd/lacewingturn/query/explain.go
+++ b/cmd/lacewingturn/query/explain.go
@@ -7,7 +7,7 @@
 
 // Explain shows the explain view of one object.
 type Explain struct {
-	Kind string `arg:"" enum:"job,instance,wave,move,pool" help:"job, instance, wave, move or pool."`
+	Kind string `arg:"" enum:"job,instance,wave,move,pool,worker" help:"job, instance, wave, move, pool or worker."`
 	ID   string `arg:"" help:"ID or name of the object."`
 }
 
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -3,9 +3,9 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
 )
 
 // candidate is a workload that may have tasks to start.
@@ -51,12 +51,12 @@
 }
 
 func (p *planner) candidate(w model.Workload, q model.Queue) candidate {
-	left := Remaining(w)
+	left := query.Remaining(w)
 	c := candidate{workload: w, pool: q.Pool, priority: q.Priority, advised: q.Advised, since: w.AcceptedAt}
 	for _, s := range w.Steps {
 		c.lasting = c.lasting || s.Lasting
 	}
-	c.deadline = Deadline(w, q)
+	c.deadline = query.Deadline(w, q)
 	c.late = c.deadline < p.rules.Now.Add(left)
 	return c
 }
@@ -75,38 +75,3 @@
 	}
 	return 1
 }
-
-// Deadline returns when the workload should be complete: its first due time,
-// the stretched chain of its steps and the queue's target.
-func Deadline(w model.Workload, q model.Queue) model.Timestamp {
-	chain := chainOf(w, func(int) bool { return true })
-	return w.Due(0).Add(time.Duration(float64(chain)*q.Stretch) + q.Target)
-}
-
-// Remaining estimates the longest chain of steps that are not complete in the
-// first unfinished round.
-func Remaining(w model.Workload) time.Duration {
-	for _, r := range w.Rounds {
-		if left := chainOf(w, func(step int) bool { return !r.Steps[step].Complete() }); left > 0 {
-			return left
-		}
-	}
-	return 0
-}
-
-// chainOf returns the longest sum of estimates along the dependencies of steps
-// that count.
-func chainOf(w model.Workload, counts func(step int) bool) time.Duration {
-	ends := make([]time.Duration, len(w.Steps))
-	var longest time.Duration
-	for i, s := range w.Steps {
-		for _, before := range s.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		if counts(i) {
-			ends[i] += s.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
--- a/core/query/explain.go
+++ b/core/query/explain.go
@@ -30,6 +30,8 @@
 	KindWave     = "wave"
 	KindMove     = "move"
 	KindPool     = "pool"
+	// KindWorker is a worker by the name that it gives itself.
+	KindWorker = "worker"
 )
 
 // Explain explains one object at the time now. The observations are empty on
@@ -39,10 +41,7 @@
 	found := false
 	switch kind {
 	case KindJob:
-		var j model.Job
-		if j, found = s.Jobs.Get(model.JobID(id)); found {
-			e.job(s, j)
-		}
+		found = e.anyJob(s, id)
 	case KindInstance:
 		var i model.Instance
 		if i, found = s.Instances.Get(model.InstanceID(id)); found {
@@ -63,10 +62,31 @@
 		if u, found = budget.Of(s, model.PoolName(id)); found {
 			e.pool(s, u)
 		}
+	case KindWorker:
+		list := assignmentsOf(s, id)
+		found = len(list) > 0
+		e.worker(list)
 	}
 	return *e, found
 }
 
+// anyJob explains a job or a workload; it reports false if there is neither.
+func (e *Explanation) anyJob(s model.State, id string) bool {
+	if j, ok := s.Jobs.Get(model.JobID(id)); ok {
+		e.job(s, j)
+		return true
+	}
+	if w, ok := s.Workloads.Get(model.WorkloadID(id)); ok {
+		e.workload(s, w)
+		return true
+	}
+	f, ok := s.Finished.Get(model.WorkloadID(id))
+	if ok {
+		e.finished(f)
+	}
+	return ok
+}
+
 func (e *Explanation) because(format string, args ...any) {
 	e.Reasons = append(e.Reasons, fmt.Sprintf(format, args...))
 }
--- /dev/null
+++ b/core/query/explain_workload.go
@@ -0,0 +1,88 @@
+package query
+
+import (
+	"fmt"
+
+	"lacewingturn.example/core/model"
+)
+
+// maxNamedRuns is the number of runs that an explanation names.
+const maxNamedRuns = 10
+
+// workload explains a workload that has not ended: its steps, and where its runs are.
+func (e *Explanation) workload(s model.State, w model.Workload) {
+	q, listed := s.Catalog.Queue(w.Queue)
+	e.Condition = fmt.Sprintf("%s, queue %s, pool %s, accepted %s ago", phaseOf(w), w.Queue, q.Pool, e.since(w.AcceptedAt))
+	if !listed {
+		e.because("the catalog in force has no queue %s any more, so that nothing is started", w.Queue)
+		e.may("publish a catalog with the queue, or cancel the workload")
+	} else if due := Deadline(w, q); due < e.now {
+		e.because("it should have been complete %s ago", e.since(due))
+	}
+	named := 0
+	for i, round := range w.Rounds {
+		for j, step := range round.Steps {
+			e.step(w, i, j, step)
+			named += e.runs(w, i, j, step, maxNamedRuns-named)
+		}
+	}
+}
+
+func (e *Explanation) step(w model.Workload, round, step int, state model.StepState) {
+	where := fmt.Sprintf("step %d of round %d", step, round)
+	switch {
+	case state.Complete():
+		e.because("%s is complete", where)
+		return
+	case w.Due(round) > e.now:
+		e.because("%s is due in %s", where, w.Due(round).Sub(e.now))
+		return
+	case !w.Open(round, step):
+		e.because("%s waits for steps %v", where, w.Steps[step].After)
+		return
+	}
+	running, waiting, failures := 0, 0, 0
+	for _, t := range state.Tasks {
+		running += len(t.Active)
+		failures += t.Failures
+		if !t.Done && len(t.Active) == 0 {
+			waiting++
+		}
+	}
+	e.because("%s: %d of %d tasks are done, %d runs are active, %d tasks wait for room for %s, %d runs have failed (%d of one task end the workload)",
+		where, state.Done, len(state.Tasks), running, waiting, Capacity(w.Steps[step].Reserved()), failures, w.MaxFailures)
+}
+
+// runs names up to limit active runs of a step and returns how many it named.
+func (e *Explanation) runs(w model.Workload, round, step int, state model.StepState, limit int) (named int) {
+	for index, t := range state.Tasks {
+		for _, run := range t.Active {
+			if named == limit {
+				return named
+			}
+			e.because("run %d of task %d of step %d in round %d is on worker %s since %s ago", run.Number, index, step, round, run.Worker, e.since(run.StartedAt))
+			named++
+		}
+	}
+	return named
+}
+
+// finished explains a workload that has ended.
+func (e *Explanation) finished(f model.FinishedWorkload) {
+	e.Condition = fmt.Sprintf("%s, queue %s, ended %s ago", f.Phase, f.Queue, e.since(f.EndedAt))
+	if f.Reason != "" {
+		e.because("%s", f.Reason)
+		e.may("follow the workload's ID through the logs: event 6032 names each run that ended early, its worker and the cause")
+	}
+}
+
+// worker explains what is assigned to the incarnations of a worker.
+func (e *Explanation) worker(list []model.Assignment) {
+	e.Condition = fmt.Sprintf("%d incarnations have runs", len(list))
+	for _, a := range list {
+		e.because("%s has %d runs", a.Worker, len(a.Runs))
+		for _, run := range a.Runs[:min(len(a.Runs), maxNamedRuns)] {
+			e.because("%s: run %d of task %d of step %d in round %d of workload %s", a.Worker, run.Number, run.Task.Index, run.Task.Step, run.Task.Round, run.Task.Workload)
+		}
+	}
+}
--- a/core/query/jobs.go
+++ b/core/query/jobs.go
@@ -8,8 +8,9 @@
 
 // JobsView is the body of the jobs query.
 type JobsView struct {
-	Teams []TeamEntry `json:"teams"`
-	Jobs  []JobEntry  `json:"jobs"`
+	Teams     []TeamEntry     `json:"teams"`
+	Jobs      []JobEntry      `json:"jobs"`
+	Workloads []WorkloadEntry `json:"workloads"`
 }
 
 // TeamEntry is the use of one team's quota, by what the leases hold.
@@ -40,14 +41,15 @@
 	Reason      string    `json:"reason"`
 }
 
-// Jobs returns the teams and jobs; an ID selects one job without the teams. It
-// reports false if there is no job of that ID.
+// Jobs returns the teams, jobs and workloads; an ID selects one job or workload
+// without the teams. It reports false if there is none of that ID.
 func Jobs(s model.State, id model.JobID) (JobsView, bool) {
-	v := JobsView{Teams: []TeamEntry{}, Jobs: []JobEntry{}}
+	v := JobsView{Teams: []TeamEntry{}, Jobs: []JobEntry{}, Workloads: workloads(s, model.WorkloadID(id))}
 	if id != "" {
-		j, ok := s.Jobs.Get(id)
-		v.Jobs = append(v.Jobs, jobEntry(j))
-		return v, ok
+		if j, ok := s.Jobs.Get(id); ok {
+			v.Jobs = append(v.Jobs, jobEntry(j))
+		}
+		return v, len(v.Jobs)+len(v.Workloads) > 0
 	}
 	used := map[model.TeamName]model.Resources{}
 	queued, active := map[model.TeamName]int{}, map[model.TeamName]int{}
--- a/core/query/pools.go
+++ b/core/query/pools.go
@@ -9,8 +9,9 @@
 
 // PoolsView is the body of the pools query.
 type PoolsView struct {
-	Pools     []PoolEntry     `json:"pools"`
-	Instances []InstanceEntry `json:"instances"`
+	Pools       []PoolEntry       `json:"pools"`
+	Instances   []InstanceEntry   `json:"instances"`
+	WorkerPools []WorkerPoolEntry `json:"worker_pools"`
 }
 
 // PoolEntry is one pool and its budget.
@@ -44,7 +45,7 @@
 // Pools returns the pools and their instances; a name selects one pool. It
 // reports false if there is no pool of that name.
 func Pools(s model.State, name model.PoolName) (PoolsView, bool) {
-	v := PoolsView{Pools: []PoolEntry{}, Instances: []InstanceEntry{}}
+	v := PoolsView{Pools: []PoolEntry{}, Instances: []InstanceEntry{}, WorkerPools: workerPools(s, name, s.Clock)}
 	lent, borrowed := map[model.PoolName]int{}, map[model.PoolName]int{}
 	for _, i := range s.Instances.All() {
 		if i.Home != "" {
@@ -56,7 +57,7 @@
 		}
 	}
 	if s.Config == nil {
-		return v, name == ""
+		return v, name == "" || len(v.WorkerPools) > 0
 	}
 	usage := budget.All(s)
 	for _, p := range s.Config.Pools {
@@ -67,7 +68,7 @@
 			})
 		}
 	}
-	return v, name == "" || len(v.Pools) > 0
+	return v, name == "" || len(v.Pools)+len(v.WorkerPools) > 0
 }
 
 func instanceEntry(i model.Instance) InstanceEntry {
--- a/core/query/status.go
+++ b/core/query/status.go
@@ -38,6 +38,7 @@
 	Term     uint64         `json:"term"`     // of the replication
 	Index    uint64         `json:"index"`    // last applied log entry
 	Revision uint64         `json:"revision"` // configuration in force
+	Catalog  int64          `json:"catalog"`  // version of the catalog of queues in force; 0 if none
 	Leader   string         `json:"leader"`   // empty if unknown
 	Leads    bool           `json:"leads"`    // the answering replica is the leader
 	SilentMs int64          `json:"silent_ms"`
@@ -77,6 +78,8 @@
 	Moves       int            `json:"moves"`   // that have not ended
 	Jobs        map[string]int `json:"jobs"`    // by phase
 	Claims      int            `json:"claims"`
+	Workloads   map[string]int `json:"workloads"` // by phase
+	Upkeeps     int            `json:"upkeeps"`   // that are not complete
 }
 
 // Status returns the status view.
@@ -90,6 +93,9 @@
 	if s.Config != nil {
 		v.Site = s.Config.Site
 	}
+	if s.Catalog != nil {
+		v.Catalog = int64(s.Catalog.Version)
+	}
 	for _, r := range s.Replicas.All() {
 		v.Replicas = append(v.Replicas, ReplicaState{ID: string(r.ID), Address: r.Address, DataCentre: r.Domain.DataCenter, Voter: r.Voter})
 	}
@@ -126,7 +132,7 @@
 }
 
 func counts(s model.State) Counts {
-	c := Counts{Instances: map[string]int{}, Targets: map[string]int{}, Waves: map[string]int{}, Jobs: map[string]int{}, Claims: s.Claims.Len()}
+	c := Counts{Instances: map[string]int{}, Targets: map[string]int{}, Waves: map[string]int{}, Jobs: map[string]int{}, Workloads: map[string]int{}, Claims: s.Claims.Len()}
 	for _, i := range s.Instances.All() {
 		c.Instances[i.Phase.String()]++
 		if i.Quarantined {
@@ -149,6 +155,17 @@
 	for _, j := range s.Jobs.All() {
 		c.Jobs[j.Phase.String()]++
 	}
+	for _, w := range s.Workloads.All() {
+		c.Workloads[phaseOf(w).String()]++
+	}
+	for _, f := range s.Finished.All() {
+		c.Workloads[f.Phase.String()]++
+	}
+	for _, u := range s.Upkeeps.All() {
+		if !u.Complete() {
+			c.Upkeeps++
+		}
+	}
 	return c
 }
 
@@ -162,6 +179,9 @@
 	if c.Leader == "" || c.LeaderSilence > silentLimit {
 		warn("replica %s has had no contact with a leader for %s; what follows may be out of date", c.Replica, c.LeaderSilence.Round(time.Millisecond))
 	}
+	if s.Config == nil && s.Catalog != nil {
+		return out // the users' platform publishes a catalog instead
+	}
 	if s.Config == nil {
 		warn("no configuration has been accepted yet")
 		return out
--- a/core/query/waves.go
+++ b/core/query/waves.go
@@ -9,8 +9,9 @@
 // WavesView is the body of the waves query. Ended waves and moves are kept for
 // a while.
 type WavesView struct {
-	Waves []WaveEntry `json:"waves"`
-	Moves []MoveEntry `json:"moves"`
+	Waves   []WaveEntry   `json:"waves"`
+	Moves   []MoveEntry   `json:"moves"`
+	Upkeeps []UpkeepEntry `json:"upkeeps"`
 }
 
 // WaveEntry is one maintenance wave.
@@ -43,10 +44,10 @@
 	Reason   string    `json:"reason"`
 }
 
-// Waves returns the waves and moves; an ID selects one wave without the moves.
+// Waves returns the waves, moves and upkeep orders; an ID selects one wave alone.
 // It reports false if there is no wave of that ID.
 func Waves(s model.State, id model.WaveID) (WavesView, bool) {
-	v := WavesView{Waves: []WaveEntry{}, Moves: []MoveEntry{}}
+	v := WavesView{Waves: []WaveEntry{}, Moves: []MoveEntry{}, Upkeeps: []UpkeepEntry{}}
 	for _, w := range s.Waves.All() {
 		if id == "" || w.ID == id {
 			v.Waves = append(v.Waves, WaveEntry{
@@ -59,6 +60,7 @@
 	if id != "" {
 		return v, len(v.Waves) > 0
 	}
+	v.Upkeeps = upkeeps(s)
 	for _, m := range s.Moves.All() {
 		v.Moves = append(v.Moves, MoveEntry{
 			ID: string(m.ID), Instance: string(m.Instance), From: string(m.From), To: string(m.To), Phase: m.Phase.String(),
--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -17,10 +17,7 @@
 	if !ok {
 		return 0, false, true
 	}
-	if w.Started() {
-		return model.WorkloadActive, true, true
-	}
-	return model.WorkloadQueued, true, true
+	return phaseOf(w), true, true
 }
 
 // PendingAt returns the number of workloads of the queue at the address that
--- /dev/null
+++ b/core/query/workload_views_test.go
@@ -0,0 +1,63 @@
+package query_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
+)
+
+const workloadID = "00000000000000a1"
+
+// Guards against an operator who cannot see why a workload waits or failed, on
+// which worker its runs are, and what the worker has.
+func TestExplainWorkload(t *testing.T) {
+	one := model.Resources{MilliCPU: 500, MemoryMB: 1}
+	s := started(workloadState(t, model.Step{Count: 2, Need: one}, model.Step{Count: 1, Need: one, After: []int{0}}), 0, 1)
+	explain := func(kind, id string) string {
+		e, ok := query.Explain(s, model.Observations{}, s.Clock, kind, id)
+		assert.Assert(t, ok, "%s %s", kind, id)
+		return e.Condition + "\n" + strings.Join(e.Reasons, "\n")
+	}
+	contains := func(text string, wanted ...string) {
+		t.Helper()
+		for _, want := range wanted {
+			assert.Assert(t, strings.Contains(text, want), "missing %q in\n%s", want, text)
+		}
+	}
+	contains(explain(query.KindJob, workloadID), "active, queue q, pool p",
+		"step 0 of round 0: 0 of 2 tasks are done, 1 runs are active, 1 tasks wait", "run 1 of task 1 of step 0 in round 0 is on worker w@1", "step 1 of round 0 waits for steps [0]")
+	contains(explain(query.KindWorker, "w"), "w@1 has 1 runs", "of workload "+workloadID)
+	for run := 1; run <= 2; run++ {
+		ref := model.RunRef{Task: model.TaskRef{Workload: workloadID, Index: 1}, Number: run}
+		s, _ = command.Apply(s, s.Index+1, 1, model.Envelope{Time: s.Clock, Command: model.RecordProgress{Starts: []model.RunStart{{Run: ref, Worker: "w@1"}}}})
+		s, _ = command.Apply(s, s.Index+1, 1, model.Envelope{Time: s.Clock, Command: model.RecordProgress{Ends: []model.RunEnd{{Run: ref, Worker: "w@1", Outcome: model.RunFailed}}}})
+	}
+	contains(explain(query.KindJob, workloadID), "failed, queue q", "task 1 of step 0 in round 0 has failed 2 times")
+	_, ok := query.Explain(s, model.Observations{}, s.Clock, query.KindJob, "other")
+	assert.Assert(t, !ok)
+}
+
+// Guards against views of a deployment with a catalog that show nothing.
+func TestViewsShowWorkloads(t *testing.T) {
+	s := started(workloadState(t, model.Step{Count: 2}), 0, 0)
+	s = apply(t, s, model.OrderUpkeep{Upkeep: model.Upkeep{Number: 7, Limit: 1, Instances: []model.UpkeepInstance{{ID: "m1"}}}})
+	jobs, ok := query.Jobs(s, workloadID)
+	assert.Assert(t, ok)
+	assert.Equal(t, jobs.Workloads[0].Phase, "active")
+	assert.Equal(t, jobs.Workloads[0].Running, 1)
+	pools, ok := query.Pools(s, "p")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, pools.WorkerPools[0].Queues, []string{"q"})
+	waves, _ := query.Waves(s, "")
+	assert.DeepEqual(t, waves.Upkeeps[0].Open, []string{"m1"})
+	status := query.Status(s, query.Contact{Leader: "r"})
+	assert.Equal(t, status.Catalog, int64(1))
+	assert.DeepEqual(t, status.Counts.Workloads, map[string]int{"active": 1})
+	assert.Equal(t, status.Counts.Upkeeps, 1)
+	assert.Equal(t, len(status.Warnings), 0)
+}
--- a/replica/schedule/record.go
+++ b/replica/schedule/record.go
@@ -5,8 +5,8 @@
 
 	"go.uber.org/zap"
 
-	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/query"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/telemetry"
 )
@@ -91,7 +91,7 @@
 	}
 	m.logged[id] = true
 	q, _ := before.Catalog.Queue(w.Queue)
-	took, late := f.EndedAt.Sub(w.AcceptedAt), max(0, f.EndedAt.Sub(place.Deadline(w, q)))
+	took, late := f.EndedAt.Sub(w.AcceptedAt), max(0, f.EndedAt.Sub(query.Deadline(w, q)))
 	m.settings.Metrics.finished.WithLabelValues(f.Phase.String()).Inc()
 	if f.Phase == model.WorkloadCompleted {
 		m.settings.Metrics.duration.WithLabelValues(string(w.Queue)).Observe(took.Seconds())
