--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -29,7 +29,7 @@
 )
 
 func newScheduler(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, metrics prometheus.Registerer, log *zap.Logger) *schedule.Machine {
-	s := schedule.Settings{LeaseMax: p.LeaseMax, Metrics: schedule.NewMetrics(metrics), Logger: log}
+	s := schedule.Settings{LeaseMax: p.LeaseMax, FarFactor: p.FarFactor, Metrics: schedule.NewMetrics(metrics), Logger: log}
 	if p.AdviceAddress != "" {
 		s.Advisor = cloud.New(p.AdviceAddress, p.Name)
 	}
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -24,7 +24,7 @@
 				return
 			}
 		}
-		if p.rules.Now.Sub(c.since) < nearPatience {
+		if p.mayWait(c, spec) {
 			return
 		}
 	}
--- /dev/null
+++ b/core/command/place/near_test.go
@@ -0,0 +1,31 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/model"
+)
+
+// Guards against tasks that run far from their data, and hold workers for
+// longer, although they would be in time near it, and against tasks that wait
+// for a place near their data until they are late.
+func TestTasksWaitNearTheirDataWhileThatIsInTime(t *testing.T) {
+	x := newSite(t) // a workload of one second should be complete after three
+	near := step(2, 1000)
+	near.NearRack = "r-a"
+	x.submit(0, 1, near)
+	rules := Rules{FarFactor: 1.5}
+	at := func(d time.Duration) []model.RunStart {
+		rules.Now = x.s.Clock.Add(d)
+		return x.plan(rules, worker("a", 1000), worker("b", 8000))
+	}
+	assert.Equal(t, len(at(0)), 1)
+	assert.Equal(t, at(0)[0].Worker, model.WorkerID("a@1"))
+	assert.Equal(t, len(at(800*time.Millisecond)), 1)
+	assert.Equal(t, len(at(time.Second)), 2, "it would be late if it waited on")
+	rules.Now = 0
+	assert.Equal(t, len(x.plan(rules, worker("b", 8000))), 2, "no worker is near the data")
+}
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
@@ -16,9 +17,13 @@
 	advised  bool
 	lasting  bool
 	since    model.Timestamp // when it was accepted
-	// deadline is when it should be complete; late is set once it cannot be.
+	// deadline is when it should be complete, left what its steps still take; late
+	// is set once it cannot be in time.
 	deadline model.Timestamp
+	left     time.Duration
 	late     bool
+	// nearOnly is set while the present step waits for workers near its data.
+	nearOnly bool
 }
 
 // candidates lists the workloads of pools that have a worker with room, in the
@@ -51,13 +56,12 @@
 }
 
 func (p *planner) candidate(w model.Workload, q model.Queue) candidate {
-	left := query.Remaining(w)
-	c := candidate{workload: w, pool: q.Pool, priority: q.Priority, advised: q.Advised, since: w.AcceptedAt}
+	c := candidate{workload: w, pool: q.Pool, priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, left: query.Remaining(w)}
 	for _, s := range w.Steps {
 		c.lasting = c.lasting || s.Lasting
 	}
 	c.deadline = query.Deadline(w, q)
-	c.late = c.deadline < p.rules.Now.Add(left)
+	c.late = c.deadline < p.rules.Now.Add(c.left)
 	return c
 }
 
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -39,6 +39,9 @@
 	Ticket func(model.TaskRef, model.WorkerID) bool
 	// Slow reports whether the run should be doubled where its step allows it.
 	Slow func(model.RunRef) bool
+	// FarFactor is how many times as long tasks take away from the rack of their
+	// data, or gangs on more than one rack.
+	FarFactor float64
 }
 
 // Plan returns the runs to start, the most urgent first.
@@ -99,6 +102,7 @@
 
 func (p *planner) placeTasks(c candidate, round, step int) {
 	spec := c.workload.Steps[step]
+	c.nearOnly = spec.NearRack != "" && p.hasRack(c.pool, spec.NearRack) && p.mayWait(c, spec)
 	full := false
 	for k, task := range c.workload.Rounds[round].Steps[step].Tasks {
 		ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step, Index: k}
@@ -158,14 +162,27 @@
 	if p.runsOn(ref, w.ID) || p.rules.Avoid != nil && p.rules.Avoid(ref, w.ID) {
 		return false
 	}
-	if spec.NearRack != "" && w.Rack != spec.NearRack && p.rules.Now.Sub(c.since) < nearPatience {
+	if c.nearOnly && w.Rack != spec.NearRack {
 		return false
 	}
 	return !c.advised || p.rules.Ticket != nil && p.rules.Ticket(ref, w.ID)
 }
 
-// nearPatience is how long a workload waits for a worker near its data.
-const nearPatience = 600 * time.Millisecond
+// nearMargin is the time that must be left for a workload to be in time, beyond
+// what its steps take, while it waits for a place near its data.
+const nearMargin = 600 * time.Millisecond
+
+// mayWait reports whether the workload would still be in time if the step ran
+// far from its data, or on several racks, a little later.
+func (p *planner) mayWait(c candidate, spec model.Step) bool {
+	detour := time.Duration((p.rules.FarFactor - 1) * float64(spec.Estimate))
+	return c.deadline.Sub(p.rules.Now) > c.left+detour+nearMargin
+}
+
+// hasRack reports whether the pool has a worker on the rack, with room or not.
+func (p *planner) hasRack(pool model.PoolName, rack string) bool {
+	return slices.ContainsFunc(p.workers, func(w Worker) bool { return w.Pool == pool && w.Rack == rack })
+}
 
 // runsOn reports whether a run of the task is active on the worker.
 func (p *planner) runsOn(ref model.TaskRef, id model.WorkerID) bool {
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -21,6 +21,8 @@
 type Settings struct {
 	// LeaseMax is the longest lease that workers accept.
 	LeaseMax time.Duration
+	// FarFactor is how many times as long tasks take far from their data.
+	FarFactor float64
 	// Advisor is nil where there is no policy service.
 	Advisor Advisor
 	Metrics *Metrics
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -210,7 +210,8 @@
 			_, ok := m.tickets.get(now, t, w)
 			return ok
 		},
-		Slow: func(run model.RunRef) bool { return m.doubtful(now, s, run) },
+		Slow:      func(run model.RunRef) bool { return m.doubtful(now, s, run) },
+		FarFactor: m.settings.FarFactor,
 	}
 }
 
