--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -38,7 +38,7 @@
 
 func addFleet(life *life, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, g *clock.Guard, s *schedule.Machine, log *zap.Logger) {
 	fleet.New(life, l, r, g, s, cloud.New(p.CloudAddress, p.Name), fleet.Settings{
-		DutyPause: p.DutyPause, MoveTime: p.MoveTime, UpkeepTime: p.UpkeepTime, Logger: log,
+		DutyPause: p.DutyPause, MoveTime: p.MoveTime, UpkeepTime: p.UpkeepTime, OrdersPerSecond: p.CloudOrders, Logger: log,
 	})
 }
 
--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -35,8 +35,9 @@
 	// retirePatience is how long an instance is beyond the demand before runs on
 	// it are stopped.
 	retirePatience = time.Second
-	// maxMoves is the number of moves that are begun in one look.
-	maxMoves = 8
+	// moveShare is the part of the orders which the platform takes that moves may
+	// use; the rest is left for upkeep and repetitions.
+	moveShare = 0.75
 )
 
 // Scheduler is what the machine uses of the scheduling on the same loop.
@@ -57,7 +58,14 @@
 	// MoveTime and UpkeepTime are how long an instance is away.
 	MoveTime   time.Duration
 	UpkeepTime time.Duration
-	Logger     *zap.Logger
+	// OrdersPerSecond bounds the orders that the platform takes.
+	OrdersPerSecond float64
+	Logger          *zap.Logger
+}
+
+// maxMoves is the number of moves that are begun in one look.
+func (s Settings) maxMoves() int {
+	return max(1, int(s.OrdersPerSecond*moveShare*interval.Seconds()))
 }
 
 // Machine is the control state. It implements loop.Machine.
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -332,3 +332,10 @@
 		}
 	})
 }
+
+// Guards against more orders in a second than the platform takes, of which the
+// rest would be refused.
+func TestMovesKeepToThePlatformsRate(t *testing.T) {
+	assert.Equal(t, Settings{OrdersPerSecond: 64}.maxMoves(), 9)
+	assert.Equal(t, Settings{OrdersPerSecond: 2}.maxMoves(), 1)
+}
--- a/replica/fleet/scale.go
+++ b/replica/fleet/scale.go
@@ -13,7 +13,7 @@
 	d := scale.Decide(m.scaleInput(now, s, instances))
 	m.retire(model.At(now), d.Retire, instances)
 	for n, move := range d.Moves {
-		if n >= maxMoves {
+		if n >= m.settings.maxMoves() {
 			return
 		}
 		m.begin(now, move.Instance, &trip{from: move.From, to: move.To})
