--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -47,7 +47,7 @@
 func (p *planner) candidatesOf(wanted func(model.PoolName) bool) []candidate {
 	var out []candidate
 	for _, w := range p.state.Workloads.All() {
-		if q, ok := p.state.Catalog.Queue(w.Queue); ok && wanted(q.Pool) {
+		if q, ok := p.queues[w.Queue]; ok && wanted(q.Pool) {
 			out = append(out, p.candidate(w, q))
 		}
 	}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -46,7 +46,7 @@
 
 // Plan returns the runs to start, the most urgent first.
 func Plan(s model.State, workers []Worker, rules Rules) []model.RunStart {
-	p := planner{state: s, rules: rules, workers: slices.Clone(workers), held: map[model.WorkerID]map[stepRef]int{}}
+	p := newPlanner(s, slices.Clone(workers), rules)
 	for _, c := range p.candidates() {
 		if !p.hasRoom() {
 			break
@@ -67,12 +67,17 @@
 
 type planner struct {
 	state   model.State
+	queues  map[model.QueueName]model.Queue
 	rules   Rules
 	workers []Worker
 	held    map[model.WorkerID]map[stepRef]int
 	starts  []model.RunStart
 }
 
+func newPlanner(s model.State, workers []Worker, rules Rules) *planner {
+	return &planner{state: s, queues: s.Catalog.QueuesByName(), rules: rules, workers: workers, held: map[model.WorkerID]map[stepRef]int{}}
+}
+
 // minRoom is the free processor time in thousandths below which a worker is
 // passed over as full.
 const minRoom = 50
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -227,6 +227,24 @@
 	assert.Equal(t, starts[0].Worker, b.ID)
 }
 
+// BenchmarkPlanQueues shows the cost of queues without workloads.
+func BenchmarkPlanQueues(b *testing.B) {
+	for _, queues := range []int{8, 800} {
+		b.Run(fmt.Sprintf("queues=%d", queues), func(b *testing.B) {
+			x := newSite(&testing.T{})
+			for i := range queues {
+				x.s.Catalog.Queues = append([]model.Queue{{Name: model.QueueName(fmt.Sprintf("idle%d", i)), Host: "h", Prefix: fmt.Sprintf("/idle%d/", i), Pool: "p"}}, x.s.Catalog.Queues...)
+			}
+			for i := range 500 {
+				x.submit(i%2, i+1, step(20, 1000))
+			}
+			for b.Loop() {
+				x.plan(Rules{}, worker("a", 1000))
+			}
+		})
+	}
+}
+
 func BenchmarkPlan(b *testing.B) {
 	for _, workers := range []int{50, 350, 720} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -25,7 +25,7 @@
 // pool finds room: of a lower priority, not lasting, on one worker. Workers with
 // runs that are being stopped are given no further victims.
 func Preempt(s model.State, workers []Worker, rules Rules) []model.RunRef {
-	p := planner{state: s, rules: rules, workers: workers, held: map[model.WorkerID]map[stepRef]int{}}
+	p := newPlanner(s, workers, rules)
 	var out []model.RunRef
 	served := map[model.PoolName]bool{}
 	for _, c := range p.allCandidates() {
@@ -104,7 +104,7 @@
 	if !ok {
 		return victim{}, false
 	}
-	q, ok := p.state.Catalog.Queue(w.Queue)
+	q, ok := p.queues[w.Queue]
 	step := w.Steps[run.Task.Step]
 	if !ok || step.Lasting || step.Gang {
 		return victim{}, false
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -59,6 +59,17 @@
 	return Queue{}, false
 }
 
+// QueuesByName returns the queues for many look-ups.
+func (c *Catalog) QueuesByName() map[QueueName]Queue {
+	out := map[QueueName]Queue{}
+	if c != nil {
+		for _, q := range c.Queues {
+			out[q.Name] = q
+		}
+	}
+	return out
+}
+
 // Resolve returns the queue whose host matches and whose prefix is the longest
 // that the path begins with, and the rest of the path.
 func (c *Catalog) Resolve(host, path string) (q Queue, rest string, ok bool) {
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -22,8 +22,9 @@
 // the clearing time.
 func Demands(s model.State, now model.Timestamp, clearing time.Duration) map[model.PoolName]Demand {
 	out := map[model.PoolName]Demand{}
+	queues := s.Catalog.QueuesByName()
 	for _, w := range s.Workloads.All() {
-		q, ok := s.Catalog.Queue(w.Queue)
+		q, ok := queues[w.Queue]
 		if !ok {
 			continue
 		}
