--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -37,13 +38,13 @@
 	fx.Invoke(routeControl, routeOperator, runReplica),
 )
 
-func openReplica(s Settings, l *loop.Loop, log *zap.Logger, dial server.DialFunc, applied appliedHook) (*replicacommand.Replica, error) {
+func openReplica(s Settings, l *loop.Loop, log *zap.Logger, metrics prometheus.Registerer, dial server.DialFunc, applied appliedHook) (*replicacommand.Replica, error) {
 	peers := make([]replicacommand.Peer, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
 		peers = append(peers, replicacommand.Peer{Name: r.Name, Address: r.Address})
 	}
 	return replicacommand.Open(replicacommand.Settings{
-		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Dial: dial, Applied: applied,
+		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Metrics: replicacommand.NewMetrics(metrics), Dial: dial, Applied: applied,
 		FilesRenumbered: s.FilesRenumbered, TargetVoters: s.TargetVoters, JoinOnly: s.Join, SnapshotEvery: s.SnapshotEvery,
 	}, l)
 }
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -151,7 +151,7 @@
 	m.startWrite()
 	m.startSnapshot()
 	m.publish(now)
-	m.deliverResults()
+	m.deliverResults(now)
 }
 
 // step lets the decisions take one input and carries out the effects.
@@ -226,8 +226,11 @@
 		raft.LogContradicts: event.LogContradicts, raft.MembershipChanged: event.MembershipChanged,
 	}
 	kinds[n.Kind].Log(m.r.log, fields...)
-	if n.Kind == raft.LostLeadership {
+	switch n.Kind {
+	case raft.LostLeadership:
 		m.abandon()
+	case raft.BecameLeader, raft.FollowsLeader:
+		m.r.settings.Metrics.leaderChanged()
 	}
 }
 
@@ -251,6 +254,7 @@
 		return
 	}
 	m.published = key
+	m.r.settings.Metrics.published(now, st, len(m.backlog), len(m.waiting))
 	old := m.next
 	m.next = make(chan struct{})
 	v := &replica.View{
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -14,6 +14,7 @@
 type waiter struct {
 	first   model.Index
 	term    model.Term
+	began   time.Time
 	results []result.Result
 	reply   chan<- []result.Result
 }
@@ -86,7 +87,7 @@
 		reply <- repeat(n, m.refusal(now, answer.Refusal))
 		return
 	}
-	m.waiting = append(m.waiting, &waiter{first: answer.First, term: answer.Term, results: make([]result.Result, n), reply: reply})
+	m.waiting = append(m.waiting, &waiter{first: answer.First, term: answer.Term, began: now, results: make([]result.Result, n), reply: reply})
 }
 
 func (m *machine) refusal(now time.Time, why raft.Refusal) result.Result {
@@ -123,8 +124,9 @@
 
 // deliverResults answers who waits. It comes after the view is published, so
 // that a proposer that reads the view sees its own change.
-func (m *machine) deliverResults() {
+func (m *machine) deliverResults(now time.Time) {
 	for _, w := range m.finished {
+		m.r.settings.Metrics.committed(now.Sub(w.began))
 		w.reply <- w.results
 	}
 	m.finished = nil
--- a/replica/command/restart_test.go
+++ b/replica/command/restart_test.go
@@ -32,7 +32,7 @@
 	l := loop.New(1)
 	port := l.Add(ignore{})
 	go l.Run(t.Context())
-	w := newWriter(store)
+	w := newWriter(store, nil)
 	w.jobs <- job{writes: []raft.Write{{Seq: 1, Hard: &raft.HardState{Term: 1}}}}
 	disk.failing.Store(true)
 	ended := make(chan error, 1)
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -47,6 +47,8 @@
 	// site exists already, even if all peers have lost their disks.
 	JoinOnly bool
 	Logger   *zap.Logger
+	// Metrics may be nil.
+	Metrics *Metrics
 
 	Heartbeat   time.Duration // 150 ms if zero
 	ElectionMin time.Duration // 500 ms if zero
--- a/replica/command/snapshot.go
+++ b/replica/command/snapshot.go
@@ -48,6 +48,7 @@
 	m.r.tasks.start(func() any {
 		encoded, err := codec.EncodeState(state)
 		if err == nil {
+			m.r.settings.Metrics.encoded(len(encoded))
 			err = m.r.store.PrepareSnapshot(snap, encoded)
 		}
 		return prepared{snap, err}
--- a/replica/command/writer.go
+++ b/replica/command/writer.go
@@ -26,12 +26,13 @@
 // writer owns the data folder while the replica runs.
 type writer struct {
 	store   *storage.Store
+	metrics *Metrics
 	jobs    chan job // holds one job; the machine sends the next after the answer
 	stopped chan struct{}
 }
 
-func newWriter(store *storage.Store) *writer {
-	return &writer{store: store, jobs: make(chan job, 1), stopped: make(chan struct{})}
+func newWriter(store *storage.Store, m *Metrics) *writer {
+	return &writer{store: store, metrics: m, jobs: make(chan job, 1), stopped: make(chan struct{})}
 }
 
 // ErrRestart is returned by Run once a disk that had failed takes writes again.
@@ -74,7 +75,9 @@
 	done := written{}
 	if len(j.writes) > 0 {
 		done.seq = j.writes[len(j.writes)-1].Seq
+		began := time.Now()
 		done.err = w.store.Apply(j.writes)
+		w.metrics.written(time.Since(began), j.writes)
 	}
 	if done.err == nil && j.adopt != nil {
 		done.err = w.store.AdoptSnapshot(*j.adopt)
