--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -29,9 +29,12 @@
 	returnSlack = 2 * time.Second
 	// dutyMargin is added to the pause between the orders of two leaders.
 	dutyMargin = 300 * time.Millisecond
-	// settleTime is how long after an election instances are not moved, because
-	// pools look small until their workers have reported.
+	// settleTime is the longest time after an election for which instances are not
+	// moved, because pools look small until their workers have reported.
 	settleTime = 2 * time.Second
+	// unreportedShare is the part of the instances whose workers may be missing
+	// when moves begin before that.
+	unreportedShare = 0.05
 	// retirePatience is how long an instance is beyond the demand before runs on
 	// it are stopped.
 	retirePatience = time.Second
@@ -207,7 +210,7 @@
 	}
 	instances := m.observe(now)
 	emptied := m.maintain(now, v.State, instances)
-	if now.Sub(v.LeaderSince) >= settleTime {
+	if now.Sub(v.LeaderSince) >= settleTime || m.reported(instances) {
 		m.scale(now, v.State, instances)
 	}
 	m.repeatOrders(now)
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -312,6 +312,29 @@
 	})
 }
 
+// Guards against pools that do not follow a burst for two seconds after an
+// election although all workers have reported, and against moves while some
+// have not.
+func TestMovesBeginOnceWorkersHaveReported(t *testing.T) {
+	up := func(ids ...model.InstanceID) (list []Listed) {
+		for _, id := range ids {
+			list = append(list, Listed{ID: id, Pool: "p", Up: true})
+		}
+		return list
+	}
+	for _, c := range []struct {
+		listed []Listed
+		moves  int
+	}{{up("b", "c", "d"), 1}, {up("b", "c", "d", "silent"), 0}} {
+		run(t, func(b *bench) {
+			b.platform.set(nil, c.listed...)
+			b.scheduler.set(busy("b"), busy("c"), idle("d"))
+			time.Sleep(settleTime - interval)
+			assert.Equal(t, len(b.platform.calls()), c.moves)
+		})
+	}
+}
+
 // Guards against an instance that is silent for a while and is taken for one
 // that is off, because the list was read before it was moved.
 func TestSilentInstanceIsNotOff(t *testing.T) {
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -94,6 +94,22 @@
 	return kept
 }
 
+// reported reports whether nearly all instances that the platform lists as on
+// were heard of by this leader.
+func (m *Machine) reported(instances []model.ObservedInstance) bool {
+	on, silent := 0, 0
+	for _, o := range instances {
+		if o.Off || m.listed[o.ID].Gone {
+			continue
+		}
+		on++
+		if o.Away {
+			silent++
+		}
+	}
+	return len(m.listed) > 0 && float64(silent) <= unreportedShare*float64(on)
+}
+
 // isOff reports whether the platform has told, after the worker on the instance
 // was last heard of, that the instance is in a standby pool.
 func (m *Machine) isOff(c *model.Catalog, id model.InstanceID, heard time.Time) bool {
