--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -18,7 +18,8 @@
 // platformEntryModule serves the callers of the users' platform.
 var platformEntryModule = fx.Module("platform-entry", fx.Invoke(routePlatformEntry))
 
-type platformEntryParams struct {
+// platformParams are what the roles without a replica are made of.
+type platformParams struct {
 	fx.In
 
 	Lifecycle fx.Lifecycle
@@ -27,12 +28,13 @@
 	Platform  settings.Settings
 	Servers   *servers
 	Client    *http.Client
+	Internal  internalMux
 	Metrics   metricsHandler
 	Registry  prometheus.Registerer
 	Log       *zap.Logger
 }
 
-func routePlatformEntry(p platformEntryParams) error {
+func routePlatformEntry(p platformParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
 	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
 	commands := platformcommand.NewCallers(control, platformcommand.NewMetrics(p.Registry), p.Log)
--- a/cmd/internal/instance/platform_redirect.go
+++ b/cmd/internal/instance/platform_redirect.go
@@ -7,7 +7,6 @@
 
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
-	"go.uber.org/zap"
 
 	"lacewingturn.example/node/server"
 	platformcommand "lacewingturn.example/platform/command"
@@ -20,21 +19,7 @@
 // cannot keep a replica.
 var platformRedirectModule = fx.Module("platform-redirect", fx.Invoke(routePlatformRedirect))
 
-type platformRedirectParams struct {
-	fx.In
-
-	Lifecycle fx.Lifecycle
-	Life      *life
-	File      SettingsFile
-	Platform  settings.Settings
-	Servers   *servers
-	Client    *http.Client
-	Internal  internalMux
-	Metrics   metricsHandler
-	Log       *zap.Logger
-}
-
-func routePlatformRedirect(p platformRedirectParams) error {
+func routePlatformRedirect(p platformParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
 	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
 	router := mux.NewRouter()
--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -61,7 +61,7 @@
 	end := time.Now().Add(d)
 	kinds := []func(){
 		s.kill, s.kill, s.pause, s.terminate, s.reload, s.cut, s.oneWay, s.silence, s.reset, s.delay, s.wipe, s.fullDisk, s.killCore,
-		s.crashWorker, s.cutWorker,
+		s.crashWorker, s.cutWorker, s.drainWorker,
 	}
 	for time.Now().Before(end) {
 		s.ledger.disturb()
@@ -241,6 +241,8 @@
 
 func (s *series) crashWorker() { s.anyWorker().Crash() }
 
+func (s *series) drainWorker() { s.anyWorker().Drain() }
+
 func (s *series) cutWorker() {
 	w := s.anyWorker()
 	s.during(func() { w.Cut(true) }, func() { w.Cut(false) })
--- a/cmd/internal/soak/ledger_test.go
+++ b/cmd/internal/soak/ledger_test.go
@@ -12,6 +12,9 @@
 )
 
 const (
+	// leaveBound is how long after the acknowledgement of a leaving worker tasks
+	// may start on it.
+	leaveBound = 2 * time.Second
 	// cancelBound is how long after an acknowledged cancellation tasks may start.
 	cancelBound = 3 * time.Second
 	// calm is how long there must have been no fault for a bound in time to hold.
@@ -108,7 +111,7 @@
 }
 
 // Started implements standin.Observer.
-func (l *ledger) Started(worker string, t standin.Task, payload string, _ bool) {
+func (l *ledger) Started(worker string, t standin.Task, payload string, leaving time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.starts++
@@ -129,6 +132,8 @@
 		l.violate("BUDGET", "%s run %d started on %s after %d failures", t.Name, t.Run, worker, known.failed)
 	case step > 0 && !l.complete(j, step-1):
 		l.violate("ORDER", "%s run %d started on %s before the step before was done", t.Name, t.Run, worker)
+	case leaving > leaveBound && now.Sub(l.disturbed) > calm:
+		l.violate("DRAIN", "%s run %d started on %s %s after it was known to leave", t.Name, t.Run, worker, leaving)
 	case !j.cancelledAt.IsZero() && now.Sub(j.cancelledAt) > cancelBound && now.Sub(l.disturbed) > calm:
 		l.violate("UNASKED", "%s run %d started on %s %s after its job was cancelled", t.Name, t.Run, worker, now.Sub(j.cancelledAt))
 	}
@@ -218,7 +223,7 @@
 	return slices.Clone(l.broken)
 }
 
-// unsettled lists the accepted jobs that have not been cancelled.
+// list returns all jobs.
 func (l *ledger) list() (out []*job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/replica/command/metrics.go
+++ b/replica/command/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lacewingturn.example/node/telemetry"
 	"lacewingturn.example/replica/raft"
 )
 
@@ -23,9 +24,6 @@
 
 // NewMetrics registers the metrics of a replica.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	seconds := func(name, help string) prometheus.Histogram {
-		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)})
-	}
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
 	}
@@ -33,8 +31,8 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
 	m := &Metrics{
-		sync:      seconds("lacewingturn_replica_sync_seconds", "Time of one write of the log and its sync."),
-		commit:    seconds("lacewingturn_replica_commit_seconds", "Time from a proposal to its results on this leader."),
+		sync:      telemetry.NewSeconds("lacewingturn_replica_sync_seconds", "Time of one write of the log and its sync."),
+		commit:    telemetry.NewSeconds("lacewingturn_replica_commit_seconds", "Time from a proposal to its results on this leader."),
 		logBytes:  counter("lacewingturn_replica_log_bytes_total", "Bytes of commands written to the log."),
 		leaders:   counter("lacewingturn_replica_leader_changes_total", "Leaders that this replica has followed or become."),
 		snapshot:  gauge("lacewingturn_replica_snapshot_bytes", "Size of the last snapshot."),
--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/telemetry"
 )
 
 // Metrics of the scheduling.
@@ -26,21 +27,18 @@
 
 // NewMetrics registers the metrics of the scheduling.
 func NewMetrics(r prometheus.Registerer) *Metrics {
-	seconds := func(name, help string) prometheus.Histogram {
-		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.001, 2.5, 12)})
-	}
 	m := &Metrics{
 		reports:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_worker_reports_total", Help: "Heartbeats of workers taken."}),
 		started:  prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_runs_started_total", Help: "Runs started."}),
 		ended:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_runs_ended_total", Help: "Runs ended by outcome and cause."}, []string{"outcome", "cause"}),
 		finished: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_workloads_finished_total", Help: "Workloads by final phase."}, []string{"phase"}),
-		wait:     seconds("lacewingturn_workload_wait_seconds", "Time from acceptance to the first start."),
+		wait:     telemetry.NewSeconds("lacewingturn_workload_wait_seconds", "Time from acceptance to the first start."),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lacewingturn_workload_seconds", Help: "Time from acceptance to completion.", Buckets: prometheus.ExponentialBuckets(0.1, 2, 10),
 		}, []string{"queue"}),
-		overtime: seconds("lacewingturn_workload_late_seconds", "Time by which completed workloads missed their deadline; 0 if they did not."),
-		commit:   seconds("lacewingturn_turn_commit_seconds", "Time to commit the ends and starts of a planning turn."),
-		age:      seconds("lacewingturn_report_wait_seconds", "Time from a heartbeat to its answer."),
+		overtime: telemetry.NewSeconds("lacewingturn_workload_late_seconds", "Time by which completed workloads missed their deadline; 0 if they did not."),
+		commit:   telemetry.NewSeconds("lacewingturn_turn_commit_seconds", "Time to commit the ends and starts of a planning turn."),
+		age:      telemetry.NewSeconds("lacewingturn_report_wait_seconds", "Time from a heartbeat to its answer."),
 		workers:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workers", Help: "Incarnations of workers that the leader knows."}),
 		active:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workloads_active", Help: "Workloads not in a final phase."}),
 		waiting:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_reports_waiting", Help: "Heartbeats that wait for a planning turn."}),
