--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -24,7 +24,7 @@
 				return
 			}
 		}
-		if p.mayWait(c, spec) {
+		if p.mayWait(c, round, spec) {
 			return
 		}
 	}
--- a/core/command/place/near_test.go
+++ b/core/command/place/near_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
 )
 
@@ -29,3 +30,27 @@
 	rules.Now = 0
 	assert.Equal(t, len(x.plan(rules, worker("b", 8000))), 2, "no worker is near the data")
 }
+
+// Guards against later rounds that never wait for their data, because the first
+// round is over.
+func TestLaterRoundsWaitNearTheirData(t *testing.T) {
+	x := newSite(t)
+	near := step(2, 1000)
+	near.NearRack = "r-a"
+	name := "00000000000000a1"
+	next, res := command.Apply(x.s, x.s.Index+1, 1, model.Envelope{Time: x.s.Clock, Command: model.SubmitWorkload{
+		Host: "h", Path: "/q0/" + name, Repeat: 2,
+		Workload: model.Workload{Steps: []model.Step{near}, FirstDue: x.s.Clock, Interval: time.Minute},
+	}})
+	assert.Assert(t, res.Code.OK(), res.Detail)
+	x.s = next
+	starts := x.plan(Rules{FarFactor: 1.5, Now: x.s.Clock.Add(time.Minute)}, worker("a", 1000), worker("b", 8000))
+	second := 0
+	for _, s := range starts {
+		if s.Run.Task.Round == 1 {
+			second++
+			assert.Equal(t, s.Worker, model.WorkerID("a@1"))
+		}
+	}
+	assert.Equal(t, second, 0, "the first round, which is late, comes first")
+}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -107,7 +107,7 @@
 
 func (p *planner) placeTasks(c candidate, round, step int) {
 	spec := c.workload.Steps[step]
-	c.nearOnly = spec.NearRack != "" && p.hasRack(c.pool, spec.NearRack) && p.mayWait(c, spec)
+	c.nearOnly = spec.NearRack != "" && p.hasRack(c.pool, spec.NearRack) && p.mayWait(c, round, spec)
 	full := false
 	for k, task := range c.workload.Rounds[round].Steps[step].Tasks {
 		ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step, Index: k}
@@ -177,11 +177,12 @@
 // what its steps take, while it waits for a place near its data.
 const nearMargin = 600 * time.Millisecond
 
-// mayWait reports whether the workload would still be in time if the step ran
-// far from its data, or on several racks, a little later.
-func (p *planner) mayWait(c candidate, spec model.Step) bool {
+// mayWait reports whether the round would still be in time if the step ran far
+// from its data, or on several racks, a little later.
+func (p *planner) mayWait(c candidate, round int, spec model.Step) bool {
 	detour := time.Duration((p.rules.FarFactor - 1) * float64(spec.Estimate))
-	return c.deadline.Sub(p.rules.Now) > c.left+detour+nearMargin
+	deadline := c.deadline.Add(c.workload.Due(round).Sub(c.workload.Due(0)))
+	return deadline.Sub(p.rules.Now) > c.left+detour+nearMargin
 }
 
 // hasRack reports whether the pool has a worker on the rack, with room or not.
--- a/node/event/replica.go
+++ b/node/event/replica.go
@@ -31,4 +31,5 @@
 	SnapshotFailed      = define(1024, "snapshot failed", zapcore.WarnLevel, "A snapshot could not be sent, received or saved. It is tried again.", "If it repeats, check the disk and the network.")
 	ReplicaJoinAttempts = define(1025, "waits for admission", zapcore.InfoLevel, "This replica is not a member yet and asks the leader to admit it.", "If it repeats for minutes, check that the old incarnation of this replica has stopped.")
 	ReplicaEnded        = define(1026, "replica ended", zapcore.WarnLevel, "The replica has ended by itself and its process stops, so that it is started anew.", "")
+	StorageStillFails   = define(1027, "storage still fails", zapcore.WarnLevel, "A disk that has failed was tested and does not take writes yet. It is tested every 0.5 s.", "Free or replace the disk.")
 )
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -65,7 +65,7 @@
 	r := &Replica{settings: settings, id: recovery.ID, store: store}
 	r.SetPeers(settings.Peers)
 	r.log = settings.Logger.With(zap.String("replica", string(recovery.ID)))
-	r.writer = newWriter(store, settings.Metrics)
+	r.writer = newWriter(store, settings.Metrics, r.log)
 	r.tasks = newTasks()
 	r.senders = newSenders(r.log, recovery.ID, settings.Dial, func(m []raft.Message) { r.port.TrySend(received{m}) })
 	now := time.Now()
--- a/replica/command/restart_test.go
+++ b/replica/command/restart_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/node/loop"
@@ -32,7 +33,7 @@
 	l := loop.New(1)
 	port := l.Add(ignore{})
 	go l.Run(t.Context())
-	w := newWriter(store, nil)
+	w := newWriter(store, nil, zap.NewNop())
 	w.jobs <- job{writes: []raft.Write{{Seq: 1, Hard: &raft.HardState{Term: 1}}}}
 	disk.failing.Store(true)
 	ended := make(chan error, 1)
--- a/replica/command/writer.go
+++ b/replica/command/writer.go
@@ -27,12 +27,13 @@
 type writer struct {
 	store   *storage.Store
 	metrics *Metrics
+	log     *zap.Logger
 	jobs    chan job // holds one job; the machine sends the next after the answer
 	stopped chan struct{}
 }
 
-func newWriter(store *storage.Store, m *Metrics) *writer {
-	return &writer{store: store, metrics: m, jobs: make(chan job, 1), stopped: make(chan struct{})}
+func newWriter(store *storage.Store, m *Metrics, log *zap.Logger) *writer {
+	return &writer{store: store, metrics: m, log: log, jobs: make(chan job, 1), stopped: make(chan struct{})}
 }
 
 // ErrRestart is returned by Run once a disk that had failed takes writes again.
@@ -64,9 +65,11 @@
 
 func (w *writer) awaitDisk(ctx context.Context) error {
 	for wait.For(ctx, probeInterval) == nil {
-		if w.store.Probe() == nil {
+		err := w.store.Probe()
+		if err == nil {
 			return ErrRestart
 		}
+		event.StorageStillFails.Log(w.log, zap.Error(err))
 	}
 	return nil
 }
