--- a/cmd/internal/faults/operators_test.go
+++ b/cmd/internal/faults/operators_test.go
@@ -21,7 +21,7 @@
 	t.Parallel()
 	const rounds = 20
 	s := Start(t, 1)
-	deaf, err := NewRelay(FreeAddress(t), s.Controls[s.Leader()].Address, s.PIDs)
+	deaf, err := NewRelay(FreeAddress(t), s.Controls[s.Leader()].Address, s.pids.List)
 	assert.NilError(t, err)
 	defer deaf.Close()
 	deaf.Cut(ToClient)
--- a/cmd/internal/faults/process.go
+++ b/cmd/internal/faults/process.go
@@ -49,17 +49,29 @@
 	t    testing.TB
 	args []string
 	env  []string
-	pids *sync.Map // ids of all processes of the site
+	pids *PIDs // of all processes of the site
 	cmd  *exec.Cmd
 	log  *buffer
 	done chan struct{}
 	err  error // how the process ended; read after done
 }
 
+// PIDs holds the ids of the processes that run. It may be used by several goroutines.
+type PIDs struct{ running sync.Map }
+
+// List returns the ids.
+func (p *PIDs) List() (out []int) {
+	p.running.Range(func(pid, _ any) bool {
+		out = append(out, pid.(int))
+		return true
+	})
+	return out
+}
+
 // NewProcess returns a process that has not been started, with its arguments and
-// with variables of its environment.
-func NewProcess(t testing.TB, name string, env []string, args ...string) *Process {
-	return &Process{Name: name, t: t, args: args, env: env, pids: &sync.Map{}, log: &buffer{}}
+// with variables of its environment. While it runs its id is among the pids.
+func NewProcess(t testing.TB, name string, pids *PIDs, env []string, args ...string) *Process {
+	return &Process{Name: name, t: t, args: args, env: env, pids: pids, log: &buffer{}}
 }
 
 // Running reports whether the process was started and has not ended.
@@ -90,11 +102,11 @@
 	if err := cmd.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	p.pids.Store(cmd.Process.Pid, true)
+	p.pids.running.Store(cmd.Process.Pid, true)
 	p.cmd, p.done = cmd, done
 	go func() {
 		p.err = cmd.Wait()
-		p.pids.Delete(cmd.Process.Pid)
+		p.pids.running.Delete(cmd.Process.Pid)
 		close(done)
 	}()
 }
--- a/cmd/internal/faults/site.go
+++ b/cmd/internal/faults/site.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -54,7 +53,7 @@
 
 	t    testing.TB
 	http *http.Client
-	pids sync.Map // process id to true
+	pids PIDs
 }
 
 // Start starts a site with a configuration and waits until its entry instances
@@ -82,7 +81,7 @@
 	var listen []string
 	for i := range replicaCount {
 		listen = append(listen, FreeAddress(s.t))
-		r, err := NewRelay(FreeAddress(s.t), listen[i], s.PIDs)
+		r, err := NewRelay(FreeAddress(s.t), listen[i], s.pids.List)
 		if err != nil {
 			s.t.Fatal(err)
 		}
@@ -116,7 +115,9 @@
 }
 
 func (s *Site) process(name, address string) *Process {
-	return &Process{Name: name, Address: address, t: s.t, pids: &s.pids, log: &buffer{}}
+	p := NewProcess(s.t, name, &s.pids, nil)
+	p.Address = address
+	return p
 }
 
 // stop ends everything; logs are shown only if the test has failed.
@@ -137,15 +138,6 @@
 	<-sites
 }
 
-// PIDs returns the ids of the processes of the site that run.
-func (s *Site) PIDs() (out []int) {
-	s.pids.Range(func(pid, _ any) bool {
-		out = append(out, pid.(int))
-		return true
-	})
-	return out
-}
-
 // Until waits for a condition and fails the test if it does not come about.
 func (s *Site) Until(what string, condition func() bool) {
 	s.t.Helper()
@@ -283,7 +275,7 @@
 		},
 	}
 	t.Forwarded = func(address string) string {
-		r, err := NewRelay(FreeAddress(s.t), address, s.PIDs)
+		r, err := NewRelay(FreeAddress(s.t), address, s.pids.List)
 		if err != nil {
 			s.t.Fatal(err)
 		}
--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -196,8 +196,7 @@
 		p.Kill()
 		assert.Check(s.t, os.RemoveAll(n.DataFolder))
 	}, func() {
-		n.FirstStart = false
-		n.write(s.t)
+		n.write(s.t, false)
 		p.Start()
 		s.release(p)
 	})
--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -43,6 +43,7 @@
 	workers []*standin.Worker
 	cloud   standin.Cloud
 	ledger  *ledger
+	pids    faults.PIDs
 	all     sync.WaitGroup
 	ctx     context.Context // ends with the site
 	cancel  context.CancelFunc
@@ -89,24 +90,24 @@
 	if disk {
 		n.DataFolder = filepath.Join(folder, n.Name)
 		listen = net.JoinHostPort(n.IP, fmt.Sprint(firstPort+standin.Ports))
-		relay, err := faults.NewRelay(n.Internal(), listen, s.pids)
+		relay, err := faults.NewRelay(n.Internal(), listen, s.pids.List)
 		assert.NilError(s.t, err)
 		n.relay = relay
 	}
 	n.file = filepath.Join(folder, n.Name+"-control.yaml")
 	entryFile := filepath.Join(folder, n.Name+"-entry.yaml")
-	n.write(s.t)
+	n.write(s.t, true)
 	assert.NilError(s.t, n.Write(entryFile))
-	n.control = faults.NewProcess(s.t, n.Name+"-control", []string{"LACEWINGTURN_BOOT=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
-	n.entry = faults.NewProcess(s.t, n.Name+"-entry", []string{"LACEWINGTURN_BOOT=" + entryFile}, "platform", "entry")
+	n.control = faults.NewProcess(s.t, n.Name+"-control", &s.pids, []string{"LACEWINGTURN_BOOT=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
+	n.entry = faults.NewProcess(s.t, n.Name+"-entry", &s.pids, []string{"LACEWINGTURN_BOOT=" + entryFile}, "platform", "entry")
 	n.control.Start()
 	n.entry.Start()
 }
 
 // write writes the settings of the control process.
-func (n *node) write(t *testing.T) {
+func (n *node) write(t *testing.T, firstStart bool) {
 	control := n.Node
-	control.Control = true
+	control.Control, control.FirstStart = true, firstStart
 	assert.NilError(t, control.Write(n.file))
 }
 
@@ -139,15 +140,6 @@
 	return out
 }
 
-func (s *system) pids() (out []int) {
-	for _, p := range s.processes() {
-		if p != nil && p.Running() {
-			out = append(out, p.PID())
-		}
-	}
-	return out
-}
-
 // stop ends all that was started; logs are kept if the test has failed.
 func (s *system) stop() {
 	s.cancel()
