Make two tests of the fleet independent of what the first leader does at time zero

Cause, traced: the machine leads in term 1 while the test prepares its state; if it reads the platform's empty list between the order and the report of c, it takes c for gone and records its upkeep, which is right; if it looks after the report, it orders c itself. Now c is heard of from the beginning and leaves until the second election. TestMovesBeginOnceWorkersHaveReported had the same race with the list. The checks are as they were.

--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -235,12 +235,15 @@
 // which instances an earlier one has taken down.
 func TestUpkeepOfEarlierLeadersCounts(t *testing.T) {
 	run(t, func(b *bench) {
+		leaving := idle("c")
+		leaving.Leaving = true
+		b.scheduler.set(busy("b"), leaving) // the first leader must neither order c nor take it for gone
 		b.upkeep(1, "a", "c")
 		b.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
 		b.propose(model.BeginUpkeep{Number: 7, Instance: "a"})
-		b.scheduler.set(busy("b"), idle("c"))
 		begun := time.Now()
 		b.replica.lead(2)
+		b.scheduler.set(busy("b"), idle("c"))
 		time.Sleep(5 * time.Second)
 		first := b.platform.calls()[0]
 		assert.Equal(t, first.what, "c for 7")
@@ -329,6 +332,7 @@
 		run(t, func(b *bench) {
 			b.platform.set(nil, c.listed...)
 			b.scheduler.set(busy("b"), busy("c"), idle("d"))
+			b.replica.lead(2) // reads the list again
 			time.Sleep(settleTime - interval)
 			assert.Equal(t, len(b.platform.calls()), c.moves)
 		})
