--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/cmd/internal/faults"
+	"lacewingturn.example/platform/settings"
 	"lacewingturn.example/platform/standin"
 )
 
@@ -98,8 +99,8 @@
 	entryFile := filepath.Join(folder, n.Name+"-entry.yaml")
 	n.write(s.t, true)
 	assert.NilError(s.t, n.Write(entryFile))
-	n.control = faults.NewProcess(s.t, n.Name+"-control", &s.pids, []string{"LACEWINGTURN_BOOT=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
-	n.entry = faults.NewProcess(s.t, n.Name+"-entry", &s.pids, []string{"LACEWINGTURN_BOOT=" + entryFile}, "platform", "entry")
+	n.control = faults.NewProcess(s.t, n.Name+"-control", &s.pids, []string{settings.PathVariable + "=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
+	n.entry = faults.NewProcess(s.t, n.Name+"-entry", &s.pids, []string{settings.PathVariable + "=" + entryFile}, "platform", "entry")
 	n.control.Start()
 	n.entry.Start()
 }
