Show the demand of steps without an estimate in the pools view; one wait for a condition

Found by reading the change again: the view asked for the demand with a clearing time of 0, and a step without an estimate then counted 0/0 tasks (-9.2e15 processors; the test now asks for the figure and failed first). The soak calls the wait of the faults package in place of a copy.

--- a/cmd/internal/faults/entries_test.go
+++ b/cmd/internal/faults/entries_test.go
@@ -62,7 +62,7 @@
 // Every answer that says that the call did not run must be true.
 func (s *Site) resolve(entry *Process, c Call) (r Reply) {
 	s.t.Helper()
-	resolved := within(patience, func() bool {
+	resolved := Within(patience, func() bool {
 		r = s.Send(s.t.Context(), http.DefaultClient, entry, c)
 		runs := s.Runs(c.Key)
 		switch {
--- a/cmd/internal/faults/site.go
+++ b/cmd/internal/faults/site.go
@@ -141,12 +141,13 @@
 // Until waits for a condition and fails the test if it does not come about.
 func (s *Site) Until(what string, condition func() bool) {
 	s.t.Helper()
-	if !within(patience, condition) {
+	if !Within(patience, condition) {
 		s.t.Fatalf("not within %s: %s", patience, what)
 	}
 }
 
-func within(d time.Duration, condition func() bool) bool {
+// Within waits for a condition; it reports false if it does not come about in time.
+func Within(d time.Duration, condition func() bool) bool {
 	ticker := time.NewTicker(look)
 	defer ticker.Stop()
 	for until := time.Now().Add(d); ; <-ticker.C {
--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -169,12 +169,7 @@
 // until waits for a condition.
 func (s *system) until(what string, limit time.Duration, condition func() bool) {
 	s.t.Helper()
-	ticker := time.NewTicker(50 * time.Millisecond)
-	defer ticker.Stop()
-	for end := time.Now().Add(limit); !condition(); <-ticker.C {
-		if time.Now().After(end) {
-			s.t.Errorf("not within %s: %s", limit, what)
-			return
-		}
+	if !faults.Within(limit, condition) {
+		s.t.Errorf("not within %s: %s", limit, what)
 	}
 }
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -19,7 +19,7 @@
 }
 
 // Demands returns the demand of each pool. Waiting tasks should have run within
-// the clearing time.
+// the clearing time; with 0 each of them counts whole.
 func Demands(s model.State, now model.Timestamp, clearing time.Duration) map[model.PoolName]Demand {
 	out := map[model.PoolName]Demand{}
 	queues := s.Catalog.QueuesByName()
@@ -54,7 +54,7 @@
 	one := step.Reserved()
 	plus(&d.Running, one, float64(active))
 	part := 1.0
-	if !step.Lasting && !step.Gang {
+	if clearing > 0 && !step.Lasting && !step.Gang {
 		part = min(1, float64(step.Estimate)/float64(clearing))
 	}
 	plus(&d.Waiting, one, part*float64(int64(len(state.Tasks)-state.Done)-active))
--- a/core/query/workload_views_test.go
+++ b/core/query/workload_views_test.go
@@ -44,7 +44,8 @@
 
 // Guards against views of a deployment with a catalog that show nothing.
 func TestViewsShowWorkloads(t *testing.T) {
-	s := started(workloadState(t, model.Step{Count: 2}), 0, 0)
+	one := model.Resources{MilliCPU: 500, MemoryMB: 1}
+	s := started(workloadState(t, model.Step{Count: 2, Need: one}), 0, 0)
 	s = apply(t, s, model.OrderUpkeep{Upkeep: model.Upkeep{Number: 7, Limit: 1, Instances: []model.UpkeepInstance{{ID: "m1"}}}})
 	jobs, ok := query.Jobs(s, workloadID)
 	assert.Assert(t, ok)
@@ -53,6 +54,8 @@
 	pools, ok := query.Pools(s, "p")
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, pools.WorkerPools[0].Queues, []string{"q"})
+	assert.Equal(t, pools.WorkerPools[0].Running, query.Capacity(one))
+	assert.Equal(t, pools.WorkerPools[0].Waiting, query.Capacity(one), "the step has no estimate")
 	waves, _ := query.Waves(s, "")
 	assert.DeepEqual(t, waves.Upkeeps[0].Open, []string{"m1"})
 	status := query.Status(s, query.Contact{Leader: "r"})
