--- a/node/event/platform.go
+++ b/node/event/platform.go
@@ -7,7 +7,7 @@
 	CallerRefused       = define(6000, "caller refused", zapcore.InfoLevel, "A command of a caller was not carried out; the line names the result.", "")
 	CallerUnanswered    = define(6001, "caller's question unanswered", zapcore.InfoLevel, "No leader answered in time; the caller was told to come back.", "Check the control replicas if this lasts longer than an election.")
 	ReportInvalid       = define(6002, "heartbeat refused", zapcore.WarnLevel, "A heartbeat of a worker is not readable or lacks a field. It was refused and changes nothing.", "Check the version of the worker.")
-	OperatorOrder       = define(6003, "operator's order", zapcore.InfoLevel, "An order of the operator was answered with the result in the line.", "")
+	OperatorOrder       = define(6003, "operator's order", zapcore.InfoLevel, "An order of the operator was answered with the result in the line, which names the version or the number of the order, how long the commit took, and whether the operator had given up before.", "")
 	ControlReached      = define(6004, "leader reached", zapcore.InfoLevel, "This entry instance has an answer of the leader and takes callers.", "")
 	ControlLost         = define(6005, "leader lost", zapcore.WarnLevel, "This entry instance has had no answer of a leader for a while and takes no new callers.", "Check the control replicas and the network path to them.")
 	SettingsReloaded    = define(6006, "settings reloaded", zapcore.InfoLevel, "The settings file has changed; the seeds in it are in force.", "")
