Commit an operator's order through the leader on whichever replica takes it

Callers saw: an order that reached a follower was answered 307 with the leader that the follower had heard of last. Where that one stands still, is cut off or is gone, the operator loses a second and its growing pause, until the election is over; an order on a leader that had been cut off waited for its commit for 2 s where the operator gives up after 1 s. Cause: the replica passed its own knowledge of the leader on unchecked, and used a deadline of its own. A replica that was silent in one call is asked last, so that the others can tell who leads next.

--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -15,6 +15,7 @@
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
+	"lacewingturn.example/replica/client"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/fleet"
 	"lacewingturn.example/replica/schedule"
@@ -54,6 +55,7 @@
 	File      SettingsFile
 	Platform  settings.Settings
 	Servers   *servers
+	Client    *http.Client
 	Internal  internalMux
 	Replica   *replicacommand.Replica
 	Scheduler *schedule.Machine
@@ -63,9 +65,13 @@
 
 func routePlatformControl(p platformControlParams) error {
 	p.Internal.Handle(p.Reader.Route())
-	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { p.Replica.SetPeers(seedPeers(s)) })
+	remote := newPlatformClient(p.Platform, p.Client)
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) {
+		p.Replica.SetPeers(seedPeers(s))
+		remote.SetSeeds(seedAddresses(s))
+	})
 	router := mux.NewRouter()
-	platformcommand.NewControl(p.Scheduler, p.Replica, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
+	platformcommand.NewControl(p.Scheduler, client.NewForwarder(p.Replica, remote), p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
 	redirect := func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
 	}
--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -36,7 +36,7 @@
 
 func routePlatformEntry(p platformParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
-	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetSeeds(seedAddresses(s)) })
 	commands := platformcommand.NewCallers(control, platformcommand.NewMetrics(p.Registry), p.Log)
 	queries := platformquery.NewCallers(control, p.Log)
 	ready := platformquery.NewReady(control, p.Log)
--- a/cmd/internal/instance/platform_redirect.go
+++ b/cmd/internal/instance/platform_redirect.go
@@ -21,7 +21,7 @@
 
 func routePlatformRedirect(p platformParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
-	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetAddresses(seedAddresses(s)) })
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetSeeds(seedAddresses(s)) })
 	router := mux.NewRouter()
 	router.PathPrefix("/lacewingturn/").HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, remoteLeader{r.Context(), control}, p.Platform.ControlAddress)
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -33,23 +33,25 @@
 
 // Client implements entry.Control over the network. It is safe for concurrent use.
 type Client struct {
-	addresses atomic.Pointer[[]string]
-	http      connect.HTTPClient
-	leader    atomic.Pointer[string] // address of the last known leader
+	seeds   atomic.Pointer[[]string] // from the settings; asked while no member answers
+	members atomic.Pointer[[]string] // replicas that a replica has named
+	http    connect.HTTPClient
+	leader  atomic.Pointer[string] // address of the last known leader
 }
 
-// New returns a client that knows the replicas at the addresses (host:port).
+// New returns a client that finds the replicas through the seeds (host:port).
 // The HTTP client must speak HTTP/2 without TLS or TLS as the replicas do.
-func New(addresses []string, httpClient connect.HTTPClient) *Client {
+func New(seeds []string, httpClient connect.HTTPClient) *Client {
 	c := &Client{http: httpClient}
-	c.SetAddresses(addresses)
+	c.members.Store(&[]string{})
+	c.SetSeeds(seeds)
 	return c
 }
 
-// SetAddresses replaces the replicas that the client knows.
-func (c *Client) SetAddresses(addresses []string) {
+// SetSeeds replaces the seeds. Members that the client has learned stay known.
+func (c *Client) SetSeeds(addresses []string) {
 	list := slices.Clone(addresses)
-	c.addresses.Store(&list)
+	c.seeds.Store(&list)
 }
 
 // NewHTTPClient returns an HTTP client for HTTP/2 without TLS that replaces
@@ -88,10 +90,12 @@
 // safe, or ctx ends.
 func (c *Client) rounds(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
 	maybe := false // an attempt may have been appended
+	silent := map[string]bool{}
 	backoff := minBackoff
 	for {
-		for _, address := range c.candidates() {
+		for _, address := range c.candidates(silent) {
 			a := c.attempt(ctx, address, req)
+			silent[address] = a.silent
 			if a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil) {
 				return a.results
 			}
@@ -99,7 +103,7 @@
 			if a.unknown && !repeatable || ctx.Err() != nil {
 				return c.gaveUp(len(req.Envelopes), maybe)
 			}
-			if a.leader != "" && a.leader != address {
+			if a.leader != "" && a.leader != address && !silent[a.leader] {
 				c.leader.Store(&a.leader)
 				break // ask that one first
 			}
@@ -119,21 +123,27 @@
 	return slices.Repeat([]result.Result{r}, n)
 }
 
-// candidates lists the last known leader and then the others in random order.
-func (c *Client) candidates() []string {
-	list := slices.Clone(*c.addresses.Load())
+// candidates lists the last known leader and then the other members in random
+// order; seeds are added while no member answers. Replicas that were silent
+// before in the same call come last, so that a leader that is gone is asked once
+// in each round while the others tell who leads next.
+func (c *Client) candidates(silent map[string]bool) []string {
+	list := slices.Clone(*c.members.Load())
+	if !slices.ContainsFunc(list, func(a string) bool { return !silent[a] }) {
+		list = append(list, slices.DeleteFunc(slices.Clone(*c.seeds.Load()), func(a string) bool { return slices.Contains(list, a) })...)
+	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	leader := c.leader.Load()
-	if leader == nil {
-		return list
+	if leader := c.leader.Load(); leader != nil {
+		list = append([]string{*leader}, slices.DeleteFunc(list, func(a string) bool { return a == *leader })...)
 	}
-	list = slices.DeleteFunc(list, func(a string) bool { return a == *leader })
-	return append([]string{*leader}, list...)
+	answering := slices.DeleteFunc(slices.Clone(list), func(a string) bool { return silent[a] })
+	return append(answering, slices.DeleteFunc(list, func(a string) bool { return !silent[a] })...)
 }
 
 // answer is the outcome of one attempt.
 type answer struct {
 	results []result.Result // nil if there was none
+	silent  bool            // the replica did not answer
 	unknown bool            // the commands may have been appended
 	leader  string          // where the leader is, if the replica told
 }
@@ -143,7 +153,7 @@
 	defer cancel()
 	resp, err := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address).Propose(ctx, connect.NewRequest(req))
 	if err != nil {
-		return answer{unknown: !notSent(err)}
+		return answer{silent: true, unknown: !notSent(err)}
 	}
 	if resp.Msg.NotLeader {
 		return answer{leader: resp.Msg.LeaderAddress}
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -90,5 +90,5 @@
 	found, err := c.Find(t.Context(), "h", "/q/1")
 	assert.NilError(t, err)
 	assert.Equal(t, found, Found{QueueKnown: true, WorkloadKnown: true, Phase: model.WorkloadCompleted})
-	assert.DeepEqual(t, *c.addresses.Load(), []string{address})
+	assert.DeepEqual(t, *c.members.Load(), []string{address})
 }
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -76,9 +76,11 @@
 // ask asks the replicas in turn until the leader answers or ctx ends.
 func ask[R ledResponse](ctx context.Context, c *Client, call func(context.Context, workloadv1connect.WorkloadQueryServiceClient) (R, error)) (R, error) {
 	var none R
+	silent := map[string]bool{}
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
-		for _, address := range c.candidates() {
+		for _, address := range c.candidates(silent) {
 			resp, err := attemptQuery(ctx, c, address, call)
+			silent[address] = err != nil
 			if ctx.Err() != nil {
 				return none, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
 			}
@@ -91,7 +93,7 @@
 				c.leader.Store(&address)
 				return resp, nil
 			}
-			if leader := lead.GetLeaderAddress(); leader != "" && leader != address {
+			if leader := lead.GetLeaderAddress(); leader != "" && leader != address && !silent[leader] {
 				c.leader.Store(&leader)
 				break
 			}
@@ -115,6 +117,6 @@
 // replaced do not have to be in the settings.
 func (c *Client) learn(members []string) {
 	if len(members) > 0 {
-		c.SetAddresses(members)
+		c.members.Store(&members)
 	}
 }
