Take the operator's orders on every instance; an instance without a replica is a seed

Callers saw: a valid configuration had no acknowledgement after 4 s of calm, while the core worked. Cause: only the three replicas took orders. While one of them stands still, an operator draws it with one attempt in three and waits for 1.2 s each time; after a lost acknowledgement it asks other instances first, which was the one that stands still in each case that the log shows. Two such draws, a lost acknowledgement and a third draw are 4.3 s. The log names the attempts that the frozen replica finds when it wakes. Class: the entrance shares its fate with a part behind it. Its sibling: an instance with the control role and no disk was a dead end as a seed, because it answered 404 to processes that look for the replicas. Now the control role runs on every instance. One without a disk commits orders through the leader, sends other calls there, and names the replicas and the leader to processes that have it as a seed; the leader announces itself to such seeds, which may have lost what they knew. The handlers of workers and of the operator are apart.

--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -41,7 +41,7 @@
 	case role == RoleEntry:
 		options = append(options, platformEntryModule)
 	case p.DataFolder == "":
-		options = append(options, platformRedirectModule)
+		options = append(options, platformRelayModule)
 	default:
 		options = append(options, controlModule, platformControlModule, fx.Populate(&proc.Replica, &proc.Liveness))
 	}
--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -71,7 +71,8 @@
 		remote.SetSeeds(seedAddresses(s))
 	})
 	router := mux.NewRouter()
-	platformcommand.NewControl(p.Scheduler, client.NewForwarder(p.Replica, remote), p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
+	platformcommand.NewWorkerHandler(p.Scheduler, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
+	platformcommand.NewOrderHandler(client.NewForwarder(p.Replica, remote), p.Log).Route(router)
 	redirect := func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
 	}
--- a/cmd/internal/instance/platform_relay.go
+++ b/cmd/internal/instance/platform_relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
@@ -14,22 +13,26 @@
 	"lacewingturn.example/replica/client"
 )
 
-// platformRedirectModule sends workers and the operator of the users' platform
-// to the leader. It is the control role of an instance without a disk, which
-// cannot keep a replica.
-var platformRedirectModule = fx.Module("platform-redirect", fx.Invoke(routePlatformRedirect))
+// platformRelayModule is the control role of an instance without a disk, which
+// cannot keep a replica. It commits the operator's orders through the leader,
+// sends all other calls there, and names the replicas to processes that have it
+// as a seed.
+var platformRelayModule = fx.Module("platform-relay", fx.Invoke(routePlatformRelay))
 
-func routePlatformRedirect(p platformParams) error {
+func routePlatformRelay(p platformParams) error {
 	control := newPlatformClient(p.Platform, p.Client)
 	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetSeeds(seedAddresses(s)) })
 	router := mux.NewRouter()
+	platformcommand.NewOrderHandler(control, p.Log).Route(router)
 	router.PathPrefix("/lacewingturn/").HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		platformcommand.RedirectToLeader(w, r, remoteLeader{r.Context(), control}, p.Platform.ControlAddress)
+		platformcommand.RedirectToLeader(w, r, remoteLeader{control}, p.Platform.ControlAddress)
 	})
 	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{}); err != nil {
 		return err
 	}
-	// Replicas that ask for an identity learn from the answer 404 that none is here.
+	directory := client.NewDirectory(control)
+	directory.Route(p.Internal.Handle)
+	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { go directory.Run(p.Life); return nil }})
 	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReplicaAddress(p.Platform.IP), p.Internal, server.TLSFiles{}); err != nil {
 		return err
 	}
@@ -39,18 +42,10 @@
 }
 
 // remoteLeader asks the replicas for the leader.
-type remoteLeader struct {
-	ctx     context.Context
-	control *client.Client
-}
-
-// leaderTimeout bounds the search for the leader. Callers give up after a second.
-const leaderTimeout = 800 * time.Millisecond
+type remoteLeader struct{ control *client.Client }
 
 // LeaderAddress implements platformcommand.Leadership.
-func (l remoteLeader) LeaderAddress() string {
-	ctx, cancel := context.WithTimeout(l.ctx, leaderTimeout)
-	defer cancel()
+func (l remoteLeader) LeaderAddress(ctx context.Context) string {
 	address, err := l.control.Leader(ctx)
 	if err != nil {
 		return "" // the caller is told to come back
--- a/replica/command/enroll.go
+++ b/replica/command/enroll.go
@@ -25,6 +25,8 @@
 	// askTimeout bounds one request for admission, so that a peer that is gone does
 	// not keep the others from being asked.
 	askTimeout = 150 * time.Millisecond
+	// announceEvery is the time between two announcements of the leader.
+	announceEvery = 2 * time.Second
 )
 
 func (r *Replica) self() raft.Member {
@@ -46,6 +48,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	attempt := 0
+	var announced time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -55,6 +58,10 @@
 		timer.Reset(enrollEvery)
 		if r.enrolled() && r.followed() {
 			attempt = 0
+			if r.View().IsLeader && time.Since(announced) >= announceEvery {
+				announced = time.Now()
+				r.announce(ctx, client)
+			}
 			continue
 		}
 		if !r.form(ctx, client) {
@@ -151,3 +158,15 @@
 	}
 	return resp.Msg.LeaderAddress
 }
+
+// announce tells the peers that are no members where the leader is. They serve no
+// replica and may have lost what they knew, if all instances were started anew.
+func (r *Replica) announce(ctx context.Context, client *http.Client) {
+	asked := map[string]bool{}
+	for _, m := range r.Status().Members {
+		asked[m.Address] = true
+	}
+	for _, p := range r.others() {
+		r.ask(ctx, client, p.Address, asked)
+	}
+}
--- a/replica/schedule/query/handler.go
+++ b/replica/schedule/query/handler.go
@@ -39,7 +39,10 @@
 }
 
 // LeaderAddress returns where the leader serves other processes; empty if unknown.
-func (r *Reader) LeaderAddress() string {
+func (r *Reader) LeaderAddress(context.Context) string { return r.knownLeader() }
+
+// knownLeader returns the address of the leader that this replica follows; empty if unknown.
+func (r *Reader) knownLeader() string {
 	if v := r.replica.View(); !v.IsLeader {
 		return v.LeaderAddress
 	}
@@ -72,7 +75,7 @@
 
 func (r *Reader) read() (model.State, *workloadv1.Leadership) {
 	s, ok := r.State()
-	lead := &workloadv1.Leadership{NotLeader: !ok, LeaderAddress: r.LeaderAddress()}
+	lead := &workloadv1.Leadership{NotLeader: !ok, LeaderAddress: r.knownLeader()}
 	for _, member := range r.replica.View().State.Replicas.All() {
 		lead.Replicas = append(lead.Replicas, member.Address)
 	}
