Send workers and readers only to a leader that was heard of lately

Callers saw: in the second after a leader had stopped, workers that report or leave and operators who read were sent to it (307) and lost a second each; a replica that had just been elected sent them to itself. The replica named the leader of its last message, however old. TestOnlyLeaderThatWasHeardOfLatelyIsNamed failed before: a:1 instead of b:1, self:1 instead of nothing.

--- a/replica/schedule/query/handler.go
+++ b/replica/schedule/query/handler.go
@@ -38,8 +38,31 @@
 	return v.State, replica.Leads(v, r.guard, time.Now())
 }
 
-// LeaderAddress returns where the leader serves other processes; empty if unknown.
-func (r *Reader) LeaderAddress(context.Context) string { return r.knownLeader() }
+// freshLeader is how old the last message of a leader may be that callers are
+// sent to. Where the leader of many replicas sends less often, callers wait for
+// its next message.
+const freshLeader = 250 * time.Millisecond
+
+// LeaderAddress waits until ctx ends for a leader that this replica has heard of
+// lately, so that nobody is sent to one that is gone, and returns where it serves
+// other processes; empty if there is none. A leader that has lost touch with its
+// quorum knows of no other one and does not wait.
+func (r *Reader) LeaderAddress(ctx context.Context) string {
+	for {
+		v := r.replica.View()
+		if v.IsLeader {
+			return ""
+		}
+		if v.LeaderAddress != "" && v.Leader != v.ID && time.Since(v.LeaderContact) < freshLeader {
+			return v.LeaderAddress
+		}
+		select {
+		case <-v.Next:
+		case <-ctx.Done():
+			return ""
+		}
+	}
+}
 
 // knownLeader returns the address of the leader that this replica follows; empty if unknown.
 func (r *Reader) knownLeader() string {
