Form a site only on a replica that the peers were told of

Callers would have seen: two first memberships, one of the seeds and one of a replica beside them, so that either may lose what it acknowledged; or one site for each replica where no seed has a disk. Cause: a replica compared its name with those of its peers, but never asked whether it is one of them. Names are IP numbers in text order: 10.1.0.20 comes before the seed 10.1.0.9. With the control role on every instance a seed may also keep no replica. TestReplicaThatIsNoPeerDoesNotFormASite and TestReplicaDoesNotFormASiteWithoutAPeerThatKeepsAReplica failed before (a log of 2 entries instead of 0).

--- a/replica/command/enroll.go
+++ b/replica/command/enroll.go
@@ -85,9 +85,10 @@
 // form writes the first membership if no replica of the site has ever had a
 // log. Only the replica whose name is first among the peers does this, so that
 // there is one first membership; it reports whether it did. Peers that serve no
-// replica do not count.
+// replica do not count. A replica that is no peer is unknown to the one that
+// forms the site, and joins it.
 func (r *Replica) form(ctx context.Context, client *http.Client) bool {
-	if r.settings.JoinOnly || r.Status().Last > 0 {
+	if r.settings.JoinOnly || !r.isPeer() || r.Status().Last > 0 {
 		return false
 	}
 	members := raft.Membership{r.self()}
--- a/replica/command/form_test.go
+++ b/replica/command/form_test.go
@@ -11,15 +11,21 @@
 	"lacewingturn.example/node/wait"
 )
 
-// Guards against a site that never forms because one of the addresses that its
-// replicas were told belongs to an instance without a disk.
-func TestSiteFormsBesideAnInstanceWithoutAReplica(t *testing.T) {
-	settings := siteSettings(t, 3)
-	listener, err := net.Listen("tcp", settings[0].Address)
+// serveWithoutReplica answers as an instance that keeps no replica.
+func serveWithoutReplica(t *testing.T, address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	diskless := server(http.NotFoundHandler())
 	go func() { _ = diskless.Serve(listener) }()
 	t.Cleanup(func() { _ = diskless.Close() })
+}
+
+// Guards against a site that never forms because one of the addresses that its
+// replicas were told belongs to an instance without a disk.
+func TestSiteFormsBesideAnInstanceWithoutAReplica(t *testing.T) {
+	settings := siteSettings(t, 3)
+	serveWithoutReplica(t, settings[0].Address)
 	site := []*instance{start(t, settings[1]), start(t, settings[2])}
 	commit(t, site, 0, 5)
 	for _, r := range site {
@@ -41,3 +47,30 @@
 		assert.Equal(t, r.Status().Last, model.Index(0))
 	}
 }
+
+// Guards against two first memberships: one of the peers, and one of a replica
+// that the peers were not told of.
+func TestReplicaThatIsNoPeerDoesNotFormASite(t *testing.T) {
+	settings := siteSettings(t, 3)
+	outsider := settings[0]
+	outsider.Peers = settings[0].Peers[1:]
+	for _, s := range settings[1:] {
+		s.JoinOnly = true
+		start(t, s)
+	}
+	r := start(t, outsider)
+	assert.NilError(t, wait.For(t.Context(), 3*enrollEvery))
+	assert.Equal(t, r.Status().Last, model.Index(0))
+}
+
+// Guards against replicas that each form a site of their own because all peers
+// that they were told are instances without a disk.
+func TestReplicaDoesNotFormASiteWithoutAPeerThatKeepsAReplica(t *testing.T) {
+	settings := siteSettings(t, 2)
+	outsider := settings[1]
+	outsider.Peers = settings[1].Peers[:1]
+	serveWithoutReplica(t, settings[0].Address)
+	r := start(t, outsider)
+	assert.NilError(t, wait.For(t.Context(), 3*enrollEvery))
+	assert.Equal(t, r.Status().Last, model.Index(0))
+}
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,6 +141,11 @@
 	return list
 }
 
+// isPeer reports whether the peers of the site were told of this replica.
+func (r *Replica) isPeer() bool {
+	return slices.ContainsFunc(*r.peers.Load(), func(p Peer) bool { return p.Name == r.settings.Name })
+}
+
 // Run works until ctx ends and returns once the data folder is closed. The loop
 // must run meanwhile. It returns ErrRestart after a failure of the disk that is over.
 func (r *Replica) Run(ctx context.Context) error {
