Write no request after the end of its slot credit

Cause: the credit was checked when the slot was granted and never again. Now the control loop publishes when each credit ends, and the connection compares it with the clock right before the first write of a request. A request whose credit has ended has not run: its slot is free again and it is tried once more. TestNothingIsWrittenAfterTheCreditHasEnded fails without the check (done instead of not-run).

--- a/entry/command/credits.go
+++ b/entry/command/credits.go
@@ -127,9 +127,11 @@
 
 // allowConnections lets the connections to each target follow the slots held. It
 // comes before a report that returns slots, so that the connections are closed
-// before another instance may use the slots.
+// before another instance may use the slots. It also tells how long requests may
+// be written.
 func (m *Machine) allowConnections(now time.Time) {
 	for _, t := range m.targets {
+		t.credit.set(t.account.Until())
 		if n := max(t.account.Granted(now), t.account.InUse()); n != t.allowed {
 			t.allowed = n
 			m.effects.allow(t.destination(), n)
--- a/entry/command/exchange.go
+++ b/entry/command/exchange.go
@@ -28,7 +28,7 @@
 	if c.fresh {
 		l.transport.CloseIdleConnections()
 	}
-	sent := &sending{}
+	sent := &sending{credit: d.credit}
 	resp, err := l.transport.RoundTrip(outgoing(sent.trace(ctx), c, d))
 	if err != nil {
 		return sent.failure(ctx, err, time.Since(started))
@@ -39,14 +39,17 @@
 }
 
 // sending observes how far a request got.
-type sending struct{ conn *countedConn }
+type sending struct {
+	credit *creditEnd
+	conn   *countedConn
+}
 
 // trace records the connection that the request is written to. The transport
 // calls GotConn before RoundTrip returns.
 func (s *sending) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*countedConn); ok {
-			c.mark()
+			c.mark(s.credit)
 			s.conn = c
 		}
 	}})
@@ -57,6 +60,8 @@
 	switch {
 	case errors.Is(err, errTooManyConnections):
 		return refusal(result.New(result.Overloaded, "%v", err), overloadRetry), sample{sampleNoConnection, run}
+	case errors.Is(err, errCreditEnded):
+		return refusal(result.New(result.EntryStale, "%v", err), overloadRetry), sample{sampleNoConnection, run}
 	case s.conn == nil && errors.Is(context.Cause(ctx), context.Canceled):
 		return refusal(result.New(result.CallerGone, "withdrawn before a connection was open"), 0), sample{sampleUnsent, run}
 	case s.conn == nil && ctx.Err() != nil:
--- /dev/null
+++ b/entry/command/exchange_test.go
@@ -0,0 +1,40 @@
+package command
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewingturn.example/core/result"
+)
+
+// Guards against a request that an entry instance writes when it continues after
+// it stood still: its slot may be another instance's by then, and the target may
+// have left.
+func TestNothingIsWrittenAfterTheCreditHasEnded(t *testing.T) {
+	served := 0
+	worker := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	defer worker.Close()
+	g := &Gateway{pool: &pool{}}
+	d := destination{id: "t1", generation: 1, address: worker.Listener.Addr().String(), slot: "e1.1.1", credit: &creditEnd{}}
+	send := func(method string) (answer, sample) {
+		return g.exchange(t.Context(), &call{method: method, path: "/"}, d)
+	}
+
+	for range 2 { // on a new connection, then on one that was kept open
+		d.credit.set(time.Now().Add(-time.Millisecond))
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			a, s := send(method)
+			assert.Equal(t, a.outcome, result.OutcomeNotRun, "%+v", a)
+			assert.Assert(t, !s.kind.abandoned(), "the slot is free again")
+		}
+		before := served
+		d.credit.set(time.Now().Add(time.Minute))
+		a, _ := send(http.MethodGet)
+		assert.Equal(t, a.outcome, result.OutcomeDone, "%+v", a)
+		assert.Equal(t, served, before+1)
+	}
+}
--- a/entry/command/messages.go
+++ b/entry/command/messages.go
@@ -5,6 +5,7 @@
 package command
 
 import (
+	"sync/atomic"
 	"time"
 
 	"lacewingturn.example/core/command/credit"
@@ -74,6 +75,19 @@
 	generation uint64
 	address    string
 	slot       string // names the slot in use; the target lists it while it runs the request
+	credit     *creditEnd
+}
+
+// creditEnd is when the credit of a target ends. The control loop sets it with
+// each renewal; traffic goroutines read it before they write a request.
+type creditEnd struct{ nanos atomic.Int64 } // since process start, on the steady clock
+
+var processStart = time.Now()
+
+func (e *creditEnd) set(until time.Time) { e.nanos.Store(int64(until.Sub(processStart))) }
+
+func (e *creditEnd) passed(now time.Time) bool {
+	return int64(now.Sub(processStart)) >= e.nanos.Load()
 }
 
 // sample is what a round trip taught about a target.
@@ -92,7 +106,7 @@
 	sampleTruncated                          // answer ended early
 	sampleCancelled                          // the caller went away; says nothing about the target
 	sampleUnsent                             // never sent, for reasons on this side
-	sampleNoConnection                       // never sent, because it would have exceeded the connections
+	sampleNoConnection                       // never sent, because it would have exceeded the connections or outlived the credit
 )
 
 // abandoned reports whether the target may still run the request.
--- a/entry/command/pool.go
+++ b/entry/command/pool.go
@@ -95,12 +95,26 @@
 	closed atomic.Bool
 	writes atomic.Int64
 	marked atomic.Int64
+	credit atomic.Pointer[creditEnd] // of the slot of the current request
 }
 
-func (c *countedConn) mark() { c.marked.Store(c.writes.Load()) }
+// errCreditEnded means that the credit ended before the request was written,
+// because the process stood still or the connection took long to open.
+var errCreditEnded = errors.New("entry: the slot credit ended before the request was written")
 
-// Write counts before it writes, so that a write in progress is never missed.
+// mark begins a request that uses a slot under the credit.
+func (c *countedConn) mark(credit *creditEnd) {
+	c.credit.Store(credit)
+	c.marked.Store(c.writes.Load())
+}
+
+// Write counts before it writes, so that a write in progress is never missed. It
+// begins no request after the end of its credit: the slot may be another
+// instance's, and the target may have left.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.writes.Load() == c.marked.Load() && c.credit.Load().passed(time.Now()) {
+		return 0, errCreditEnded
+	}
 	c.writes.Add(1)
 	return c.Conn.Write(p)
 }
--- a/entry/command/traffic.go
+++ b/entry/command/traffic.go
@@ -37,12 +37,13 @@
 	health  *health.Target
 	active  int // requests sent by this instance and not ended
 	allowed int // slots that the connections were last allowed for
+	credit  *creditEnd
 }
 
 func (t *target) key() credit.Key { return credit.Key{Target: t.ID, Generation: t.Generation} }
 
 func (t *target) destination() destination {
-	return destination{id: t.ID, generation: t.Generation, address: t.Address}
+	return destination{id: t.ID, generation: t.Generation, address: t.Address, credit: t.credit}
 }
 
 // usable returns how many requests may be started on the target now.
@@ -121,7 +122,7 @@
 	for id, spec := range m.traffic.Targets.All() {
 		t := m.targets[id]
 		if t == nil || t.Generation != spec.Generation {
-			t = &target{health: health.NewTarget(id)}
+			t = &target{health: health.NewTarget(id), credit: &creditEnd{}}
 		}
 		t.Target = spec
 		t.account = m.holder.Account(t.key())
