Entry tests: use the client of each site instead of the process-wide one

TestLeavingTargetGetsNothingAfter3s failed once: the test's client got 'transport connection broken: CloseIdleConnections called'. Cause, traced: httptest.Server.Close closes the idle connections of http.DefaultTransport, which all parallel tests of the package shared, and a connection that is just taken from the idle list may be closed under its request. No product code is involved.

--- a/entry/instance/answers_test.go
+++ b/entry/instance/answers_test.go
@@ -87,7 +87,7 @@
 				_, _ = c.Write(make([]byte, 2<<20))
 				c.Close()
 			})
-			resp, err := http.Get(s.server.URL + "/services/orders/")
+			resp, err := s.server.Client().Get(s.server.URL + "/services/orders/")
 			assert.NilError(t, err)
 			defer resp.Body.Close()
 			_, err = io.ReadAll(resp.Body)
--- a/entry/instance/bench_test.go
+++ b/entry/instance/bench_test.go
@@ -105,7 +105,7 @@
 		defer ticker.Stop()
 		for sequence := 1; ; sequence++ {
 			for i := range n {
-				resp, err := http.Post(fmt.Sprintf("%s/targets/t%d/heartbeat", s.server.URL, i+1), "application/json",
+				resp, err := s.server.Client().Post(fmt.Sprintf("%s/targets/t%d/heartbeat", s.server.URL, i+1), "application/json",
 					strings.NewReader(fmt.Sprintf(`{"generation":1,"sequence":%d,"running":[]}`, sequence)))
 				if err == nil {
 					resp.Body.Close()
--- a/entry/instance/once_test.go
+++ b/entry/instance/once_test.go
@@ -230,7 +230,7 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/services/orders/charge", strings.NewReader("5"))
 	assert.NilError(t, err)
 	req.Header.Set("Idempotency-Key", key)
-	_, err = http.DefaultClient.Do(req)
+	_, err = s.server.Client().Do(req)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 	s.until(t, func() bool {
 		c, ok := control.claim(model.RequestID(key), "anonymous")
--- a/entry/instance/path_test.go
+++ b/entry/instance/path_test.go
@@ -51,7 +51,7 @@
 	ok, reason := s.Source.View().Ready(time.Now().Add(3 * time.Second))
 	assert.Assert(t, !ok)
 	assert.Equal(t, reason, "no contact to the control state for more than 2.5s")
-	resp, err := http.Get(s.server.URL + "/readyz")
+	resp, err := s.server.Client().Get(s.server.URL + "/readyz")
 	assert.NilError(t, err)
 	resp.Body.Close()
 	assert.Equal(t, resp.StatusCode, 200)
--- a/entry/instance/site_test.go
+++ b/entry/instance/site_test.go
@@ -269,7 +269,7 @@
 
 func (s *site) announce(t testing.TB, id, what, body string) (int, string) {
 	t.Helper()
-	resp, err := http.Post(s.server.URL+"/targets/"+id+"/"+what, "application/json", strings.NewReader(body))
+	resp, err := s.server.Client().Post(s.server.URL+"/targets/"+id+"/"+what, "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
@@ -292,7 +292,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.server.Client().Do(req)
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
--- a/entry/instance/slots_test.go
+++ b/entry/instance/slots_test.go
@@ -92,7 +92,7 @@
 			}
 			w.mu.Unlock()
 			body, _ := json.Marshal(map[string]any{"generation": 1, "sequence": sequence, "running": slots})
-			resp, err := http.Post(s.server.URL+"/targets/"+id+"/heartbeat", "application/json", strings.NewReader(string(body)))
+			resp, err := s.server.Client().Post(s.server.URL+"/targets/"+id+"/heartbeat", "application/json", strings.NewReader(string(body)))
 			if err == nil {
 				resp.Body.Close()
 			}
@@ -181,7 +181,7 @@
 		go func() {
 			req, _ := http.NewRequest(http.MethodGet, a.server.URL+"/services/orders/long", nil)
 			req.Header.Set("Lacewingturn-Timeout-Ms", "60000") // no second attempt within the test
-			if resp, err := http.DefaultClient.Do(req); err == nil {
+			if resp, err := a.server.Client().Do(req); err == nil {
 				resp.Body.Close()
 			}
 		}()
--- a/entry/instance/worker_test.go
+++ b/entry/instance/worker_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -48,7 +47,7 @@
 
 func (s *site) poll(t *testing.T, worker string, index model.Index) workerquery.Answer {
 	t.Helper()
-	resp, err := http.Get(fmt.Sprintf("%s/workers/%s/assignments?index=%d", s.server.URL, worker, index))
+	resp, err := s.server.Client().Get(fmt.Sprintf("%s/workers/%s/assignments?index=%d", s.server.URL, worker, index))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	var a workerquery.Answer
@@ -59,7 +58,7 @@
 
 func (s *site) report(t *testing.T, worker, body string) workercommand.Answer {
 	t.Helper()
-	resp, err := http.Post(s.server.URL+"/workers/"+worker+"/reports", "application/json", strings.NewReader(body))
+	resp, err := s.server.Client().Post(s.server.URL+"/workers/"+worker+"/reports", "application/json", strings.NewReader(body))
 	assert.NilError(t, err)
 	defer resp.Body.Close()
 	var a workercommand.Answer
