Operator client test: let the deadline pass between two calls

TestSubmitFindsTheLeader got unknown instead of not-leader once: its deadline of 300 ms ended while a call was in flight, whose answer is truly unknown.

--- a/operator/client/client_test.go
+++ b/operator/client/client_test.go
@@ -178,12 +178,25 @@
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
 	r = newClient(t, "ann", forwarding).Submit(t.Context(), NewRequestID(), model.DrainInstance{Instance: "tickets-fjord-r1-1"})
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
-	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-	defer cancel()
-	r = newClient(t, "ann", follower).Submit(ctx, NewRequestID(), model.DrainInstance{Instance: "quotes-fjord-r1-1"})
+	r = newClient(t, "ann", follower).Submit(&endsBetweenCalls{Context: t.Context(), after: 3}, NewRequestID(), model.DrainInstance{Instance: "quotes-fjord-r1-1"})
 	assert.Equal(t, r.Code, result.NotLeader, "nothing was sent to a leader: %v", r)
 }
 
+// endsBetweenCalls is a context whose deadline passes right after a call was
+// answered. The client asks for its error only then; calls have contexts of their own.
+type endsBetweenCalls struct {
+	context.Context
+	after int // calls
+	calls atomic.Int32
+}
+
+func (c *endsBetweenCalls) Err() error {
+	if int(c.calls.Add(1)) < c.after {
+		return nil
+	}
+	return context.DeadlineExceeded
+}
+
 // Guards against a client that reports a command as not applied although its
 // answer was lost.
 func TestLostAnswerIsUnknown(t *testing.T) {
