--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -4,12 +4,10 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"connectrpc.com/connect"
 
@@ -18,21 +16,11 @@
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
-	"lacewingturn.example/node/wait"
 )
 
-const (
-	// attemptTimeout bounds one call, so that a leader that was cut off does not
-	// use up the deadline. It is longer than a commit under load.
-	attemptTimeout = time.Second
-	// minBackoff and maxBackoff bound the wait between rounds. An election takes
-	// 0.5 to 0.9 s, so that about five rounds fall into it.
-	minBackoff = 20 * time.Millisecond
-	maxBackoff = 200 * time.Millisecond
-	// compressFrom is the size in bytes from which a request is compressed. A
-	// catalog of hundreds of queues takes half a second on a link of 2 Mbit/s.
-	compressFrom = 8 << 10
-)
+// compressFrom is the size in bytes from which a request is compressed. A
+// catalog of hundreds of queues takes half a second on a link of 2 Mbit/s.
+const compressFrom = 8 << 10
 
 // Client implements entry.Control over the network. It is safe for concurrent use.
 type Client struct {
@@ -93,29 +81,20 @@
 // safe, or ctx ends.
 func (c *Client) rounds(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
 	maybe := false // an attempt may have been appended
-	silent := map[string]bool{}
-	backoff := minBackoff
-	for {
-		for _, address := range c.candidates(silent) {
-			a := c.attempt(ctx, address, req)
-			silent[address] = a.silent
-			if a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil) {
-				return a.results
-			}
-			maybe = maybe || a.unknown
-			if a.unknown && !repeatable || ctx.Err() != nil {
-				return c.gaveUp(len(req.Envelopes), maybe)
-			}
-			if a.leader != "" && a.leader != address && !silent[a.leader] {
-				c.leader.Store(&a.leader)
-				break // ask that one first
-			}
-		}
-		if !pause(ctx, backoff) {
-			return c.gaveUp(len(req.Envelopes), maybe)
+	var results []result.Result
+	c.search(ctx, func(address string) reply {
+		a := c.attempt(ctx, address, req)
+		maybe = maybe || a.unknown
+		if a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil) {
+			results = a.results
 		}
-		backoff = min(backoff*2, maxBackoff)
+		a.final = results != nil || a.unknown && !repeatable
+		return a.reply
+	})
+	if results == nil {
+		return c.gaveUp(len(req.Envelopes), maybe)
 	}
+	return results
 }
 
 func (c *Client) gaveUp(n int, maybe bool) []result.Result {
@@ -126,29 +105,11 @@
 	return slices.Repeat([]result.Result{r}, n)
 }
 
-// candidates lists the last known leader and then the other members in random
-// order; seeds are added while no member answers. Replicas that were silent
-// before in the same call come last, so that a leader that is gone is asked once
-// in each round while the others tell who leads next.
-func (c *Client) candidates(silent map[string]bool) []string {
-	list := slices.Clone(*c.members.Load())
-	if !slices.ContainsFunc(list, func(a string) bool { return !silent[a] }) {
-		list = append(list, slices.DeleteFunc(slices.Clone(*c.seeds.Load()), func(a string) bool { return slices.Contains(list, a) })...)
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	if leader := c.leader.Load(); leader != nil {
-		list = append([]string{*leader}, slices.DeleteFunc(list, func(a string) bool { return a == *leader })...)
-	}
-	answering := slices.DeleteFunc(slices.Clone(list), func(a string) bool { return silent[a] })
-	return append(answering, slices.DeleteFunc(list, func(a string) bool { return !silent[a] })...)
-}
-
 // answer is the outcome of one attempt.
 type answer struct {
+	reply
 	results []result.Result // nil if there was none
-	silent  bool            // the replica did not answer
 	unknown bool            // the commands may have been appended
-	leader  string          // where the leader is, if the replica told
 }
 
 func (c *Client) attempt(ctx context.Context, address string, req *replicav1.ProposeRequest) answer {
@@ -157,10 +118,10 @@
 	commands := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address, connect.WithSendGzip(), connect.WithCompressMinBytes(compressFrom))
 	resp, err := commands.Propose(ctx, connect.NewRequest(req))
 	if err != nil {
-		return answer{silent: true, unknown: !notSent(err)}
+		return answer{reply: reply{silent: true}, unknown: !notSent(err)}
 	}
 	if resp.Msg.NotLeader {
-		return answer{leader: resp.Msg.LeaderAddress}
+		return answer{reply: reply{leader: resp.Msg.LeaderAddress}}
 	}
 	a := answer{results: make([]result.Result, len(req.Envelopes))}
 	for i := range a.results {
@@ -176,16 +137,6 @@
 	return a
 }
 
-// attemptTime returns how long one call may take: half of what is left, so that
-// a replica that is silent leaves time for another one.
-func attemptTime(ctx context.Context) time.Duration {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return attemptTimeout
-	}
-	return min(attemptTimeout, max(time.Until(deadline)/2, minBackoff))
-}
-
 // notSent reports whether the request certainly did not reach a replica, or
 // was refused by its server before it was handled.
 func notSent(err error) bool {
@@ -197,11 +148,6 @@
 	return code == connect.CodeInvalidArgument || code == connect.CodeUnimplemented
 }
 
-// pause waits between rounds, with jitter; it reports false when ctx has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	return wait.For(ctx, d/2+rand.N(d/2)) == nil
-}
-
 // Repeatable reports whether a command has the same effect when it is committed
 // twice: it carries a request ID, or it is guarded by an attempt, generation or
 // epoch of its own.
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -24,13 +24,7 @@
 // empty host it only tests whether a leader answers.
 func (c *Client) Find(ctx context.Context, host, path string) (Found, error) {
 	req := &workloadv1.FindRequest{Host: host, Path: path}
-	resp, err := ask(ctx, c, func(ctx context.Context, q workloadv1connect.WorkloadQueryServiceClient) (*workloadv1.FindResponse, error) {
-		r, err := q.Find(ctx, connect.NewRequest(req))
-		if err != nil {
-			return nil, err
-		}
-		return r.Msg, nil
-	})
+	resp, err := ask(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
 	if err != nil {
 		return Found{}, err
 	}
@@ -52,13 +46,7 @@
 // queue at the address; false if there is no such queue.
 func (c *Client) CountPending(ctx context.Context, host, path string) (int, bool, error) {
 	req := &workloadv1.CountPendingRequest{Host: host, Path: path}
-	resp, err := ask(ctx, c, func(ctx context.Context, q workloadv1connect.WorkloadQueryServiceClient) (*workloadv1.CountPendingResponse, error) {
-		r, err := q.CountPending(ctx, connect.NewRequest(req))
-		if err != nil {
-			return nil, err
-		}
-		return r.Msg, nil
-	})
+	resp, err := ask(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
 	if err != nil {
 		return 0, false, err
 	}
@@ -68,49 +56,49 @@
 	return int(resp.Pending), resp.QueueKnown, nil
 }
 
-// ledResponse is a response that tells who leads.
-type ledResponse interface {
+// ledResponse is a response of type R that tells who leads.
+type ledResponse[R any] interface {
+	*R
 	GetLeadership() *workloadv1.Leadership
 }
 
+// leaderQuery is a method of the service that only the leader answers.
+type leaderQuery[Q, R any] func(workloadv1connect.WorkloadQueryServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
+
+// queryTimeout bounds one attempt of a query.
+const queryTimeout = minBackoff * 20
+
 // ask asks the replicas in turn until the leader answers or ctx ends.
-func ask[R ledResponse](ctx context.Context, c *Client, call func(context.Context, workloadv1connect.WorkloadQueryServiceClient) (R, error)) (R, error) {
-	var none R
-	silent := map[string]bool{}
-	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
-		for _, address := range c.candidates(silent) {
-			resp, err := attemptQuery(ctx, c, address, call)
-			silent[address] = err != nil
-			if ctx.Err() != nil {
-				return none, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
-			}
-			if err != nil {
-				continue
-			}
-			lead := resp.GetLeadership()
-			c.learn(lead.GetReplicas())
-			if !lead.GetNotLeader() {
-				c.leader.Store(&address)
-				return resp, nil
-			}
-			if leader := lead.GetLeaderAddress(); leader != "" && leader != address && !silent[leader] {
-				c.leader.Store(&leader)
-				break
-			}
+func ask[Q, R any, P ledResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, error) {
+	var found P
+	c.search(ctx, func(address string) reply {
+		resp, err := attemptQuery(ctx, c, address, method, req)
+		if err != nil {
+			return reply{silent: true}
 		}
-		if !pause(ctx, backoff) {
-			return none, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
+		lead := P(resp).GetLeadership()
+		c.learn(lead.GetReplicas())
+		if lead.GetNotLeader() {
+			return reply{leader: lead.GetLeaderAddress()}
 		}
+		c.leader.Store(&address)
+		found = resp
+		return reply{final: true}
+	})
+	if found == nil {
+		return nil, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
 	}
+	return found, nil
 }
 
-// queryTimeout bounds one attempt of a query.
-const queryTimeout = minBackoff * 20
-
-func attemptQuery[R any](ctx context.Context, c *Client, address string, call func(context.Context, workloadv1connect.WorkloadQueryServiceClient) (R, error)) (R, error) {
+func attemptQuery[Q, R any](ctx context.Context, c *Client, address string, method leaderQuery[Q, R], req *Q) (*R, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	return call(ctx, workloadv1connect.NewWorkloadQueryServiceClient(c.http, "http://"+address))
+	resp, err := method(workloadv1connect.NewWorkloadQueryServiceClient(c.http, "http://"+address), ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
 }
 
 // learn adopts the addresses of the present members, so that replicas that were
