One package compares times and conditions

The earlier and the later of two times stood in three places, the earlier of two deadlines in six, and the order of two conditions in two. No behaviour changes: the zero time still means never where it did.

--- a/core/command/credit/owner.go
+++ b/core/command/credit/owner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/query/ownership"
 )
 
@@ -167,7 +168,7 @@
 	end := now
 	for _, t := range o.targets {
 		for _, h := range t.holders {
-			end = latest(end, h.until)
+			end = compare.Later(end, h.until)
 		}
 	}
 	o.lease = now
@@ -178,7 +179,7 @@
 func (o *Owner) Silent(now time.Time, bound time.Duration) []Key {
 	var out []Key
 	for key, t := range o.targets {
-		if now.Sub(latest(t.since, t.beatAt)) > bound {
+		if now.Sub(compare.Later(t.since, t.beatAt)) > bound {
 			out = append(out, key)
 		}
 	}
@@ -235,23 +236,16 @@
 			t.holders[m] = &holding{bound: n, inUse: n, gone: gone}
 		}
 	}
-	if settled(latest(t.since, t.wait)) {
+	if settled(compare.Later(t.since, t.wait)) {
 		for m := range t.pending {
 			listed(m, time.Time{})
 			delete(t.pending, m)
 		}
 	}
-	if !t.unknownSince.IsZero() && settled(latest(t.unknownSince, t.wait)) {
+	if !t.unknownSince.IsZero() && settled(compare.Later(t.unknownSince, t.wait)) {
 		for m := range t.beat.Running {
 			listed(m, now)
 		}
 		t.unknownSince = time.Time{}
 	}
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/command/credit/report.go
+++ b/core/command/credit/report.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"lacewingturn.example/core/compare"
 )
 
 // Reports returns the reports that are due now, in the order of their owners.
@@ -32,9 +34,7 @@
 	}
 	h.refresh(now)
 	for _, p := range h.owners {
-		if at := p.due(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
+		next = compare.EarlierDeadline(next, p.due())
 	}
 	return next
 }
--- a/core/command/dispatch/reserve.go
+++ b/core/command/dispatch/reserve.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"lacewingturn.example/core/compare"
+)
 
 // rounding allows for the rounding of estimates, which are kept as logarithms.
 const rounding = time.Microsecond
@@ -75,11 +79,7 @@
 		return
 	}
 	var again time.Time
-	earlier := func(t time.Time) {
-		if !t.IsZero() && (again.IsZero() || t.Before(again)) {
-			again = t
-		}
-	}
+	earlier := func(t time.Time) { again = compare.EarlierDeadline(again, t) }
 	for _, fl := range f.slow {
 		if fl.estimate.samples == 0 && !fl.rampStart.IsZero() {
 			earlier(fl.grown.Add(f.slowStartPeriod()))
--- a/core/command/job/reconcile_room.go
+++ b/core/command/job/reconcile_room.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -66,7 +67,7 @@
 		}
 	}
 	slices.SortStableFunc(able, func(a, b model.Job) int {
-		return cmp.Or(boolOrder(a.Borrowed, b.Borrowed), boolOrder(p.straggles(a), p.straggles(b)), cmp.Compare(b.StartedAt, a.StartedAt))
+		return cmp.Or(compare.TrueFirst(a.Borrowed, b.Borrowed), compare.TrueFirst(p.straggles(a), p.straggles(b)), cmp.Compare(b.StartedAt, a.StartedAt))
 	})
 	free := w.free
 	for i, j := range able {
@@ -78,16 +79,6 @@
 	return nil
 }
 
-func boolOrder(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
 func (p *planner) givesWay(h *head, j model.Job) bool {
 	if j.Urgent || j.Cancelling || j.Action != model.ActionNone {
 		return false
--- a/core/command/liveness/liveness.go
+++ b/core/command/liveness/liveness.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -93,9 +94,7 @@
 			gone = append(gone, m)
 			continue
 		}
-		if next.IsZero() || at.Before(next) {
-			next = at
-		}
+		next = compare.EarlierDeadline(next, at)
 	}
 	return gone, next
 }
--- a/core/command/maintain/maintain.go
+++ b/core/command/maintain/maintain.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -110,20 +111,10 @@
 func (p *planner) compare(a, b model.ObservedInstance) int {
 	_, x := p.Cordoned[a.ID]
 	_, y := p.Cordoned[b.ID]
-	return cmp.Or(order(x, y), order(a.Off, b.Off), cmp.Compare(lasting(a), lasting(b)),
+	return cmp.Or(compare.TrueFirst(x, y), compare.TrueFirst(a.Off, b.Off), cmp.Compare(lasting(a), lasting(b)),
 		cmp.Compare(len(a.Runs), len(b.Runs)), cmp.Compare(a.ID, b.ID))
 }
 
-func order(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
 func lasting(i model.ObservedInstance) int {
 	n := 0
 	for _, r := range i.Runs {
--- /dev/null
+++ b/core/compare/compare_test.go
@@ -0,0 +1,31 @@
+package compare
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a deadline that hides behind one that never comes.
+func TestTimes(t *testing.T) {
+	var never time.Time
+	early := time.Unix(1, 0)
+	late := early.Add(time.Second)
+	for _, pair := range [][2]time.Time{{early, late}, {late, early}} {
+		assert.Equal(t, Earlier(pair[0], pair[1]), early)
+		assert.Equal(t, Later(pair[0], pair[1]), late)
+		assert.Equal(t, EarlierDeadline(pair[0], pair[1]), early)
+	}
+	assert.Equal(t, EarlierDeadline(never, late), late)
+	assert.Equal(t, EarlierDeadline(late, never), late)
+	assert.Equal(t, EarlierDeadline(never, never), never)
+}
+
+// Guards against a condition that sorts last.
+func TestTrueFirst(t *testing.T) {
+	list := []bool{false, true, false, true}
+	slices.SortFunc(list, TrueFirst)
+	assert.DeepEqual(t, list, []bool{true, true, false, false})
+}
--- a/entry/command/machine.go
+++ b/entry/command/machine.go
@@ -8,6 +8,7 @@
 	"lacewingturn.example/core/command/credit"
 	"lacewingturn.example/core/command/dispatch"
 	"lacewingturn.example/core/command/health"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	corequery "lacewingturn.example/core/query"
 	"lacewingturn.example/entry"
@@ -128,21 +129,13 @@
 
 // Deadline implements loop.Machine.
 func (m *Machine) Deadline() time.Time {
-	at := earliest(m.nextHouse, m.nextReport)
+	at := compare.EarlierDeadline(m.nextHouse, m.nextReport)
 	for _, s := range m.services {
-		at = earliest(at, earliest(s.again, s.replanAt))
+		at = compare.EarlierDeadline(at, compare.EarlierDeadline(s.again, s.replanAt))
 	}
 	return at
 }
 
-// earliest returns the earlier of two times, of which zero means never.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // Flush implements loop.Machine.
 func (m *Machine) Flush(now time.Time) {
 	if m.nextHouse.IsZero() {
--- a/node/loop/loop.go
+++ b/node/loop/loop.go
@@ -8,6 +8,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"lacewingturn.example/core/compare"
 )
 
 // DefaultCapacity is the number of messages that a mailbox holds.
@@ -161,9 +163,7 @@
 func (l *Loop) arm(timer *time.Timer) {
 	var next time.Time
 	for _, m := range l.machines {
-		if at := m.Deadline(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
-			next = at
-		}
+		next = compare.EarlierDeadline(next, m.Deadline())
 	}
 	if next.IsZero() {
 		timer.Stop()
--- a/replica/reconcile/machine.go
+++ b/replica/reconcile/machine.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/event"
@@ -78,11 +79,7 @@
 // Flush notices changes of leadership and of the state.
 func (m *Machine) Flush(now time.Time) { m.follow(now) }
 
-func (m *Machine) wake(at time.Time) {
-	if m.next.IsZero() || at.Before(m.next) {
-		m.next = at
-	}
-}
+func (m *Machine) wake(at time.Time) { m.next = compare.EarlierDeadline(m.next, at) }
 
 // follow starts and ends the work with the leadership of this replica, and
 // wakes the reconciler when a table has changed that it reads.
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/clock"
@@ -145,7 +146,7 @@
 		m.turn(now)
 	}
 	if m.seen.State.Assignments.Len() > 0 {
-		m.deadline = maxTime(m.expiryAt, now.Add(expiryPause))
+		m.deadline = compare.Later(m.expiryAt, now.Add(expiryPause))
 	}
 }
 
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingturn.example/core/command/pace"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -61,7 +62,7 @@
 	if free := w.worker.free(state); free.MilliCPU >= w.worker.Capacity.MilliCPU/8 {
 		o.Next = idleInterval
 	}
-	w.worker.leaseUntil = maxTime(w.worker.leaseUntil, leaseEnd(now, o.Lease))
+	w.worker.leaseUntil = compare.Later(w.worker.leaseUntil, leaseEnd(now, o.Lease))
 	return o
 }
 
--- a/replica/schedule/turn.go
+++ b/replica/schedule/turn.go
@@ -9,6 +9,7 @@
 
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/command/place"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/replica"
@@ -102,7 +103,7 @@
 	next := now.Add(m.lease())
 	for id, a := range s.Assignments.All() {
 		if until := m.aliveUntil(id); until.After(now) {
-			next = minTime(next, until)
+			next = compare.Earlier(next, until)
 			continue
 		}
 		w := m.workers[id]
@@ -115,7 +116,7 @@
 			out = append(out, end)
 		}
 	}
-	m.expiryAt = maxTime(next, now.Add(expiryPause))
+	m.expiryAt = compare.Later(next, now.Add(expiryPause))
 	return out
 }
 
@@ -133,20 +134,6 @@
 // expiryPause bounds how often expired leases are looked for.
 const expiryPause = 20 * time.Millisecond
 
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // offers lists the workers that can take work: those that were heard of lately.
 // One that does not wait for an answer hears of a start at its next report.
 func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingturn.example/core/command/pace"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/event"
@@ -106,7 +107,7 @@
 // end notes that everything on an incarnation has ended at the time.
 func (m *Machine) end(id model.WorkerID, at time.Time) {
 	m.left[id] = at
-	m.expiryAt = minTime(m.expiryAt, at)
+	m.expiryAt = compare.Earlier(m.expiryAt, at)
 }
 
 // forgetEnded drops ended incarnations to which nothing is assigned any more.
