--- a/cmd/internal/instance/platform_relay.go
+++ b/cmd/internal/instance/platform_relay.go
@@ -42,11 +42,11 @@
 }
 
 // remoteLeader asks the replicas for the leader.
-type remoteLeader struct{ control *client.Client }
+type remoteLeader struct{ *client.Client }
 
 // LeaderAddress implements platformcommand.Leadership.
 func (l remoteLeader) LeaderAddress(ctx context.Context) string {
-	address, err := l.control.Leader(ctx)
+	address, err := l.Leader(ctx)
 	if err != nil {
 		return "" // the caller is told to come back
 	}
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -28,6 +28,7 @@
 	members atomic.Pointer[[]string] // replicas that a replica has named
 	http    connect.HTTPClient
 	leader  atomic.Pointer[string] // address of the last known leader
+	lost    atomic.Bool            // the last search found no leader
 }
 
 // New returns a client that finds the replicas through the seeds (host:port).
@@ -45,6 +46,9 @@
 	c.seeds.Store(&list)
 }
 
+// LeaderLost reports whether the last search for the leader found none.
+func (c *Client) LeaderLost() bool { return c.lost.Load() }
+
 // NewHTTPClient returns an HTTP client for HTTP/2 without TLS that replaces
 // connections which have gone silent.
 func NewHTTPClient() *http.Client {
--- a/replica/client/forward.go
+++ b/replica/client/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
@@ -20,6 +21,9 @@
 // NewForwarder returns a forwarder of the replica of this process.
 func NewForwarder(local replica.Replica, remote *Client) *Forwarder { return &Forwarder{local, remote} }
 
+// LeaderLost reports whether the replica of this process has lost the leader.
+func (f *Forwarder) LeaderLost() bool { return f.local.View().LeaderLost(time.Now()) }
+
 // Propose implements the command half of replica.Replica with the results of
 // Client.Propose: NoQuorum means that nothing was appended.
 func (f *Forwarder) Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error) {
--- a/replica/client/forward_test.go
+++ b/replica/client/forward_test.go
@@ -116,6 +116,28 @@
 	assert.Equal(t, len(c.candidates(map[string]bool{"a": true, "d": true})), 4, "seeds are asked once no member answers")
 }
 
+// Guards against an instance that is cut off and holds every order as long as
+// the first, and against one that goes on refusing once a leader answers.
+func TestLeaderIsLostUntilOneAnswers(t *testing.T) {
+	c := New([]string{serve(t, &standIn{silent: true})}, NewHTTPClient())
+	propose := func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err := c.Propose(ctx, submission)
+		assert.NilError(t, err)
+	}
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	propose(gone)
+	assert.Assert(t, !c.LeaderLost(), "the caller has gone, which says nothing about the leader")
+	propose(t.Context())
+	assert.Assert(t, c.LeaderLost())
+	c.SetSeeds([]string{serve(t, &standIn{})})
+	_, err := c.Find(t.Context(), "h", "/q/1")
+	assert.NilError(t, err)
+	assert.Assert(t, !c.LeaderLost())
+}
+
 // Guards against a large order that takes longer over a slow link than its sender waits.
 func TestLargeOrderIsCompressed(t *testing.T) {
 	sizes := make(chan int64, 1)
--- a/replica/client/search.go
+++ b/replica/client/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -33,7 +34,12 @@
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
 		for _, address := range c.candidates(silent) {
 			r := ask(address)
-			if r.final || ctx.Err() != nil {
+			if r.final {
+				c.lost.Store(r.silent)
+				return
+			}
+			if ctx.Err() != nil {
+				c.giveUp(ctx)
 				return
 			}
 			silent[address] = r.silent
@@ -43,11 +49,19 @@
 			}
 		}
 		if !pause(ctx, backoff) {
+			c.giveUp(ctx)
 			return
 		}
 	}
 }
 
+// giveUp notes that no leader was found, unless the caller has gone before the deadline.
+func (c *Client) giveUp(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.lost.Store(true)
+	}
+}
+
 // candidates lists the last known leader and then the other members in random
 // order; seeds are added while no member answers. Replicas that were silent
 // before in the same call come last, so that a leader that is gone is asked once
--- a/replica/schedule/query/handler.go
+++ b/replica/schedule/query/handler.go
@@ -64,6 +64,9 @@
 	}
 }
 
+// LeaderLost reports whether this replica has lost the leader.
+func (r *Reader) LeaderLost() bool { return r.replica.View().LeaderLost(time.Now()) }
+
 // knownLeader returns the address of the leader that this replica follows; empty if unknown.
 func (r *Reader) knownLeader() string {
 	if v := r.replica.View(); !v.IsLeader {
--- a/replica/view.go
+++ b/replica/view.go
@@ -34,6 +34,16 @@
 	Next <-chan struct{}
 }
 
+// lostAfter is how long a replica hears of no leader before it takes the leader
+// for lost. It is longer than an election takes.
+const lostAfter = time.Second
+
+// LeaderLost reports whether the replica neither leads nor has heard of a leader
+// for longer than an election takes: it is probably cut off.
+func (v *View) LeaderLost(now time.Time) bool {
+	return !v.IsLeader && now.Sub(v.LeaderContact) > lostAfter
+}
+
 // Replica is what the other modules use of a control replica.
 type Replica interface {
 	// Propose commits commands in order and returns their results. A result
--- a/replica/view_test.go
+++ b/replica/view_test.go
@@ -23,3 +23,20 @@
 	v.State.Term, v.IsLeader = 4, false
 	assert.Assert(t, !Leads(&v, guard, now))
 }
+
+// Guards against callers who wait at a replica that is cut off, and against calls
+// that are refused early while an election goes on.
+func TestLeaderLost(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		view View
+		lost bool
+	}{
+		{View{LeaderContact: now.Add(-lostAfter / 2)}, false},
+		{View{LeaderContact: now.Add(-2 * lostAfter)}, true},
+		{View{IsLeader: true, LeaderContact: now.Add(-2 * lostAfter)}, false},
+		{View{}, true},
+	} {
+		assert.Equal(t, c.view.LeaderLost(now), c.lost, "%+v", c.view)
+	}
+}
