Client tests: a silent stand-in never answers

TestLeaderIsLostUntilOneAnswers failed 36 of 60 times alone: 'expression is false: c.LeaderLost()'. Cause: the deadline of a call travels with it, so that it passes at the stand-in too, which then answered 'accepted'; that answer may arrive before the caller's own deadline passes. The stand-in now ends such a call with an error. No product code is involved and no check changes. 60 of 60 runs pass, with the other tests that use a silent stand-in.

--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -29,14 +29,20 @@
 	replicas []string
 }
 
-func (s *standIn) wait(ctx context.Context) {
-	if s.silent {
-		<-ctx.Done()
+// wait ends a call to a silent stand-in without an answer. The deadline travels
+// with the call and may pass here before it passes at the caller.
+func (s *standIn) wait(ctx context.Context) error {
+	if !s.silent {
+		return nil
 	}
+	<-ctx.Done()
+	return ctx.Err()
 }
 
 func (s *standIn) Propose(ctx context.Context, req *connect.Request[replicav1.ProposeRequest]) (*connect.Response[replicav1.ProposeResponse], error) {
-	s.wait(ctx)
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
 	if s.leader != "" {
 		return connect.NewResponse(&replicav1.ProposeResponse{NotLeader: true, LeaderAddress: s.leader}), nil
 	}
@@ -45,7 +51,9 @@
 }
 
 func (s *standIn) Find(ctx context.Context, _ *connect.Request[workloadv1.FindRequest]) (*connect.Response[workloadv1.FindResponse], error) {
-	s.wait(ctx)
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
 	lead := &workloadv1.Leadership{NotLeader: s.leader != "", LeaderAddress: s.leader, Replicas: s.replicas}
 	return connect.NewResponse(&workloadv1.FindResponse{Leadership: lead, CatalogKnown: true, QueueKnown: true, WorkloadKnown: true, Phase: 3}), nil
 }
