Operators' commands go through the leader by the same path as the platform's orders

Callers saw (test of the handler before the change, 2 s deadline): a command that reaches a leader which has been cut off waits there until its deadline and ends unknown (2.001 s), although another replica leads. Cause: the sibling of the orders of the platform. The operator's handler decided by itself whether to commit here or through the leader, and had no way on from a commit that does not come. Now it uses client.Forwarder, which gives the own replica half of the time, a second at most, and repeats a command with a request ID at the next leader. A process has one client of the replicas; the platform's roles made a second one of the same addresses. TestLeaderThatWasCutOffHandsCommandOn (renamed) asks for it with an order and with a command of an operator. The tests of the operator's client keep their assertions; a handler no longer has two ways to commit, so that they name the one it uses. The order of the own data centre's replicas uses compare.TrueFirst.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -13,7 +13,6 @@
 	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/model"
-	"lacewingturn.example/entry"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
@@ -24,6 +23,7 @@
 	platformquery "lacewingturn.example/operator/platform/query"
 	operatorquery "lacewingturn.example/operator/query"
 	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/client"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/liveness"
 	replicaquery "lacewingturn.example/replica/query"
@@ -32,7 +32,7 @@
 
 // controlModule keeps a replica of the control state.
 var controlModule = fx.Module("control",
-	fx.Provide(openReplica, newLiveness, newReconciler, newAppliedHook),
+	fx.Provide(openReplica, newLiveness, newReconciler, newAppliedHook, newForwarder),
 	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
 	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
 	fx.Invoke(routeControl, routeOperator, runReplica),
@@ -49,6 +49,10 @@
 	}, l)
 }
 
+func newForwarder(r *replicacommand.Replica, c *client.Client) *client.Forwarder {
+	return client.NewForwarder(r, c)
+}
+
 func newLiveness(life *life, l *loop.Loop, r *replicacommand.Replica, log *zap.Logger) *liveness.Machine {
 	return liveness.New(life, l, r, log)
 }
@@ -119,7 +123,7 @@
 	Replica   replica.Replica
 	Liveness  replica.Liveness
 	Fleet     *reconcile.Machine
-	Control   entry.Control
+	Forwarder *client.Forwarder
 	Log       *zap.Logger
 }
 
@@ -127,7 +131,7 @@
 func routeOperator(p operatorParams) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
-	mux.Handle(operatorcommand.New(p.Replica, p.Control, p.Log).Route())
+	mux.Handle(operatorcommand.New(p.Forwarder, p.Log).Route())
 	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Fleet, p.Log).Route())
 	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, p.Settings.OperatorTLS)
 }
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/entry/follow"
@@ -30,7 +31,7 @@
 func nearFirst(s Settings) []string {
 	list := slices.Clone(s.Replicas)
 	slices.SortStableFunc(list, func(a, b Replica) int {
-		return boolRank(a.DataCenter != s.Domain.DataCenter) - boolRank(b.DataCenter != s.Domain.DataCenter)
+		return compare.TrueFirst(a.DataCenter == s.Domain.DataCenter, b.DataCenter == s.Domain.DataCenter)
 	})
 	out := make([]string, 0, len(list))
 	for _, r := range list {
@@ -39,14 +40,9 @@
 	return out
 }
 
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
+func newControlClient(s Settings, c *http.Client) *client.Client { return client.New(nearFirst(s), c) }
 
-func newControlClient(s Settings, c *http.Client) entry.Control { return client.New(nearFirst(s), c) }
+func asControl(c *client.Client) entry.Control { return c }
 
 func newReader(s Settings, c *http.Client) *client.Reader { return client.NewReader(nearFirst(s), c) }
 
--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -20,7 +19,6 @@
 	"lacewingturn.example/node/wait"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
-	"lacewingturn.example/replica/client"
 	replicacommand "lacewingturn.example/replica/command"
 )
 
@@ -87,10 +85,6 @@
 // stopReserve is the part of the platform's grace that a shutdown leaves unused.
 const stopReserve = 500 * time.Millisecond
 
-func newPlatformClient(p settings.Settings, c *http.Client) *client.Client {
-	return client.New(seedAddresses(p), c)
-}
-
 func seedAddresses(p settings.Settings) []string {
 	addresses := make([]string, 0, len(p.Seeds))
 	for _, ip := range p.Seeds {
--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -55,7 +55,8 @@
 	File      SettingsFile
 	Platform  settings.Settings
 	Servers   *servers
-	Client    *http.Client
+	Control   *client.Client
+	Forwarder *client.Forwarder
 	Internal  internalMux
 	Replica   *replicacommand.Replica
 	Scheduler *schedule.Machine
@@ -65,14 +66,13 @@
 
 func routePlatformControl(p platformControlParams) error {
 	p.Internal.Handle(p.Reader.Route())
-	remote := newPlatformClient(p.Platform, p.Client)
 	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) {
 		p.Replica.SetPeers(seedPeers(s))
-		remote.SetSeeds(seedAddresses(s))
+		p.Control.SetSeeds(seedAddresses(s))
 	})
 	router := mux.NewRouter()
 	platformcommand.NewWorkerHandler(p.Scheduler, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Route(router)
-	platformcommand.NewOrderHandler(client.NewForwarder(p.Replica, remote), p.Log).Route(router)
+	platformcommand.NewOrderHandler(p.Forwarder, p.Log).Route(router)
 	redirect := func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
 	}
--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -13,6 +13,7 @@
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
+	"lacewingturn.example/replica/client"
 )
 
 // platformEntryModule serves the callers of the users' platform.
@@ -27,7 +28,7 @@
 	File      SettingsFile
 	Platform  settings.Settings
 	Servers   *servers
-	Client    *http.Client
+	Control   *client.Client
 	Internal  internalMux
 	Metrics   metricsHandler
 	Registry  prometheus.Registerer
@@ -35,11 +36,10 @@
 }
 
 func routePlatformEntry(p platformParams) error {
-	control := newPlatformClient(p.Platform, p.Client)
-	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetSeeds(seedAddresses(s)) })
-	commands := platformcommand.NewCallers(control, platformcommand.NewMetrics(p.Registry), p.Log)
-	queries := platformquery.NewCallers(control, p.Log)
-	ready := platformquery.NewReady(control, p.Log)
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { p.Control.SetSeeds(seedAddresses(s)) })
+	commands := platformcommand.NewCallers(p.Control, platformcommand.NewMetrics(p.Registry), p.Log)
+	queries := platformquery.NewCallers(p.Control, p.Log)
+	ready := platformquery.NewReady(p.Control, p.Log)
 	callers := mux.NewRouter().SkipClean(true)
 	callers.Methods(http.MethodPost).HandlerFunc(commands.Submit)
 	callers.Methods(http.MethodDelete).HandlerFunc(commands.Cancel)
--- a/cmd/internal/instance/platform_relay.go
+++ b/cmd/internal/instance/platform_relay.go
@@ -20,17 +20,16 @@
 var platformRelayModule = fx.Module("platform-relay", fx.Invoke(routePlatformRelay))
 
 func routePlatformRelay(p platformParams) error {
-	control := newPlatformClient(p.Platform, p.Client)
-	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { control.SetSeeds(seedAddresses(s)) })
+	watchSettings(p.Lifecycle, p.Life, p.File, p.Log, func(s settings.Settings) { p.Control.SetSeeds(seedAddresses(s)) })
 	router := mux.NewRouter()
-	platformcommand.NewOrderHandler(control, p.Log).Route(router)
+	platformcommand.NewOrderHandler(p.Control, p.Log).Route(router)
 	router.PathPrefix("/lacewingturn/").HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		platformcommand.RedirectToLeader(w, r, remoteLeader{control}, p.Platform.ControlAddress)
+		platformcommand.RedirectToLeader(w, r, remoteLeader{p.Control}, p.Platform.ControlAddress)
 	})
 	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{}); err != nil {
 		return err
 	}
-	directory := client.NewDirectory(control)
+	directory := client.NewDirectory(p.Control)
 	directory.Route(p.Internal.Handle)
 	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { go directory.Run(p.Life); return nil }})
 	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReplicaAddress(p.Platform.IP), p.Internal, server.TLSFiles{}); err != nil {
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -90,7 +90,7 @@
 func (p *Process) Settings() Settings { return p.settings }
 
 var processModule = fx.Module("process",
-	fx.Provide(newLife, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, newControlClient, server.NewTraffic, func() *servers { return &servers{} }),
+	fx.Provide(newLife, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, newControlClient, asControl, server.NewTraffic, func() *servers { return &servers{} }),
 	fx.Provide(func(r *prometheus.Registry) prometheus.Registerer { return r }),
 	fx.Provide(func(r *prometheus.Registry) metricsHandler {
 		return metricsHandler{promhttp.HandlerFor(r, promhttp.HandlerOpts{})}
--- a/cmd/lacewingturn/main_test.go
+++ b/cmd/lacewingturn/main_test.go
@@ -47,7 +47,7 @@
 	s := &single{}
 	s.state.Store(&model.State{})
 	mux := http.NewServeMux()
-	mux.Handle(opcommand.New(s, nil, zap.NewNop()).Route())
+	mux.Handle(opcommand.New(s, zap.NewNop()).Route())
 	mux.Handle(opquery.New(s, s, s, zap.NewNop()).Route())
 	srv, err := server.Listen("127.0.0.1:0", mux, nil)
 	assert.NilError(t, err)
--- a/operator/client/client_test.go
+++ b/operator/client/client_test.go
@@ -71,17 +71,23 @@
 	}
 }
 
-func routes(m member, forward opcommand.Proposer) http.Handler {
+func routes(m member, commits opcommand.Proposer) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(opcommand.New(m, forward, zap.NewNop()).Route())
+	mux.Handle(opcommand.New(commits, zap.NewNop()).Route())
 	mux.Handle(opquery.New(m, m, m, zap.NewNop()).Route())
 	return mux
 }
 
 // serve starts the operator interface of m and returns its address.
-func serve(t *testing.T, m member, forward opcommand.Proposer, wrap func(http.Handler) http.Handler) string {
+func serve(t *testing.T, m member, wrap func(http.Handler) http.Handler) string {
 	t.Helper()
-	s, err := server.Listen("127.0.0.1:0", wrap(routes(m, forward)), nil)
+	return serveWith(t, m, m, wrap)
+}
+
+// serveWith is serve with commands that are committed elsewhere.
+func serveWith(t *testing.T, m member, commits opcommand.Proposer, wrap func(http.Handler) http.Handler) string {
+	t.Helper()
+	s, err := server.Listen("127.0.0.1:0", wrap(routes(m, commits)), nil)
 	assert.NilError(t, err)
 	s.Start()
 	t.Cleanup(s.Kill)
@@ -109,7 +115,7 @@
 // Guards against two operators who both believe that their revision won, and
 // against a loser who is not told the winner and the difference.
 func TestTwoOperatorsRaceFromTheSameRevision(t *testing.T) {
-	address := serve(t, member{newGroup(), true}, nil, plain)
+	address := serve(t, member{newGroup(), true}, plain)
 	first, second := sample(t), sample(t)
 	second.Limits.SlotsPerTarget = 4
 	results := make(chan result.Result, 2)
@@ -148,7 +154,7 @@
 		})
 	}
 	g := newGroup()
-	c := newClient(t, "ann", serve(t, member{g, true}, nil, dropFirst))
+	c := newClient(t, "ann", serve(t, member{g, true}, dropFirst))
 	id := NewRequestID()
 	r := c.Submit(t.Context(), id, model.AcceptConfig{Config: sample(t)})
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
@@ -172,9 +178,9 @@
 func TestSubmitFindsTheLeader(t *testing.T) {
 	g := newGroup()
 	leader := member{g, true}
-	follower := serve(t, member{g, false}, nil, plain)
-	forwarding := serve(t, member{g, false}, leader, plain)
-	r := newClient(t, "ann", "127.0.0.1:1", follower, serve(t, leader, nil, plain)).Submit(t.Context(), NewRequestID(), model.AcceptConfig{Config: sample(t)})
+	follower := serve(t, member{g, false}, plain)
+	forwarding := serveWith(t, member{g, false}, leader, plain)
+	r := newClient(t, "ann", "127.0.0.1:1", follower, serve(t, leader, plain)).Submit(t.Context(), NewRequestID(), model.AcceptConfig{Config: sample(t)})
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
 	r = newClient(t, "ann", forwarding).Submit(t.Context(), NewRequestID(), model.DrainInstance{Instance: "tickets-fjord-r1-1"})
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
@@ -208,7 +214,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	c := newClient(t, "ann", serve(t, member{newGroup(), true}, nil, lost))
+	c := newClient(t, "ann", serve(t, member{newGroup(), true}, lost))
 	r := c.Submit(ctx, NewRequestID(), model.AcceptConfig{Config: sample(t)})
 	assert.Equal(t, r.Code, result.Unknown, "%v", r)
 }
@@ -221,7 +227,7 @@
 	leader := member{g, true}
 	join, _ := command.Apply(*g.state.Load(), 1, 1, model.Envelope{Command: model.JoinEntry{ID: "e1", Address: "127.0.0.1:2"}})
 	g.state.Store(&join)
-	c := newClient(t, "ann", serve(t, member{g, false}, nil, plain), serve(t, leader, nil, plain))
+	c := newClient(t, "ann", serve(t, member{g, false}, plain), serve(t, leader, plain))
 	r := c.Submit(t.Context(), NewRequestID(), model.AcceptConfig{Config: sample(t)})
 	assert.Equal(t, r.Code, result.Accepted, "%v", r)
 	g.entries.Store(&[]replica.EntryLiveness{{ID: "e1", Epoch: 1, Revision: 0, RenewedAt: time.Now()}})
@@ -266,7 +272,7 @@
 func TestCertificateNamesTheActor(t *testing.T) {
 	config := certificate(t, "carol")
 	g := newGroup()
-	s, err := server.Listen("127.0.0.1:0", routes(member{g, true}, nil), config)
+	s, err := server.Listen("127.0.0.1:0", routes(member{g, true}, member{g, true}), config)
 	assert.NilError(t, err)
 	s.Start()
 	defer s.Kill()
@@ -280,7 +286,7 @@
 
 // Guards against a view that hides why it cannot be shown.
 func TestReadReportsWhatTheReplicaSaid(t *testing.T) {
-	c := newClient(t, "ann", "127.0.0.1:1", serve(t, member{newGroup(), true}, nil, plain))
+	c := newClient(t, "ann", "127.0.0.1:1", serve(t, member{newGroup(), true}, plain))
 	var v corequery.ConfigView
 	_, err := c.Read(t.Context(), operatorv1.View_VIEW_CONFIG, "7", &v)
 	assert.Equal(t, err.(result.Result).Code, result.NotFound)
--- a/operator/command/handler.go
+++ b/operator/command/handler.go
@@ -18,7 +18,6 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/event"
-	"lacewingturn.example/replica"
 )
 
 // MaxMessage is the longest accepted request in bytes. A configuration of 720
@@ -37,18 +36,14 @@
 
 // Handler serves the OperatorCommandService on one control replica.
 type Handler struct {
-	local   replica.Replica
-	forward Proposer
-	log     *zap.Logger
+	proposer Proposer
+	log      *zap.Logger
 }
 
 var _ operatorv1connect.OperatorCommandServiceHandler = (*Handler)(nil)
 
-// New returns the handler of a replica. forward reaches the leader over the
-// network between the processes; without it, a follower answers not-leader.
-func New(local replica.Replica, forward Proposer, log *zap.Logger) *Handler {
-	return &Handler{local: local, forward: forward, log: log}
-}
+// New returns the handler of a replica, whose commands are committed by the proposer.
+func New(p Proposer, log *zap.Logger) *Handler { return &Handler{proposer: p, log: log} }
 
 // Route returns the path and the handler to register on the operators' listener.
 func (h *Handler) Route(options ...connect.HandlerOption) (string, http.Handler) {
@@ -89,27 +84,11 @@
 		ctx, cancel = context.WithTimeout(ctx, DefaultTimeout)
 		defer cancel()
 	}
-	r := h.propose(ctx, env)
+	r := one(h.proposer.Propose(ctx, []model.Envelope{env}))
 	h.report(env, r)
 	return r
 }
 
-// propose commits the command here if this replica leads, else through the
-// leader. Going to the leader after a local refusal is safe: nothing was
-// appended, and the request ID guards the rest.
-func (h *Handler) propose(ctx context.Context, env model.Envelope) result.Result {
-	if h.local.View().IsLeader {
-		r := one(h.local.Propose(ctx, []model.Envelope{env}))
-		if r.Code != result.NotLeader && r.Code != result.NoQuorum {
-			return r
-		}
-	}
-	if h.forward == nil {
-		return result.New(result.NotLeader, "the leader is %q at %q", h.local.View().Leader, h.local.View().LeaderAddress)
-	}
-	return one(h.forward.Propose(ctx, []model.Envelope{env}))
-}
-
 // one returns the only result. An error leaves open whether the command was appended.
 func one(results []result.Result, err error) result.Result {
 	if err != nil {
--- a/replica/client/forward_test.go
+++ b/replica/client/forward_test.go
@@ -46,10 +46,15 @@
 const orderDeadline = 900 * time.Millisecond
 
 func order(t *testing.T, f *Forwarder, command model.Command) result.Code {
+	t.Helper()
+	return propose(t, f, model.Envelope{Command: command})
+}
+
+func propose(t *testing.T, f *Forwarder, env model.Envelope) result.Code {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), orderDeadline)
 	defer cancel()
-	results, err := f.Propose(ctx, []model.Envelope{{Command: command}})
+	results, err := f.Propose(ctx, []model.Envelope{env})
 	assert.NilError(t, err)
 	return results[0].Code
 }
@@ -77,16 +82,18 @@
 	assert.Assert(t, time.Since(began) < orderDeadline/3)
 }
 
-// Guards against an order that waits for a leader without a quorum until the
-// operator gives up, while another one leads.
-func TestLeaderThatWasCutOffHandsOrderOn(t *testing.T) {
+// Guards against an operator whose command waits for a leader without a quorum
+// until its deadline, while another one leads.
+func TestLeaderThatWasCutOffHandsCommandOn(t *testing.T) {
 	next := serve(t, &standIn{})
-	for _, local := range []*localReplica{
-		{view: withMembers(replica.View{IsLeader: true}, next), answer: result.Unknown, hangs: true},
-		{view: withMembers(replica.View{IsLeader: true}, next), answer: result.NotLeader},
-	} {
-		assert.Equal(t, order(t, NewForwarder(local, New(nil, NewHTTPClient())), model.PublishCatalog{}), result.Accepted)
-		assert.Equal(t, local.calls, 1)
+	for _, env := range []model.Envelope{{Command: model.PublishCatalog{}}, {Command: model.AcceptConfig{}, RequestID: "r"}} {
+		for _, local := range []*localReplica{
+			{view: withMembers(replica.View{IsLeader: true}, next), answer: result.Unknown, hangs: true},
+			{view: withMembers(replica.View{IsLeader: true}, next), answer: result.NotLeader},
+		} {
+			assert.Equal(t, propose(t, NewForwarder(local, New(nil, NewHTTPClient())), env), result.Accepted)
+			assert.Equal(t, local.calls, 1)
+		}
 	}
 }
 
