Soak: take a second disk only once the first replica votes again, and ask that all vote in the end

Cause, by the logs: 37.5 n2 is cut and its disk is taken; 37.6 n1's disk is full until 41.6; 38.2 the leader n0 gives up, no quorum until 44.09; 44.09 n0 leads again and waits 3 s before it takes the old n2 for lost; 46.0 n2 is killed, 46.4 it is back, still no member; 47.2 n0's disk is taken. Two of three stores are gone, which no quorum can make up for. The soak counted a lost disk as made up for after 10 s, whatever else went on; the users' pages say that an instance stays lost until it has had time to catch up, and that the loss of one at a time is borne. The case is not allowed. Now a disk is taken only while the leader names all replicas, as they are, as voters, and after the last fault all have to vote again within the bound of the soak, which was not asked before.

--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/cmd/internal/faults"
+	"lacewingturn.example/operator/client"
 	"lacewingturn.example/platform/settings"
 	"lacewingturn.example/platform/standin"
 )
@@ -35,6 +36,8 @@
 	control *faults.Process
 	entry   *faults.Process
 	relay   *faults.Relay // nil without a disk
+	// operator reads the state of the control process itself.
+	operator *client.Client
 }
 
 // system is a running site on loopback.
@@ -99,6 +102,9 @@
 	entryFile := filepath.Join(folder, n.Name+"-entry.yaml")
 	n.write(s.t, true)
 	assert.NilError(s.t, n.Write(entryFile))
+	operator, err := client.New(client.Settings{Addresses: []string{n.Operator()}, Actor: "soak"})
+	assert.NilError(s.t, err)
+	n.operator = operator
 	n.control = faults.NewProcess(s.t, n.Name+"-control", &s.pids, []string{settings.PathVariable + "=" + n.file, "LACEWINGTURN_INTERNAL_LISTEN=" + listen}, "platform", "control")
 	n.entry = faults.NewProcess(s.t, n.Name+"-entry", &s.pids, []string{settings.PathVariable + "=" + entryFile}, "platform", "entry")
 	n.control.Start()
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -42,6 +42,7 @@
 }{
 	{1, 6 * time.Second, "none; the short run of CI"},
 	{103, 12 * time.Second, "two replicas whose disks had been full for a while took no part any more until a new start"},
+	{643, 12 * time.Second, "the soak took the disk of a second replica before the successor of the first voted"},
 }
 
 // Guards against promises that are broken when faults of several kinds overlap.
@@ -113,5 +114,6 @@
 		s.ledger.judge(j, status, state)
 	}
 	newest := work.newest.Load()
+	s.until("every replica votes", settleBound, s.voting)
 	s.until("the newest version is shown", settleBound, func() bool { return work.operator.Read(s.t.Context(), work.controls()[0]) >= newest })
 }
