The order of workloads and preemption uses compare.TrueFirst; one provider less; the time of a query attempt by itself

Found by reading the change again: compareBool of the placement is the twin of compare.TrueFirst with its arguments turned round; the provider of the forwarder only passed its arguments on; queryTimeout was 20 times the pause between rounds, with which it has nothing in common (400 ms as before).

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -32,7 +32,7 @@
 
 // controlModule keeps a replica of the control state.
 var controlModule = fx.Module("control",
-	fx.Provide(openReplica, newLiveness, newReconciler, newAppliedHook, newForwarder),
+	fx.Provide(openReplica, newLiveness, newReconciler, newAppliedHook, client.NewForwarder),
 	fx.Provide(func(r *replicacommand.Replica) replica.Replica { return r }),
 	fx.Provide(func(m *liveness.Machine) replica.Liveness { return m }),
 	fx.Invoke(routeControl, routeOperator, runReplica),
@@ -49,10 +49,6 @@
 	}, l)
 }
 
-func newForwarder(r *replicacommand.Replica, c *client.Client) *client.Forwarder {
-	return client.NewForwarder(r, c)
-}
-
 func newLiveness(life *life, l *loop.Loop, r *replicacommand.Replica, log *zap.Logger) *liveness.Machine {
 	return liveness.New(life, l, r, log)
 }
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
 )
@@ -51,7 +52,7 @@
 			out = append(out, p.candidate(w, q))
 		}
 	}
-	slices.SortStableFunc(out, compare)
+	slices.SortStableFunc(out, compareCandidates)
 	return out
 }
 
@@ -65,17 +66,7 @@
 	return c
 }
 
-func compare(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), compareBool(b.lasting, a.lasting), compareBool(a.late, b.late),
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), compare.TrueFirst(a.lasting, b.lasting), compare.TrueFirst(b.late, a.late),
 		cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.workload.ID, b.workload.ID))
 }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -84,7 +85,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b victim) int {
-		return cmp.Or(compareBool(b.checkpointing, a.checkpointing), cmp.Compare(b.startedAt, a.startedAt), cmp.Compare(a.run.Task.Workload, b.run.Task.Workload),
+		return cmp.Or(compare.TrueFirst(a.checkpointing, b.checkpointing), cmp.Compare(b.startedAt, a.startedAt), cmp.Compare(a.run.Task.Workload, b.run.Task.Workload),
 			cmp.Compare(a.run.Task.Index, b.run.Task.Index))
 	})
 	var out []model.RunRef
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -66,7 +67,7 @@
 type leaderQuery[Q, R any] func(workloadv1connect.WorkloadQueryServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[R], error)
 
 // queryTimeout bounds one attempt of a query.
-const queryTimeout = minBackoff * 20
+const queryTimeout = 400 * time.Millisecond
 
 // ask asks the replicas in turn until the leader answers or ctx ends.
 func ask[Q, R any, P ledResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, error) {
