Slow start grows beside an item that started before it

Cause: a flow of unknown run time enters slow start with its third waiting item, at a limit of 1. The start time from which the limit grows was set only when an item starts under the limit. If an earlier item of the flow was running already, it filled the limit, nothing started, and the limit never grew: the other requests of the caller stayed queued beside granted, free slots until that item ended. Found by a dump of the dispatcher in a failed run of TestSlotsOfDeadInstanceComeBack (limit 1, no start time, 3 queued, 1 running, 4 granted). Ruled out: credits, health limits and the reserve (all limits were 4).

Change: a slow start that begins beside running items counts from the oldest of them. TestSlowStartGrowsBesideItemThatStartedBefore fails without it.

--- a/core/command/dispatch/dispatch_test.go
+++ b/core/command/dispatch/dispatch_test.go
@@ -165,3 +165,27 @@
 	}
 	assert.Assert(t, running >= 2, "%d of 4 items run after 500 ms on 16 slots, want at least 2", running)
 }
+
+// Guards against a slow start that never grows because the item that fills its limit had started
+// before it: an item runs without end, further items of its caller arrive, and they wait although
+// slots are free.
+func TestSlowStartGrowsBesideItemThatStartedBefore(t *testing.T) {
+	d, err := New(Default, Options{})
+	assert.NilError(t, err)
+	arrive(d, at(0), 0, "c")
+	assert.Equal(t, len(d.Next(at(0), 1).Start), 1)
+	for id := ItemID(1); id < 4; id++ {
+		arrive(d, at(2), id, "c")
+	}
+	running := 1
+	for now := at(2); running < 4; {
+		next := d.Next(now, 4-running)
+		running += len(next.Start)
+		if running == 4 {
+			break
+		}
+		assert.Assert(t, !next.NextCall.IsZero(), "%d of 4 items run, and Decision.NextCall is not set", running)
+		now = next.NextCall
+		assert.Assert(t, now.Before(at(1000)), "%d of 4 items run after 1 s on 4 slots", running)
+	}
+}
--- a/core/command/dispatch/flow.go
+++ b/core/command/dispatch/flow.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// oldest returns the start of the item that has run for longest, and reports false if none runs.
+func (s *starts) oldest() (time.Time, bool) {
+	for _, item := range s.items {
+		if !item.ended {
+			return item.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // markStragglers marks the items that have run for longer than limit.
 func (s *starts) markStragglers(now time.Time, limit time.Duration) {
 	n := 0
--- a/core/command/dispatch/learn.go
+++ b/core/command/dispatch/learn.go
@@ -14,6 +14,10 @@
 		if !fl.slowStartDone && fl.slowStartLimit == 0 && fl.estimate.samples == 0 && fl.demand() > max(slowStartAbove, f.total/slowStartDivisor) {
 			fl.slowStartLimit = max(1, f.total/floorDivisor, min(f.total/slowStartDivisor, slowStartFirst))
 			f.slowStarts = append(f.slowStarts, fl)
+			// An item that started earlier may fill the limit, so that no start begins the growth.
+			if first, ok := fl.starts.oldest(); ok {
+				fl.slowStartAt, fl.grownAt = first, first
+			}
 		}
 		f.updateFlow(now, fl)
 	}
