--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -139,7 +139,7 @@
 type (
 	listResult struct {
 		term model.Term
-		list []ListedInstance
+		list InstanceList
 		err  error
 	}
 	orderResult struct {
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -98,22 +98,25 @@
 
 // fakePlatform answers every order with the error that the test sets.
 type fakePlatform struct {
-	mu     sync.Mutex
-	list   []ListedInstance
-	answer error
-	orders []platformCall
+	mu      sync.Mutex
+	list    []ListedInstance
+	skipped int
+	answer  error
+	orders  []platformCall
 	// recorded reports whether an order for the instance is in the log; early is set
 	// if one was not when its call arrived.
 	recorded func(model.InstanceID) bool
 	early    bool
 }
 
-func (p *fakePlatform) Instances(context.Context) ([]ListedInstance, error) {
+func (p *fakePlatform) Instances(context.Context) (InstanceList, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.list, nil
+	return InstanceList{Instances: p.list, Skipped: p.skipped, SkipReason: errUnreadable}, nil
 }
 
+var errUnreadable = errors.New("unreadable")
+
 // set replaces the list and the answer to orders.
 func (p *fakePlatform) set(answer error, list ...ListedInstance) {
 	p.mu.Lock()
@@ -121,6 +124,13 @@
 	p.answer, p.list = answer, list
 }
 
+// setSkipped sets the number of entries of the list that cannot be read.
+func (p *fakePlatform) setSkipped(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.skipped = n
+}
+
 // take records an order and returns the set answer.
 func (p *fakePlatform) take(id model.InstanceID, what string, term model.Term) error {
 	recorded := p.recorded(id)
@@ -311,6 +321,26 @@
 	})
 }
 
+// Guards against an instance that counts as removed, so that its upkeep counts as begun,
+// because its entry in the platform's list could not be read.
+func TestSkippedEntriesRemoveNoInstance(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.platform.set(nil, ListedInstance{ID: "down", Pool: "p", Down: true})
+		h.scheduler.set(busy("b"))
+		time.Sleep(listInterval + time.Second)
+		h.platform.set(nil)
+		h.platform.setSkipped(1)
+		h.upkeep(1, "down")
+		time.Sleep(2 * listInterval)
+		u, _ := h.replica.View().State.Upkeeps.Get(7)
+		assert.Assert(t, !u.Instances[0].Begun)
+		h.platform.setSkipped(0)
+		time.Sleep(2 * listInterval)
+		u, _ = h.replica.View().State.Upkeeps.Get(7)
+		assert.Assert(t, u.Instances[0].Begun)
+	})
+}
+
 // Guards against idle instances that stay powered on, against the move of an instance
 // with work on it, and against moves before the workers have reported to a new leader.
 func TestIdleInstancesAreMovedToStandby(t *testing.T) {
--- a/replica/fleet/observe.go
+++ b/replica/fleet/observe.go
@@ -22,7 +22,8 @@
 }
 
 // finishList replaces the known instances by the list, except those whose move was
-// confirmed after the reading had started.
+// confirmed after the reading had started. If entries could not be read, instances that
+// are missing from the list are kept, and none of them counts as removed.
 func (m *Machine) finishList(now time.Time, msg listResult) {
 	m.listing = false
 	if msg.err != nil {
@@ -32,14 +33,23 @@
 	}
 	m.nextListAt = now.Add(listInterval)
 	before := m.listed
-	m.listed = make(map[model.InstanceID]knownInstance, len(msg.list))
-	for _, l := range msg.list {
+	m.listed = make(map[model.InstanceID]knownInstance, len(msg.list.Instances))
+	for _, l := range msg.list.Instances {
 		m.listed[l.ID] = knownInstance{l, m.listCalledAt}
 		if old := before[l.ID]; old.reportedAt.After(m.listCalledAt) {
 			m.listed[l.ID] = old // moved while the list was read
 		}
 	}
-	m.recordRemoved(now)
+	if msg.list.Skipped == 0 {
+		m.recordRemoved(now)
+		return
+	}
+	event.InstanceEntriesSkipped.Log(m.settings.Logger, zap.Int("entries", msg.list.Skipped), zap.Error(msg.list.SkipReason))
+	for id, old := range before {
+		if _, ok := m.listed[id]; !ok {
+			m.listed[id] = old
+		}
+	}
 }
 
 // recordRemoved records the upkeep of instances as begun if the platform does not
--- a/replica/fleet/platform.go
+++ b/replica/fleet/platform.go
@@ -12,13 +12,22 @@
 // which is the term of the leader.
 type Platform interface {
 	// Instances lists all instances that the platform knows.
-	Instances(ctx context.Context) ([]ListedInstance, error)
+	Instances(ctx context.Context) (InstanceList, error)
 	// Move moves an instance to another pool. All runs on it end.
 	Move(ctx context.Context, id model.InstanceID, to model.PoolName, token model.Term) error
 	// Maintain begins the upkeep of an instance. All runs on it end.
 	Maintain(ctx context.Context, id model.InstanceID, number model.UpkeepNumber, token model.Term) error
 }
 
+// InstanceList is the platform's list of instances.
+type InstanceList struct {
+	Instances []ListedInstance
+	// Skipped is the number of entries that could not be read, SkipReason the error of
+	// one of them. While it is not 0, instances may be missing from the list.
+	Skipped    int
+	SkipReason error
+}
+
 // ListedInstance is an instance in the platform's list.
 type ListedInstance struct {
 	ID       model.InstanceID
--- a/replica/fleet/upkeep.go
+++ b/replica/fleet/upkeep.go
@@ -14,7 +14,10 @@
 		Now: model.TimestampOf(now), Instances: instances, Down: map[model.InstanceID]bool{}, Cordoned: m.cordonedSince,
 		Serving: func(t model.TaskRef) bool { return m.scheduler.Serving(now, t) },
 		StopLimit: func(t model.TaskRef) (int, int) {
-			w, _ := s.Workloads.Get(t.Workload)
+			w, ok := s.Workloads.Get(t.Workload)
+			if !ok || !w.Has(t) {
+				return 0, 0 // it has ended meanwhile
+			}
 			return w.Steps[t.Step].Count, w.Steps[t.Step].Missable
 		},
 	}
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -172,8 +172,8 @@
 		}
 		a, _ := s.Assignments.Get(p.report.Worker)
 		for _, run := range a.Runs {
-			workload, _ := s.Workloads.Get(run.Task.Workload)
-			if workload.Steps[run.Task.Step].Lasting {
+			workload, ok := s.Workloads.Get(run.Task.Workload)
+			if ok && workload.Has(run.Task) && workload.Steps[run.Task.Step].Lasting {
 				m.stopping[run] = true
 			}
 		}
