A command that never got a connection counts as not committed

Cause: while all replicas are without power, the attempts to propose end with their deadlines while connections are being opened. Only a dial error counted as certainly not sent; the deadline of the attempt (half of the time left) is shorter than the timeout of a dial, so that the caller got 504, after which it may not submit anew, for a request that reached no replica.

Change: an attempt counts as sent once it got a connection (httptrace); the request of a unary call is sent in the same call. The result is NoQuorum then: 503, has not run, with a Retry-After.

TestUnconnectedCommandWasNotAppended fails before; TestUnansweredCommandMayBeAppended guards the other side. What was sent on a connection that went silent is unknown as before.

--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync/atomic"
 
@@ -128,10 +128,14 @@
 func (c *Client) attempt(ctx context.Context, address string, req *replicav1.ProposeRequest) proposeReply {
 	ctx, cancel := context.WithTimeout(ctx, attemptTime(ctx))
 	defer cancel()
+	// A call that never got a connection was not sent, also if its deadline expired while
+	// the connection was being opened: a replica without power does not refuse it.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	commands := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address, connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
 	resp, err := commands.Propose(ctx, connect.NewRequest(req))
 	if err != nil {
-		return proposeReply{reply: reply{silent: true}, unknown: !notSent(err)}
+		return proposeReply{reply: reply{silent: true}, unknown: connected.Load() && !refused(err)}
 	}
 	if resp.Msg.NotLeader {
 		return proposeReply{reply: reply{leader: resp.Msg.LeaderAddress}}
@@ -150,13 +154,9 @@
 	return a
 }
 
-// notSent reports whether it is certain that the request did not reach a replica
-// or that the server rejected it before handling it.
-func notSent(err error) bool {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return true
-	}
+// refused reports whether it is certain that the server rejected the request before
+// handling it.
+func refused(err error) bool {
 	code := connect.CodeOf(err)
 	return code == connect.CodeInvalidArgument || code == connect.CodeUnimplemented
 }
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -101,3 +102,31 @@
 	assert.Equal(t, found, WorkloadStatus{QueueKnown: true, WorkloadKnown: true, Phase: model.WorkloadCompleted})
 	assert.DeepEqual(t, *c.members.Load(), []string{address})
 }
+
+// Guards against a command that counts as possibly committed although no replica was ever
+// connected: replicas without power refuse no connection, so that the attempts end with
+// their deadlines while connections are being opened.
+func TestUnconnectedCommandWasNotAppended(t *testing.T) {
+	transport := NewHTTPClient().Transport.(*http.Transport)
+	transport.DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c := New([]string{"10.0.0.1:1", "10.0.0.2:1"}, &http.Client{Transport: transport})
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	results, err := c.Propose(ctx, submission)
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.NoQuorum)
+}
+
+// Guards against a command that counts as certainly not committed although it was sent to a
+// replica that did not answer.
+func TestUnansweredCommandMayBeAppended(t *testing.T) {
+	c := New([]string{serve(t, &fakeReplica{silent: true})}, NewHTTPClient())
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	results, err := c.Propose(ctx, submission)
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.Unknown)
+}
