--- a/core/command/place/pool.go
+++ b/core/command/place/pool.go
@@ -33,9 +33,7 @@
 func (g *pool) updateLargestFree() {
 	g.largestFree = model.Resources{}
 	for _, w := range g.workers {
-		g.largestFree.MilliCPU = max(g.largestFree.MilliCPU, w.Free.MilliCPU)
-		g.largestFree.MemoryMB = max(g.largestFree.MemoryMB, w.Free.MemoryMB)
-		g.largestFree.Accelerators = max(g.largestFree.Accelerators, w.Free.Accelerators)
+		g.largestFree = g.largestFree.Max(w.Free)
 	}
 }
 
--- a/core/model/ids.go
+++ b/core/model/ids.go
@@ -72,6 +72,16 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Scale returns r multiplied by f, truncated in each component.
+func (r Resources) Scale(f float64) Resources {
+	return Resources{int64(float64(r.MilliCPU) * f), int64(float64(r.MemoryMB) * f), int64(float64(r.Accelerators) * f)}
+}
+
+// Max returns the larger of r and o in each component.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether o fits into r.
 func (r Resources) Fits(o Resources) bool {
 	return o.MilliCPU <= r.MilliCPU && o.MemoryMB <= r.MemoryMB && o.Accelerators <= r.Accelerators
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -13,6 +13,8 @@
 	// Waiting is the total capacity of the tasks that are ready to run, each
 	// weighted by its expected run time as a fraction of the clearing time.
 	Waiting model.Resources
+	// Lasting is the part of Running and Waiting that belongs to lasting tasks.
+	Lasting model.Resources
 	// MinWorkers is the number of workers that lasting steps need to comply with
 	// MaxPerWorker.
 	MinWorkers int
@@ -52,19 +54,16 @@
 		}
 	}
 	one := step.Reserved()
-	addScaled(&d.Running, one, float64(active))
+	d.Running = d.Running.Add(one.Scale(float64(active)))
 	weight := 1.0
 	if clearing > 0 && !step.Lasting && !step.Gang {
 		weight = min(1, float64(step.Estimate)/float64(clearing))
 	}
-	addScaled(&d.Waiting, one, weight*float64(int64(len(state.Tasks)-state.Done)-active))
+	d.Waiting = d.Waiting.Add(one.Scale(weight * float64(int64(len(state.Tasks)-state.Done)-active)))
+	if step.Lasting {
+		d.Lasting = d.Lasting.Add(one.Scale(float64(len(state.Tasks) - state.Done)))
+	}
 	if step.Lasting && step.MaxPerWorker > 0 {
 		d.MinWorkers = max(d.MinWorkers, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
 	}
 }
-
-func addScaled(sum *model.Resources, one model.Resources, n float64) {
-	sum.MilliCPU += int64(n * float64(one.MilliCPU))
-	sum.MemoryMB += int64(n * float64(one.MemoryMB))
-	sum.Accelerators += int64(n * float64(one.Accelerators))
-}
