Upkeep in time: draining instances are replaced, evictions happen once

Traced: a lasting step keeps its 19 tasks on different instances and one may be away at a time, so that their evictions form a chain. The pool had no instance for an evicted task, because those being emptied counted for its size, and an evicted task was placed on an instance whose own upkeep was still due, from which it was evicted again.

Change: an instance that is being emptied or maintained does not count for the size of its pool; lasting tasks go to workers with upkeep due only if no other can take them. Besides, an idle surplus instance goes straight to the pool that needs one instead of being powered off while a powered-off one is moved there.

TestDrainingInstancesAreReplaced, TestLastingTasksAvoidInstancesWithUpkeepDue and TestSurplusInstancesGoWhereTheyAreNeeded fail before.

--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -29,6 +29,10 @@
 	// Retiring is set for a surplus worker of its pool that should become empty. It
 	// gets work only if no other worker has enough free capacity.
 	Retiring bool
+	// UpkeepDue is set for a worker whose instance is to be emptied for upkeep. It gets
+	// lasting tasks only if no other worker can take them, because they would have to
+	// leave it again.
+	UpkeepDue bool
 }
 
 // Options are the inputs of a plan besides the state and the workers.
@@ -150,8 +154,8 @@
 
 // chooseWorker returns the worker for a task with the given active runs, or nil if it
 // fits nowhere. It prefers workers that are not suspect, then those that are not
-// retiring; for lasting tasks then those with the fewest runs of the step, so that the
-// loss of one worker affects few of them; then workers near the data; for tasks without
+// retiring; for lasting tasks then those without upkeep due and those with the fewest
+// runs of the step, so that the loss of one worker affects few of them; then workers near the data; for tasks without
 // accelerators then those with the fewest free accelerators; and then the one with the
 // fewest free processors, so that other workers stay empty.
 func (p *planner) chooseWorker(c *candidate, spec model.Step, ref model.TaskRef, active []model.Run) *Worker {
@@ -232,6 +236,9 @@
 	if a.Retiring != b.Retiring {
 		return b.Retiring
 	}
+	if spec.Lasting && a.UpkeepDue != b.UpkeepDue {
+		return b.UpkeepDue
+	}
 	if spec.Lasting {
 		if x, y := p.countRuns(a.ID, step), p.countRuns(b.ID, step); x != y {
 			return x < y
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -244,6 +244,19 @@
 	assert.Equal(t, starts[0].Worker, b.ID)
 }
 
+// Guards against a lasting task that leaves an instance for its upkeep and is placed on one
+// that has to be emptied next.
+func TestLastingTasksAvoidInstancesWithUpkeepDue(t *testing.T) {
+	x := newSite(t)
+	lasting := step(1, 1000)
+	lasting.Lasting = true
+	x.submit(0, 1, lasting)
+	due := worker("a", 2000)
+	due.UpkeepDue = true
+	assert.Equal(t, x.plan(Options{}, due, worker("b", 8000))[0].Worker, worker("b", 0).ID)
+	assert.Equal(t, x.plan(Options{}, due)[0].Worker, due.ID)
+}
+
 // BenchmarkPlanQueues measures the cost that queues without workloads add to Plan.
 func BenchmarkPlanQueues(b *testing.B) {
 	for _, queues := range []int{8, 800} {
--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -47,6 +47,10 @@
 	// Movable is set if nothing runs on the instance and no other operation is
 	// planned for it.
 	Movable bool
+	// Draining is set while the instance is being emptied for upkeep or is maintained. It
+	// does not count for the size of its pool: it takes no tasks, and those that leave it
+	// need another instance.
+	Draining bool
 	// Retirable is set if no lasting task runs on the instance, so that it becomes
 	// empty once it gets no new work.
 	Retirable bool
@@ -81,7 +85,9 @@
 		return cmp.Or(cmp.Compare(b.IdleTime, a.IdleTime), cmp.Compare(a.ID, b.ID))
 	})
 	for _, i := range p.instances {
-		p.size[i.Pool]++
+		if !i.Draining {
+			p.size[i.Pool]++
+		}
 	}
 	for _, pool := range in.Pools {
 		if pool.Standby {
@@ -136,8 +142,7 @@
 	return int((total + unit - 1) / unit)
 }
 
-// grow moves instances into pools below their desired size: powered-off ones
-// first, then those of pools above their desired size.
+// grow moves instances into pools below their desired size.
 func (p *planner) grow(pools []Pool) {
 	for _, pool := range pools {
 		for !pool.Standby && p.size[pool.Name] < p.desired[pool.Name] {
@@ -151,21 +156,37 @@
 }
 
 // findSpare returns the index in p.instances of an instance to move to the pool, or -1
-// if there is none. See grow for the order of preference.
+// if there is none. It prefers surplus instances that would be powered off otherwise,
+// which saves a move when demand goes from one pool to another, then powered-off ones,
+// then other surplus instances.
 func (p *planner) findSpare(to model.PoolName) int {
-	best := -1
+	off, surplus := -1, -1
 	for i, instance := range p.instances {
 		if !instance.Movable || instance.Pool == to {
 			continue
 		}
-		if instance.PoweredOff {
+		switch {
+		case instance.PoweredOff:
+			off = firstFound(off, i)
+		case p.size[instance.Pool] <= p.desired[instance.Pool]:
+		case p.standby != "" && instance.Pool != p.standby && instance.IdleTime >= minIdle:
 			return i
+		default:
+			surplus = firstFound(surplus, i)
 		}
-		if best < 0 && p.size[instance.Pool] > p.desired[instance.Pool] {
-			best = i
-		}
 	}
-	return best
+	if off >= 0 {
+		return off
+	}
+	return surplus
+}
+
+// firstFound returns index unless an earlier one was found, which is not negative.
+func firstFound(earlier, index int) int {
+	if earlier >= 0 {
+		return earlier
+	}
+	return index
 }
 
 // shrink moves idle instances of pools above their desired size to the standby
--- a/core/command/scale/scale_test.go
+++ b/core/command/scale/scale_test.go
@@ -77,3 +77,29 @@
 	d := Decide(Input{Pools: []Pool{{Name: "a", Demand: cores(40)}, {Name: "off", Standby: true}}, Instances: all})
 	assert.DeepEqual(t, d.Retire, []model.InstanceID{"a-1", "a-2"}) // 3 for the demand and 1 as headroom stay
 }
+
+// Guards against two moves where one does: an idle surplus instance is powered off while a
+// powered-off one is moved to the pool that needs an instance.
+func TestSurplusInstancesGoWhereTheyAreNeeded(t *testing.T) {
+	d := Decide(Input{
+		Pools:     []Pool{{Name: "a", Demand: cores(64)}, {Name: "b"}, {Name: "off", Standby: true}},
+		Instances: append(append(instances("a", 3, false, false), instances("b", 4, true, false)...), instances("off", 8, true, true)...),
+	})
+	assert.Equal(t, countTo(d.Moves, "a"), 2)
+	assert.Equal(t, len(d.Moves), 2)
+	for _, m := range d.Moves {
+		assert.Equal(t, m.From, model.PoolName("b"))
+	}
+}
+
+// Guards against a pool without an instance for the tasks that leave those being emptied for
+// upkeep, so that they wait until the upkeep is over.
+func TestDrainingInstancesAreReplaced(t *testing.T) {
+	draining := instances("a", 4, false, false)
+	draining[0].Draining, draining[1].Draining = true, true
+	d := Decide(Input{
+		Pools:     []Pool{{Name: "a", MinInstances: 3}, {Name: "off", Standby: true}},
+		Instances: append(draining, instances("off", 8, true, true)...),
+	})
+	assert.Equal(t, countTo(d.Moves, "a"), 2)
+}
--- a/replica/fleet/scale.go
+++ b/replica/fleet/scale.go
@@ -116,6 +116,7 @@
 		ID: o.ID, Pool: o.Pool, Capacity: o.Capacity, PoweredOff: o.Off,
 		Movable: order == nil && o.Idle() && !cordoned && !o.Leaving && !o.OrdersBlocked,
 	}
+	i.Draining = cordoned || order != nil && order.upkeep != 0
 	i.Retirable = order == nil && !cordoned && !o.Leaving
 	for _, r := range o.Runs {
 		i.LoadMilliCPU += r.Size.MilliCPU
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -146,12 +146,14 @@
 // maxReportAge. A worker without a pending report receives its start orders in the
 // answer to its next report.
 func (m *Machine) offers(now time.Time, s model.State) []place.Worker {
+	due := instancesWithUpkeepDue(s)
 	var out []place.Worker
 	for _, w := range m.byName {
 		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > maxReportAge {
 			continue
 		}
 		if offer, ok := w.offer(now, s); ok {
+			offer.UpkeepDue = due[w.Instance]
 			out = append(out, offer)
 		}
 	}
@@ -159,6 +161,23 @@
 	return out
 }
 
+// instancesWithUpkeepDue returns the instances that an order for upkeep names and whose
+// upkeep has not begun.
+func instancesWithUpkeepDue(s model.State) map[model.InstanceID]bool {
+	due := map[model.InstanceID]bool{}
+	for _, u := range s.Upkeeps.All() {
+		if u.Complete() {
+			continue
+		}
+		for _, i := range u.Instances {
+			if !i.Begun {
+				due[i.ID] = true
+			}
+		}
+	}
+	return due
+}
+
 // maxReportAge is how long after its last report a worker is given work. It is a
 // little longer than the time between two reports.
 const maxReportAge = busyInterval + 200*time.Millisecond
