--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -155,9 +155,9 @@
 // chooseWorker returns the worker for a task with the given active runs, or nil if it
 // fits nowhere. It prefers workers that are not suspect, then those that are not
 // retiring; for lasting tasks then those without upkeep due and those with the fewest
-// runs of the step, so that the loss of one worker affects few of them; then workers near the data; for tasks without
-// accelerators then those with the fewest free accelerators; and then the one with the
-// fewest free processors, so that other workers stay empty.
+// runs of the step, so that the loss of one worker affects few of them; then workers near
+// the data; for tasks without accelerators then those with the fewest free accelerators;
+// and then the one with the fewest free processors, so that other workers stay empty.
 func (p *planner) chooseWorker(c *candidate, spec model.Step, ref model.TaskRef, active []model.Run) *Worker {
 	return p.chooseAmong(p.pools[c.pool], c, spec, ref, active)
 }
