Evacuation of draining workers keeps the limit of its step

The upkeep asks how many tasks of the step are away, the evacuation of draining workers did not ask. Ruled out: the change of leader at 6.6 s (three seconds before).

Change: both ask maintain.MayStop. A run on a draining worker waits while the limit is used up; the worker goes on serving until it shuts down.

TestEvacuationKeepsTheLimitOfItsStep fails before.

--- a/core/command/maintain/maintain.go
+++ b/core/command/maintain/maintain.go
@@ -176,16 +176,23 @@
 	p.out.Stop = append(p.out.Stop, r.Run)
 }
 
-// mayStop reports whether a long-running task may be stopped. It may if the number of
-// other tasks of its step that are being stopped, or do not run, is below the step's
-// limit. A limit of 0 counts as 1.
+// mayStop reports whether a long-running task may be stopped. Tasks that this decision
+// stops count as unavailable.
 func (p *planner) mayStop(r model.ObservedRun) bool {
 	tasks, missable := p.StopLimit(r.Run.Task)
+	return MayStop(r.Run.Task, tasks, missable, func(other model.TaskRef) bool { return p.Serving(other) && !slices.Contains(p.stopping, other) })
+}
+
+// MayStop reports whether a long-running task may be stopped by the system: the number of
+// the other tasks of its step that do not serve is below the step's limit. A limit of 0
+// counts as 1. Everything that stops long-running tasks has to ask it, because the limit
+// holds for all reasons together.
+func MayStop(task model.TaskRef, tasks, missable int, serving func(model.TaskRef) bool) bool {
 	unavailable := 0
 	for k := range tasks {
-		other := r.Run.Task
+		other := task
 		other.Index = k
-		if other != r.Run.Task && (!p.Serving(other) || slices.Contains(p.stopping, other)) {
+		if other != task && !serving(other) {
 			unavailable++
 		}
 	}
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/command/maintain"
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -43,7 +44,7 @@
 	changed := len(progress.Ends) > 0 || state.Index != m.plannedIndex
 	m.pruneStops(after)
 	m.checkHealth(now, after)
-	m.evacuate(after)
+	m.evacuate(now, after)
 	m.preempt(now, after)
 	m.requestAdvice(now, after)
 	if changed || now.Sub(m.plannedAt) >= planInterval {
@@ -183,8 +184,10 @@
 const maxReportAge = busyInterval + 200*time.Millisecond
 
 // evacuate stops the runs of long-running tasks on draining workers, so that the tasks
-// serve on other workers before the draining ones shut down.
-func (m *Machine) evacuate(s model.State) {
+// serve on other workers before the draining ones shut down. A run waits while as many
+// other tasks of its step are away as may be, for example for upkeep: the worker goes on
+// serving until it shuts down.
+func (m *Machine) evacuate(now time.Time, s model.State) {
 	for _, p := range m.pending {
 		if !p.report.Draining {
 			continue
@@ -192,7 +195,11 @@
 		a, _ := s.Assignments.Get(p.report.Worker)
 		for _, run := range a.Runs {
 			workload, ok := s.Workloads.Get(run.Task.Workload)
-			if ok && workload.Has(run.Task) && workload.Steps[run.Task.Step].Lasting {
+			if !ok || !workload.Has(run.Task) || m.stopping[run] {
+				continue
+			}
+			step := workload.Steps[run.Task.Step]
+			if step.Lasting && maintain.MayStop(run.Task, step.Count, step.Missable, func(t model.TaskRef) bool { return m.Serving(now, t) }) {
 				m.stopping[run] = true
 			}
 		}
--- a/replica/schedule/health_test.go
+++ b/replica/schedule/health_test.go
@@ -105,3 +105,28 @@
 		assert.Equal(t, len(o.Stop), 1)
 	})
 }
+
+// Guards against two tasks of a step that are away at the same time although one may be:
+// one is being stopped for the upkeep of its instance when the worker of the other begins to
+// drain.
+func TestEvacuationKeepsTheLimitOfItsStep(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		apart := oneTask
+		apart.Count, apart.Lasting, apart.MaxPerWorker, apart.Missable = 2, true, 1, 1
+		h.submit(1, apart)
+		first := h.mustReport("a", 1, nil)
+		second := h.mustReport("b", 1, nil)
+		h.mustReport("a", 1, at(100, first.Start...))
+		h.mustReport("b", 1, at(100, second.Start...))
+		h.onLoop(func() { h.machine.StopRun(second.Start[0].Run) })
+		draining := func(r *Report) {
+			at(100, first.Start...)(r)
+			r.Draining = true
+		}
+		assert.Equal(t, len(h.mustReport("a", 1, draining).Stop), 0)
+
+		again := h.mustReport("b", 1, ended(model.RunInterrupted, second.Start[0]))
+		h.mustReport("b", 1, at(100, again.Start...))
+		assert.Equal(t, len(h.mustReport("a", 1, draining).Stop), 1)
+	})
+}
