--- a/replica/fleet/scale.go
+++ b/replica/fleet/scale.go
@@ -137,8 +137,8 @@
 	// queue.
 	backlogWindow = 2 * time.Second
 	// inflowWindow is the time over which arrivals are counted for the forecast. A longer
-	// one sees the start of a burst later, a shorter one has too few arrivals to tell it
-	// from chance.
+	// one sees the start of a burst later, a shorter one has too few arrivals to distinguish
+	// it from chance.
 	inflowWindow = 500 * time.Millisecond
 	// moveDelay is how much longer than the move of an instance it takes from the decision
 	// until the instance runs tasks: recording the order and the first report of the worker.
