A command that cannot be encoded costs only itself, not its batch

Callers saw: with one unreadable name in a batch (the caller's name or the content type of an answer are headers and may hold any bytes), the claims of all callers in the same batch failed and were proposed again until their deadlines.

Cause: CBOR text is UTF-8. The encoder writes any Go string, the decoder refuses other bytes, and Propose returned that error for the whole batch.

Change: Propose gives an unreadable command the result invalid-input and commits the others, on the leader, through the client and in the service. The caller's name is checked before it is proposed; a content type that cannot be stored is left out of the record of an answer. model.ValidName says what may enter the state.

--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -76,6 +76,19 @@
 	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload})
 }
 
+// EncodeForLog returns the wire form of env and the envelope that every replica will
+// decode from it. It returns an error if env cannot be encoded or decoded again, for
+// example because of text that is not UTF-8: such an entry could not be read from the
+// log.
+func EncodeForLog(env model.Envelope) ([]byte, model.Envelope, error) {
+	data, err := EncodeEnvelope(env)
+	if err != nil {
+		return nil, model.Envelope{}, err
+	}
+	decoded, err := DecodeEnvelope(data)
+	return data, decoded, err
+}
+
 // DecodeEnvelope decodes the wire form of an envelope and computes its fingerprint.
 // It returns an error if the data is malformed or the command number is unknown, for
 // example from a newer version.
--- a/entry/command/call.go
+++ b/entry/command/call.go
@@ -73,6 +73,9 @@
 		return nil, result.New(result.InvalidInput, "path: %v", err)
 	}
 	c.path = path
+	if !model.ValidName(string(c.caller)) {
+		return nil, result.New(result.InvalidInput, "%s: is no readable text of at most %d bytes", HeaderCaller, model.MaxNameBytes)
+	}
 	if c.caller == "" {
 		c.caller = "anonymous"
 	}
--- a/entry/command/once.go
+++ b/entry/command/once.go
@@ -127,7 +127,10 @@
 	case result.OutcomeNotRun:
 		s.Phase = model.ClaimNotRun
 	case result.OutcomeDone:
-		s.Phase, s.Status, s.ContentType = model.ClaimDone, res.status, res.header.Get("Content-Type")
+		s.Phase, s.Status = model.ClaimDone, res.status
+		if t := res.header.Get("Content-Type"); model.ValidName(t) {
+			s.ContentType = t
+		}
 		s.Body, s.BodyOmitted = res.body, res.stream != nil
 		if s.BodyOmitted || len(s.Body) > model.MaxRecordedBody {
 			s.Body, s.BodyOmitted = nil, true
--- a/entry/instance/idempotency_test.go
+++ b/entry/instance/idempotency_test.go
@@ -246,3 +246,37 @@
 	assert.Equal(t, r.result, "3")
 	assert.Equal(t, r.body, "run 1")
 }
+
+// Guards against a charge whose outcome is never recorded, because the content type of its
+// answer is no text that can be stored: a resend would get "unknown".
+func TestUnreadableContentTypeIsNotRecorded(t *testing.T) {
+	control := newControl(config(), instances(1)...)
+	s := startEntry(t, control, "e1", nil)
+	s.target(t, "t1", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/\xff\xfe")
+		fmt.Fprint(w, "charged")
+	})
+	key := keyAt(time.Now(), 1)
+	assert.Equal(t, s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key).outcome, "done")
+	s.waitUntil(t, func() bool {
+		c, ok := control.claim(model.RequestID(key), "anonymous")
+		return ok && c.Phase == model.ClaimDone
+	})
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", key)
+	assert.Equal(t, r.result, "3", r.body)
+	assert.Equal(t, r.body, "charged")
+}
+
+// Guards against the name of a caller that cannot be stored and would be proposed to the
+// leader, in one batch with the claims of other callers.
+func TestUnreadableCallerIsRefused(t *testing.T) {
+	control := newControl(config(), instances(1)...)
+	s := startEntry(t, control, "e1", nil)
+	proposals := control.proposals
+	r := s.call(t, http.MethodPost, "/charge", "5", "Idempotency-Key", keyAt(time.Now(), 1), "Lacewingturn-Caller", "c\xff")
+	assert.Equal(t, r.result, "100", r.body)
+	assert.Equal(t, r.outcome, "not-run")
+	control.mu.Lock()
+	defer control.mu.Unlock()
+	assert.Equal(t, control.proposals, proposals)
+}
--- a/entry/instance/setup_test.go
+++ b/entry/instance/setup_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"lacewingturn.example/api/codec"
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
@@ -28,7 +29,7 @@
 )
 
 // fakeControl is a control state that applies commands immediately, without
-// replication. Its hook can withhold or replace the answers to proposals.
+// replication. Like a replica it refuses commands that cannot be decoded from the log. Its hook can withhold or replace the answers to proposals.
 type fakeControl struct {
 	mu        sync.Mutex
 	state     model.State
@@ -64,6 +65,10 @@
 	before := f.state
 	var out []result.Result
 	for _, env := range commands {
+		if _, _, err := codec.EncodeForLog(env); err != nil {
+			out = append(out, result.New(result.InvalidInput, "%v", err))
+			continue
+		}
 		env.Time = model.TimestampOf(time.Now())
 		next, r := command.Apply(f.state, f.state.Index+1, 1, env)
 		f.state = next
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -69,23 +69,30 @@
 // Propose commits the commands in order through the leader. It retries until ctx
 // ends while a retry is safe: nothing was appended, or every command is
 // Repeatable. The result NoQuorum means that no leader was found and nothing was
-// appended; Unknown means that the commands may have been appended. The error
-// reports only a command that cannot be encoded.
+// appended; Unknown means that the commands may have been appended; InvalidInput that
+// the command cannot be encoded, which does not hold up the others. The error is nil.
 func (c *Client) Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error) {
 	req := &replicav1.ProposeRequest{}
+	results := make([]result.Result, len(commands))
+	var positions []int // of the encoded commands
 	repeatable := true
-	for _, env := range commands {
-		data, err := codec.EncodeEnvelope(env)
+	for i, env := range commands {
+		data, _, err := codec.EncodeForLog(env)
 		if err != nil {
-			return nil, err
+			results[i] = result.New(result.InvalidInput, "%v", err)
+			continue
 		}
 		req.Envelopes = append(req.Envelopes, data)
+		positions = append(positions, i)
 		repeatable = repeatable && Repeatable(env)
 	}
-	if len(commands) == 0 {
-		return nil, nil
+	if len(positions) == 0 {
+		return results, nil
 	}
-	return c.proposeWithRetries(ctx, req, repeatable), nil
+	for i, r := range c.proposeWithRetries(ctx, req, repeatable) {
+		results[positions[i]] = r
+	}
+	return results, nil
 }
 
 // proposeWithRetries tries the replicas until the results are known, a retry would
--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -141,24 +141,22 @@
 // ReplicaCommandService.
 func (r *Replica) CommandService() CommandService { return CommandService{r} }
 
-// Propose commits the envelopes of a request in order. On a replica that is not
-// the leader it appends nothing and responds with the leader's address.
+// Propose commits the envelopes of a request in order. An envelope that cannot be
+// decoded gets the result InvalidInput and does not hold up the others. On a replica
+// that is not the leader it appends nothing and responds with the leader's address.
 func (c CommandService) Propose(ctx context.Context, req *connect.Request[replicav1.ProposeRequest]) (*connect.Response[replicav1.ProposeResponse], error) {
-	commands := make([]raft.Command, len(req.Msg.Envelopes))
+	batch := raftBatch{results: make([]result.Result, len(req.Msg.Envelopes))}
 	for i, data := range req.Msg.Envelopes {
 		env, err := codec.DecodeEnvelope(data)
-		if err != nil {
-			return nil, connect.NewError(connect.CodeInvalidArgument, err)
-		}
-		commands[i] = raft.Command{Data: data, Value: env}
+		batch.add(i, raft.Command{Data: data, Value: env}, err)
 	}
 	resp := &replicav1.ProposeResponse{}
 	if v := c.r.View(); !v.IsLeader {
 		resp.NotLeader, resp.LeaderAddress = true, v.LeaderAddress
 		return connect.NewResponse(resp), nil
 	}
-	results := c.r.propose(ctx, commands)
-	if notAppended(results) {
+	results := batch.propose(ctx, c.r)
+	if batch.notAppended() {
 		v := c.r.View()
 		resp.NotLeader, resp.LeaderAddress = true, v.LeaderAddress
 		return connect.NewResponse(resp), nil
@@ -175,11 +173,11 @@
 
 // notAppended reports whether it is certain that no command was appended because
 // this replica is not the leader.
-func notAppended(results []result.Result) bool {
-	for _, r := range results {
-		if r.Code != result.NotLeader && r.Code != result.NoQuorum {
+func (b *raftBatch) notAppended() bool {
+	for _, i := range b.positions {
+		if code := b.results[i].Code; code != result.NotLeader && code != result.NoQuorum {
 			return false
 		}
 	}
-	return len(results) > 0
+	return len(b.positions) > 0
 }
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -22,24 +22,45 @@
 func (p *pendingProposal) last() model.Index { return p.first + model.Index(len(p.results)) - 1 }
 
 // Propose implements replica.Replica. It blocks until the results are known or ctx
-// ends. The error reports only a command that cannot be encoded; every other
-// failure is the code of a result: NotLeader, NoQuorum, Overloaded and Stopping
-// mean that the command has no effect, Unknown that it may still be committed.
+// ends. Every failure is the code of a result and the error is nil: InvalidInput for a
+// command that cannot be encoded, which does not hold up the others; NotLeader,
+// NoQuorum, Overloaded and Stopping mean that the command has no effect, Unknown that
+// it may still be committed.
 func (r *Replica) Propose(ctx context.Context, envelopes []model.Envelope) ([]result.Result, error) {
-	commands := make([]raft.Command, len(envelopes))
+	batch := raftBatch{results: make([]result.Result, len(envelopes))}
 	for i, env := range envelopes {
 		env.Time = 0 // the leader sets the time on the log entry, outside of the encoded command
-		data, err := codec.EncodeEnvelope(env)
-		if err != nil {
-			return nil, err
-		}
-		decoded, err := codec.DecodeEnvelope(data)
-		if err != nil {
-			return nil, err
-		}
-		commands[i] = raft.Command{Data: data, Value: decoded}
+		data, decoded, err := codec.EncodeForLog(env)
+		batch.add(i, raft.Command{Data: data, Value: decoded}, err)
+	}
+	return batch.propose(ctx, r), nil
+}
+
+// raftBatch holds the commands of a batch that can be appended to the log, and the
+// results of the others.
+type raftBatch struct {
+	commands  []raft.Command
+	positions []int // of the commands in the batch
+	results   []result.Result
+}
+
+// add adds the command at a position of the batch. A command with an error gets the
+// result InvalidInput and is left out.
+func (b *raftBatch) add(position int, c raft.Command, err error) {
+	if err != nil {
+		b.results[position] = result.New(result.InvalidInput, "%v", err)
+		return
+	}
+	b.commands = append(b.commands, c)
+	b.positions = append(b.positions, position)
+}
+
+// propose proposes the commands and returns the results of the whole batch.
+func (b *raftBatch) propose(ctx context.Context, r *Replica) []result.Result {
+	for i, res := range r.propose(ctx, b.commands) {
+		b.results[b.positions[i]] = res
 	}
-	return r.propose(ctx, commands), nil
+	return b.results
 }
 
 func (r *Replica) propose(ctx context.Context, commands []raft.Command) []result.Result {
--- a/replica/view.go
+++ b/replica/view.go
@@ -52,7 +52,8 @@
 type Replica interface {
 	// Propose commits commands in order and returns their results. The result code
 	// NotLeader, NoQuorum, Overloaded or Stopping means that the command was not
-	// appended to the log; Unknown means that it may still be committed.
+	// appended to the log; Unknown means that it may still be committed. A command that
+	// cannot be encoded gets InvalidInput and does not hold up the others.
 	Propose(ctx context.Context, commands []model.Envelope) ([]result.Result, error)
 	// View returns the latest published view.
 	View() *View
