A worker's unreadable name no longer stops the scheduling of all workers

Change: a report with a name that must not enter the state is refused with 400 before the control loop; a checkpoint that must not is dropped. If the progress of a cycle is refused as invalid, its entries are proposed one by one; a refused one is dropped, logged (event 6041) and counted, and its end stays unacknowledged. A cycle that is not committed is logged (event 6042).

Why it works: nothing that cannot be stored reaches the planner, and if something does, only this entry is lost.

--- a/node/event/platform.go
+++ b/node/event/platform.go
@@ -30,5 +30,7 @@
 	WorkerLeft      = define(6037, "worker left", zapcore.InfoLevel, "A worker announced that it has shut down.", "")
 	WorkerSuspected = define(6038, "worker in doubt", zapcore.WarnLevel, "Runs on the worker failed, made no progress or were slow. The worker gets work only if no other worker can take it.", "If the worker is named often, check it.")
 	SchedulingBegun = define(6039, "scheduling begun", zapcore.InfoLevel, "This replica became leader and schedules workloads. Runs on workers that do not report to this replica count as lost once the longest lease has expired.", "")
+	ProgressRefused = define(6041, "progress refused", zapcore.ErrorLevel, "The end or the start of a run was dropped, because its command is invalid. The line names the worker. A worker whose single start was refused gets no work for 10 s, a gang avoids its workers for 2 s; all other runs go on.", "Find out what the named worker sends; report the line as a fault of the software.")
+	CycleFailed     = define(6042, "scheduling cycle failed", zapcore.WarnLevel, "The ends and starts of a scheduling cycle were not committed. The heartbeats that waited for it are refused, and the next cycle decides again.", "Check that a quorum of control replicas is reachable.")
 	SchedulingEnded = define(6040, "scheduling ended", zapcore.InfoLevel, "This replica is no longer the leader; workers are redirected to the next leader.", "")
 )
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/command/maintain"
@@ -13,6 +14,7 @@
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/node/event"
 	"lacewingturn.example/replica"
 )
 
@@ -21,6 +23,7 @@
 	startedAt time.Time
 	before    model.State // state on which the cycle was decided
 	progress  model.RecordProgress
+	parts     []model.RecordProgress  // the progress as it is proposed, one command each
 	causes    map[model.RunRef]string // why each run ended
 	pending   []pendingReport         // reports that are answered once the cycle is committed
 }
@@ -58,7 +61,7 @@
 	}
 	m.committing = &cycle{startedAt: now, before: state, progress: progress, causes: causes, pending: m.pending}
 	m.pending = nil
-	m.commit(progress)
+	m.commit([]model.RecordProgress{progress})
 }
 
 // pruneInterval is the time between two passes that discard ended workers.
@@ -239,41 +242,67 @@
 	}
 }
 
-// commit proposes the progress on a goroutine of its own, which posts the result
-// to the loop as a message.
-func (m *Machine) commit(p model.RecordProgress) {
+// commit proposes the parts of the current cycle's progress on a goroutine of its own,
+// which posts the results to the loop as a message.
+func (m *Machine) commit(parts []model.RecordProgress) {
+	m.committing.parts = parts
 	term := m.term
+	envelopes := make([]model.Envelope, len(parts))
+	for i, p := range parts {
+		envelopes[i].Command = p
+	}
 	go func() {
-		results, err := m.replica.Propose(m.ctx, []model.Envelope{{Command: p}})
+		results, err := m.replica.Propose(m.ctx, envelopes)
 		// The loop has ended if the message cannot be sent.
 		_ = m.port.Send(m.ctx, committed{term, results, err})
 	}()
 }
 
 // finishCommit answers the reports of the cycle once its ends and starts are
-// committed; if the commit failed, it answers them with an error.
+// committed; if the commit failed, it answers them with an error. If the progress is
+// refused as a whole, its entries are proposed one by one, so that only the refused
+// ones are dropped.
 func (m *Machine) finishCommit(now time.Time, c committed) {
 	if c.term != m.term || m.committing == nil {
 		return
 	}
 	current := m.committing
-	m.committing = nil
-	err := c.err
-	if err == nil && !c.results[0].Code.OK() {
-		err = c.results[0]
+	if c.err == nil && len(current.parts) == 1 && c.results[0].Code == result.InvalidInput {
+		if parts := splitProgress(current.before, current.progress); len(parts) > 1 {
+			m.commit(parts)
+			return
+		}
 	}
+	m.committing = nil
+	err := c.failure()
 	if err == nil && !replica.IsConfirmedLeader(m.replica.View(), m.detector, now) {
 		err = errNotLeader
 	}
 	if err != nil {
+		event.CycleFailed.Log(m.settings.Logger, zap.Int("reports", len(current.pending)), zap.Int("ends", len(current.progress.Ends)), zap.Int("starts", len(current.progress.Starts)), zap.Error(err))
 		refuse(current.pending, trace.Wrap(err))
 		return
 	}
+	m.dropRefused(now, current, c.results)
 	m.logged = map[model.WorkloadID]bool{}
 	m.logProgress(now, *current)
 	m.answerAll(now, current.pending)
 }
 
+// failure returns why the outcome of the commit is not known or nothing was committed;
+// nil if each part was committed or refused as invalid.
+func (c committed) failure() error {
+	if c.err != nil {
+		return c.err
+	}
+	for _, r := range c.results {
+		if !r.Code.OK() && r.Code != result.InvalidInput {
+			return r
+		}
+	}
+	return nil
+}
+
 // errNotLeader is the error of workers' calls that this replica refuses because it does
 // not lead or cannot confirm that it still does.
 var errNotLeader = result.New(result.NotLeader, "this replica does not lead")
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
+	"lacewingturn.example/api/codec"
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
@@ -24,11 +25,14 @@
 
 const maxLease = 6 * time.Second
 
-// fakeReplica applies commands at once and always has a quorum.
+// fakeReplica applies commands at once and always has a quorum. Like a replica it
+// refuses a command that cannot be decoded from the log.
 type fakeReplica struct {
 	mu       sync.Mutex
 	view     replica.View
 	noQuorum bool // contact to the quorum is lost
+	// refuse, if not nil, selects further commands that are refused as invalid.
+	refuse func(model.Command) bool
 }
 
 func (f *fakeReplica) View() *replica.View {
@@ -46,6 +50,10 @@
 	defer f.mu.Unlock()
 	out := make([]result.Result, len(commands))
 	for i, env := range commands {
+		if _, _, err := codec.EncodeForLog(env); err != nil || f.refuse != nil && f.refuse(env.Command) {
+			out[i] = result.New(result.InvalidInput, "the command is invalid: %v", err)
+			continue
+		}
 		env.Time = model.TimestampOf(time.Now())
 		f.view.State, out[i] = command.Apply(f.view.State, f.view.State.Index+1, f.view.Term, env)
 	}
--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -15,6 +15,7 @@
 	reports         prometheus.Counter
 	started         prometheus.Counter
 	ended           *prometheus.CounterVec
+	refused         *prometheus.CounterVec
 	finished        *prometheus.CounterVec
 	workloadWait    prometheus.Histogram
 	duration        *prometheus.HistogramVec
@@ -33,6 +34,7 @@
 		reports:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_worker_reports_total", Help: "Heartbeats of workers taken."}),
 		started:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_runs_started_total", Help: "Runs started."}),
 		ended:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_runs_ended_total", Help: "Runs ended by outcome and cause."}, []string{"outcome", "cause"}),
+		refused:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_progress_refused_total", Help: "Ends and starts of runs that were dropped because their command is invalid."}, []string{"what"}),
 		finished:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_workloads_finished_total", Help: "Workloads by final phase."}, []string{"phase"}),
 		workloadWait: telemetry.NewDurationHistogram("lacewingturn_workload_wait_seconds", "Time from acceptance to the first start."),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -45,7 +47,7 @@
 		activeWorkloads: prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workloads_active", Help: "Workloads not in a final phase."}),
 		pendingReports:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_reports_waiting", Help: "Heartbeats that wait for a planning turn."}),
 	}
-	r.MustRegister(m.reports, m.started, m.ended, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
+	r.MustRegister(m.reports, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
 	return m
 }
 
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -1,9 +1,11 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
 )
 
 // Report is the content of one heartbeat of a worker.
@@ -27,6 +29,43 @@
 	Ended    []Ended
 }
 
+// check returns the first reason to refuse the report, or OK: a name in it must not
+// enter the state, because a command that contains it could not be committed.
+func (r Report) check() result.Result {
+	names := append([]string{
+		string(r.Worker), r.Name, r.Address, string(r.Instance), string(r.Pool), r.Domain.Region, r.Domain.DataCenter, r.Domain.Rack,
+	}, r.Labels...)
+	for _, name := range names {
+		if !model.ValidName(name) {
+			return result.New(result.InvalidInput, "the heartbeat of worker %.64q has the name %.64q, which is no text of at most %d bytes without control characters", r.Name, name, model.MaxNameBytes)
+		}
+	}
+	return result.Result{Code: result.OK}
+}
+
+// withValidCheckpoints returns the report without the checkpoints that must not enter
+// the state. A run without a checkpoint resumes from the one that is recorded already.
+func (r Report) withValidCheckpoints() Report {
+	invalid := func(checkpoint string) bool { return !model.ValidCheckpoint(checkpoint) }
+	if slices.ContainsFunc(r.Running, func(o Running) bool { return invalid(o.Checkpoint) }) {
+		r.Running = slices.Clone(r.Running)
+		for i := range r.Running {
+			if invalid(r.Running[i].Checkpoint) {
+				r.Running[i].Checkpoint = ""
+			}
+		}
+	}
+	if slices.ContainsFunc(r.Ended, func(e Ended) bool { return invalid(e.Checkpoint) }) {
+		r.Ended = slices.Clone(r.Ended)
+		for i := range r.Ended {
+			if invalid(r.Ended[i].Checkpoint) {
+				r.Ended[i].Checkpoint = ""
+			}
+		}
+	}
+	return r
+}
+
 // Running is a run that has not ended on the worker.
 type Running struct {
 	Run        model.RunRef
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -14,10 +14,14 @@
 
 // Report takes a worker's heartbeat and returns the orders for the worker. It waits
 // until the ends in the report are committed. It fails with NotLeader if this
-// replica does not lead, Expired if a later heartbeat was received, and Overloaded
-// if the mailbox of the loop is full.
+// replica does not lead, Expired if a later heartbeat was received, Overloaded if the
+// mailbox of the loop is full, and InvalidInput if the report contains a name that must
+// not enter the state or its ends cannot be committed.
 func (m *Machine) Report(ctx context.Context, r Report) (Orders, error) {
-	a, err := m.request(ctx, func(reply chan<- answer) any { return reported{r, reply} })
+	if res := r.check(); !res.Code.OK() {
+		return Orders{}, res
+	}
+	a, err := m.request(ctx, func(reply chan<- answer) any { return reported{r.withValidCheckpoints(), reply} })
 	return a.orders, err
 }
 
