A failed run of a gang counts once; log entries carry the version of their rules

Cause: failures were kept for each member and added up.

Change: the step of a gang counts its failed runs by their number, so that a run counts once whichever members fail it. A gang still fails for good after max_attempts failed runs.

Member failures that it counted are kept as the largest of one member.

--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -60,6 +60,28 @@
 	Time      model.Timestamp `cbor:"3,keyasint,omitempty"`
 	Kind      uint16          `cbor:"4,keyasint"`
 	Payload   cbor.RawMessage `cbor:"5,keyasint"`
+	Rules     uint8           `cbor:"6,keyasint,omitempty"`
+}
+
+// currentRules is the number of model.CurrentRules on disk and on the wire. Entries of the
+// releases that applied commands by model.FirstRules have no number.
+const currentRules = 2
+
+func encodeRules(r model.Rules) uint8 {
+	if r == model.FirstRules {
+		return 0
+	}
+	return currentRules
+}
+
+func decodeRules(number uint8) (model.Rules, error) {
+	switch number {
+	case 0:
+		return model.FirstRules, nil
+	case currentRules:
+		return model.CurrentRules, nil
+	}
+	return 0, fmt.Errorf("codec: unknown version %d of the rules", number)
 }
 
 // EncodeEnvelope returns the wire form of env, without its fingerprint. It returns an
@@ -73,7 +95,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("codec: encode %T: %w", env.Command, err)
 	}
-	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload})
+	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload, Rules: encodeRules(env.Rules)})
 }
 
 // EncodeForLog returns the wire form of env and the envelope that every replica will
@@ -90,8 +112,8 @@
 }
 
 // DecodeEnvelope decodes the wire form of an envelope and computes its fingerprint.
-// It returns an error if the data is malformed or the command number is unknown, for
-// example from a newer version.
+// It returns an error if the data is malformed or the number of the command or of the
+// rules is unknown, for example from a newer version.
 func DecodeEnvelope(data []byte) (model.Envelope, error) {
 	var w envelope
 	if err := decoder.Unmarshal(data, &w); err != nil {
@@ -105,8 +127,12 @@
 	if err != nil {
 		return model.Envelope{}, fmt.Errorf("codec: decode command %s: %w", t.Name(), err)
 	}
+	rules, err := decodeRules(w.Rules)
+	if err != nil {
+		return model.Envelope{}, err
+	}
 	return model.Envelope{
-		RequestID: w.RequestID, Actor: w.Actor, Time: w.Time,
+		RequestID: w.RequestID, Actor: w.Actor, Time: w.Time, Rules: rules,
 		Fingerprint: fingerprint(w.Payload), Command: command,
 	}, nil
 }
--- a/api/codec/codec_test.go
+++ b/api/codec/codec_test.go
@@ -110,3 +110,21 @@
 		_, _ = DecodeResult(data)
 	})
 }
+
+// Guards against entries of an earlier release that are applied by the rules of this one,
+// and against entries of a later release that are applied by rules that this one has not.
+func TestRulesSurviveEncoding(t *testing.T) {
+	for _, rules := range []model.Rules{model.CurrentRules, model.FirstRules} {
+		data, err := EncodeEnvelope(model.Envelope{Rules: rules, Command: model.Noop{}})
+		assert.NilError(t, err)
+		env, err := DecodeEnvelope(data)
+		assert.NilError(t, err)
+		assert.Equal(t, env.Rules, rules)
+	}
+	payload, err := encoder.Marshal(model.Noop{})
+	assert.NilError(t, err)
+	data, err := encoder.Marshal(envelope{Kind: 1, Payload: payload, Rules: currentRules + 1})
+	assert.NilError(t, err)
+	_, err = DecodeEnvelope(data)
+	assert.ErrorContains(t, err, "version 3 of the rules")
+}
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -9,12 +9,12 @@
 
 // recordProgress applies the ends and then the starts. It ignores those that do not match the
 // state, because the workload has ended meanwhile or the state records another run.
-func recordProgress(s *model.State, c model.RecordProgress) {
+func recordProgress(s *model.State, c model.RecordProgress, rules model.Rules) {
 	for _, end := range c.Ends {
-		recordEnd(s, end)
+		recordEnd(s, end, rules)
 	}
 	for _, group := range groupGangs(s, c.Starts) {
-		recordStarts(s, group)
+		recordStarts(s, group, rules)
 	}
 }
 
@@ -39,9 +39,9 @@
 }
 
 // recordStarts records all starts of a group or none.
-func recordStarts(s *model.State, group []model.RunStart) {
+func recordStarts(s *model.State, group []model.RunStart, rules model.Rules) {
 	for _, start := range group {
-		if !startable(s, start) {
+		if !startable(s, start, rules) {
 			return
 		}
 	}
@@ -58,7 +58,7 @@
 // startable reports whether a run may start: its step is open, the task is not done and has
 // failed less often than its workload allows (lasting tasks have no limit), and no other run is
 // active unless the step is speculative.
-func startable(s *model.State, start model.RunStart) bool {
+func startable(s *model.State, start model.RunStart, rules model.Rules) bool {
 	ref := start.Run.Task
 	w, ok := s.Workloads.Get(ref.Workload)
 	if !ok {
@@ -72,25 +72,45 @@
 	if len(task.Active) > 0 && !step.Speculative {
 		return false
 	}
-	return step.Lasting || failures(w, ref) < w.MaxFailures
+	return step.Lasting || failures(w, ref, rules) < w.MaxFailures
 }
 
-// failures returns how often the task has failed. A gang fails as a whole.
-func failures(w model.Workload, ref model.TaskRef) int {
-	tasks := w.Rounds[ref.Round].Steps[ref.Step].Tasks
+// failures returns how often the task has failed. A gang fails as a whole, once for each
+// run that at least one member has failed.
+func failures(w model.Workload, ref model.TaskRef, rules model.Rules) int {
+	step := w.Rounds[ref.Round].Steps[ref.Step]
 	if !w.Steps[ref.Step].Gang {
-		return tasks[ref.Index].Failures
+		return step.Tasks[ref.Index].Failures
 	}
+	if rules == model.FirstRules {
+		return memberFailures(step)
+	}
+	return step.FailedRuns + maxMemberFailures(step)
+}
+
+// memberFailures returns the sum of the failures of the members of a gang.
+func memberFailures(step model.StepState) int {
 	n := 0
-	for _, t := range tasks {
+	for _, t := range step.Tasks {
 		n += t.Failures
 	}
 	return n
 }
 
+// maxMemberFailures returns the largest number of failures of one member of a gang. They
+// were recorded by FirstRules, which do not tell in which runs the members failed: so many
+// runs of the gang have certainly failed.
+func maxMemberFailures(step model.StepState) int {
+	n := 0
+	for _, t := range step.Tasks {
+		n = max(n, t.Failures)
+	}
+	return n
+}
+
 // recordEnd applies the end of a run. It ignores a run that is not active on the worker that reports
 // its end.
-func recordEnd(s *model.State, end model.RunEnd) {
+func recordEnd(s *model.State, end model.RunEnd, rules model.Rules) {
 	ref := end.Run.Task
 	w, ok := s.Workloads.Get(ref.Workload)
 	if !ok {
@@ -106,16 +126,31 @@
 		if end.Checkpoint != "" {
 			t.Checkpoint = end.Checkpoint
 		}
-		if end.Outcome == model.RunFailed {
+		if end.Outcome == model.RunFailed && (!step.Gang || rules == model.FirstRules) {
 			t.Failures++
 		}
 	})
+	if end.Outcome == model.RunFailed && step.Gang && rules != model.FirstRules {
+		w = countFailedGangRun(w, end.Run)
+	}
 	unassignRun(s, end.Worker, end.Run)
 	if end.Outcome == model.RunDone && !step.Lasting {
 		w = markDone(s, w, ref, step.Gang)
 	}
 	s.Workloads = s.Workloads.Set(w.ID, w)
-	finishIfDecided(s, w, ref)
+	finishIfDecided(s, w, ref, rules)
+}
+
+// countFailedGangRun counts a failed run of a gang unless another member has failed it
+// before. All runs of a member end before its next one starts, so that the numbers of
+// failed runs never decrease.
+func countFailedGangRun(w model.Workload, run model.RunRef) model.Workload {
+	return changeStep(w, run.Task, func(step *model.StepState) {
+		if run.Number > step.LastFailedRun {
+			step.LastFailedRun = run.Number
+			step.FailedRuns++
+		}
+	})
 }
 
 func isActive(t model.Task, end model.RunEnd) bool {
@@ -143,9 +178,9 @@
 
 // finishIfDecided moves the workload to a final phase if the end of the task decides its
 // outcome.
-func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef) {
+func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef, rules model.Rules) {
 	task, _ := w.Task(ref)
-	if n := failures(w, ref); !task.Done && !w.Steps[ref.Step].Lasting && n >= w.MaxFailures {
+	if n := failures(w, ref, rules); !task.Done && !w.Steps[ref.Step].Lasting && n >= w.MaxFailures {
 		reason := fmt.Sprintf("task %d of step %d in round %d has failed %d times", ref.Index, ref.Step, ref.Round, n)
 		finish(s, w, model.WorkloadFailed, reason)
 		return
@@ -168,16 +203,23 @@
 
 // changeTask returns the workload with one task changed; the given workload is not modified.
 func changeTask(w model.Workload, ref model.TaskRef, change func(*model.Task)) model.Workload {
+	return changeStep(w, ref, func(step *model.StepState) {
+		step.Tasks = slices.Clone(step.Tasks)
+		task := &step.Tasks[ref.Index]
+		wasDone := task.Done
+		change(task)
+		if task.Done && !wasDone {
+			step.Done++
+		}
+	})
+}
+
+// changeStep returns the workload with the progress of one step changed; the given workload
+// is not modified. The function must not change the tasks in place.
+func changeStep(w model.Workload, ref model.TaskRef, change func(*model.StepState)) model.Workload {
 	w.Rounds = slices.Clone(w.Rounds)
 	round := &w.Rounds[ref.Round]
 	round.Steps = slices.Clone(round.Steps)
-	step := &round.Steps[ref.Step]
-	step.Tasks = slices.Clone(step.Tasks)
-	task := &step.Tasks[ref.Index]
-	wasDone := task.Done
-	change(task)
-	if task.Done && !wasDone {
-		step.Done++
-	}
+	change(&round.Steps[ref.Step])
 	return w
 }
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -26,7 +26,7 @@
 	case model.CancelWorkload:
 		return cancel(s, c), true
 	case model.RecordProgress:
-		recordProgress(s, c)
+		recordProgress(s, c, env.Rules)
 		return result.Result{Code: result.OK}, true
 	}
 	return result.Result{}, false
--- a/core/command/workload/workload_test.go
+++ b/core/command/workload/workload_test.go
@@ -134,6 +134,65 @@
 	assert.Equal(t, w.s.Assignments.Len(), 0)
 }
 
+// gangRun starts a run of a gang and ends its members one command after the other.
+func (w *fixture) gangRun(number int, outcomes ...model.RunOutcome) {
+	var starts []model.RunStart
+	for i := range outcomes {
+		starts = append(starts, start(0, i, number, first))
+	}
+	w.record(nil, starts...)
+	for i, outcome := range outcomes {
+		w.record([]model.RunEnd{end(0, i, number, first, outcome)})
+	}
+}
+
+// Guards against a gang that fails for good after one failed run, because the failures of
+// its members are added up, and against one that goes on after its maximum number of
+// failed runs, whichever members failed them.
+func TestGangFailsOnceForEachRun(t *testing.T) {
+	const failed, interrupted = model.RunFailed, model.RunInterrupted
+	w := newFixture(t)
+	w.submit(model.Step{Count: 4, Gang: true})
+	w.gangRun(1, failed, failed, failed, failed)
+	assert.Equal(t, w.phase(), model.WorkloadActive)
+	w.gangRun(2, interrupted, interrupted, interrupted, interrupted)
+	assert.Equal(t, w.phase(), model.WorkloadActive)
+	w.gangRun(3, interrupted, failed, interrupted, interrupted)
+	assert.Equal(t, w.phase(), model.WorkloadFailed)
+	assert.Equal(t, w.s.Assignments.Len(), 0)
+}
+
+// Guards against log entries of the first release that have another effect than when they
+// were written: replicas with different snapshots would differ.
+func TestFirstRulesCountEachMember(t *testing.T) {
+	w := newFixture(t)
+	w.submit(model.Step{Count: 2, Gang: true})
+	old := func(c model.RecordProgress) {
+		_, ok := Apply(&w.s, model.Envelope{Rules: model.FirstRules, Command: c})
+		assert.Assert(t, ok)
+	}
+	old(model.RecordProgress{Starts: []model.RunStart{start(0, 0, 1, first), start(0, 1, 1, first)}})
+	old(model.RecordProgress{Ends: []model.RunEnd{end(0, 0, 1, first, model.RunFailed)}})
+	assert.Equal(t, w.phase(), model.WorkloadActive)
+	old(model.RecordProgress{Ends: []model.RunEnd{end(0, 1, 1, first, model.RunFailed)}})
+	assert.Equal(t, w.phase(), model.WorkloadFailed)
+}
+
+// Guards against failures of a gang that are lost, or counted for each member, when the
+// release that recorded them is replaced.
+func TestFailuresOfFirstRulesAreKept(t *testing.T) {
+	w := newFixture(t)
+	w.submit(model.Step{Count: 2, Gang: true})
+	workload, _ := w.s.Workloads.Get(id)
+	workload.Rounds[0].Steps[0].Tasks[0].Failures = 1
+	workload.Rounds[0].Steps[0].Tasks[1].Failures = 1
+	w.s.Workloads = w.s.Workloads.Set(id, workload)
+	w.gangRun(2, model.RunInterrupted, model.RunInterrupted)
+	assert.Equal(t, w.phase(), model.WorkloadActive)
+	w.gangRun(3, model.RunFailed, model.RunInterrupted)
+	assert.Equal(t, w.phase(), model.WorkloadFailed)
+}
+
 // Guards against a lasting task that fails for good after the maximum number of failures.
 func TestLastingTaskHasNoFailureLimit(t *testing.T) {
 	w := newFixture(t)
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -84,6 +84,10 @@
 	// Done is the number of tasks that have succeeded so far.
 	Done  int
 	Tasks []Task
+	// FailedRuns is the number of failed runs of a gang. A run that several members
+	// have failed counts once. LastFailedRun is the number of the latest of them.
+	FailedRuns    int `cbor:",omitempty"`
+	LastFailedRun int `cbor:",omitempty"`
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -93,7 +97,9 @@
 type Task struct {
 	Done bool
 	// LastRun is the number of the run that was started last; 0 if none was.
-	LastRun  int
+	LastRun int
+	// Failures is the number of failed runs. Those of the members of a gang are counted
+	// in StepState, except for runs that were recorded by FirstRules.
 	Failures int
 	// Checkpoint is the checkpoint that the next run resumes from; empty if it starts
 	// from the beginning.
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -43,7 +43,7 @@
 		e.addReason("%s waits for steps %v", where, w.Steps[step].After)
 		return
 	}
-	running, waiting, failures := 0, 0, 0
+	running, waiting, failures := 0, 0, state.FailedRuns
 	for _, t := range state.Tasks {
 		running += len(t.Active)
 		failures += t.Failures
--- a/core/query/workload_views.go
+++ b/core/query/workload_views.go
@@ -47,6 +47,11 @@
 func workloadEntry(s model.State, w model.Workload) WorkloadEntry {
 	q, _ := s.Catalog.Queue(w.Queue)
 	e := WorkloadEntry{ID: string(w.ID), Queue: string(w.Queue), Pool: string(q.Pool), Phase: workloadPhase(w).String(), AcceptedAt: utcTime(w.AcceptedAt)}
+	for _, round := range w.Rounds {
+		for _, step := range round.Steps {
+			e.Failures += step.FailedRuns
+		}
+	}
 	for _, t := range w.Tasks() {
 		e.Tasks++
 		e.Running += len(t.Active)
