The leader counts a worker's failed run once, and a gang avoids its bad worker

The leader counted a failed run again with each heartbeat that repeated its end, and a gang once for each member, so that one failed run could put a worker in doubt. Only the member that had failed avoided the worker; the others could be placed there again and fail the next run of the gang.

Change: a failure counts if the state records the run as active on the worker and no other member has failed it. All members of a gang avoid the worker on which one has failed.

--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/command/place"
@@ -73,8 +74,9 @@
 		}
 	}
 	w.progress = progressByRun
+	failed := failedRuns(s, r)
 	for _, end := range r.Ended {
-		w.recordEnd(now, end)
+		w.recordEnd(now, end, slices.Contains(failed, end.Run) && isNewFailure(s, w.Worker, end.Run))
 	}
 }
 
@@ -98,13 +100,13 @@
 }
 
 // recordEnd counts consecutive failures and starts the backoff after a refusal.
-func (w *worker) recordEnd(now time.Time, end Ended) {
+func (w *worker) recordEnd(now time.Time, end Ended, newFailure bool) {
 	switch {
 	case end.Refused:
 		w.backoffUntil = now.Add(refusalBackoff)
 	case end.Outcome == model.RunDone:
 		w.failures = 0
-	case end.Outcome == model.RunFailed:
+	case newFailure:
 		if w.failures++; w.failures >= maxFailures {
 			w.suspectUntil = now.Add(suspectPeriod)
 		}
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -74,10 +74,8 @@
 	}
 	suspected := now.Before(w.suspectUntil)
 	w.observe(now, r, m.view.State)
-	for _, end := range r.Ended {
-		if end.Outcome == model.RunFailed {
-			m.avoided.add(now, end.Run.Task, r.Worker)
-		}
+	for _, run := range failedRuns(m.view.State, r) {
+		m.avoidAfterFailure(now, m.view.State, run, r.Worker)
 	}
 	if !suspected && now.Before(w.suspectUntil) {
 		m.logWorker(event.WorkerSuspected, r)
