A workload belongs to the queue at its address, whatever the queue's name

Cause: a workload stored the name of its queue, which operators may change; placement, demand, forecast, advice and the count of pending workloads looked the queue up by it.

Change: a workload stores the address of its queue. Publishing a catalog ties each workload to the queue at its address; a queue that moves to a free address under its name takes its workloads along; a removed queue's workloads do not join another queue that gets its name.

Stored state: workloads of the last release get their address from the catalog in force when the new release publishes its first one.

--- a/core/command/catalog/catalog.go
+++ b/core/command/catalog/catalog.go
@@ -21,17 +21,17 @@
 		return result.Result{Code: result.Unchanged}, true
 	}
 	next := c.Catalog
+	if env.Rules != model.FirstRules {
+		rebind(s, &next)
+	}
 	s.Catalog = &next
 	return result.Result{Code: result.OK}, true
 }
 
-// address is where a queue accepts workloads.
-type address struct{ host, prefix string }
-
 // check returns the first reason to refuse a catalog, or OK.
 func check(c model.Catalog) result.Result {
 	names := map[model.QueueName]bool{}
-	queueAt := map[address]model.QueueName{}
+	queueAt := map[model.QueueAddress]model.QueueName{}
 	for _, q := range c.Queues {
 		if q.Name == "" || q.Host == "" || q.Prefix == "" {
 			return result.New(result.InvalidInput, "a queue needs a name, a host and a prefix; %q lacks one", q.Name)
@@ -40,7 +40,7 @@
 			return result.New(result.InvalidInput, "queue %q is defined twice", q.Name)
 		}
 		names[q.Name] = true
-		at := address{q.Host, q.Prefix}
+		at := q.Address()
 		if other, taken := queueAt[at]; taken {
 			return result.New(result.InvalidInput, "queues %q and %q have the same address", other, q.Name)
 		}
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -44,7 +44,7 @@
 func (p *planner) candidatesOf(include func(model.PoolName) bool) []*candidate {
 	var out []*candidate
 	for _, w := range p.state.Workloads.All() {
-		if q, ok := p.queues[w.Queue]; ok && include(q.Pool) && p.waits(w) {
+		if q, ok := p.queues.Of(w); ok && include(q.Pool) && p.waits(w) {
 			out = append(out, p.candidate(w, q))
 		}
 	}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -77,7 +77,7 @@
 
 type planner struct {
 	state   model.State
-	queues  map[model.QueueName]model.Queue
+	queues  model.Queues
 	options Options
 	pools   map[model.PoolName]*pool
 	// runCounts has the number of runs of each step on a worker, including those
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -22,7 +22,7 @@
 func Apply(s *model.State, env model.Envelope) (result.Result, bool) {
 	switch c := env.Command.(type) {
 	case model.SubmitWorkload:
-		return submit(s, c), true
+		return submit(s, c, env.Rules), true
 	case model.CancelWorkload:
 		return cancel(s, c), true
 	case model.RecordProgress:
@@ -33,7 +33,7 @@
 }
 
 // submit accepts a workload. Submitting a known workload again has no effect.
-func submit(s *model.State, c model.SubmitWorkload) result.Result {
+func submit(s *model.State, c model.SubmitWorkload, rules model.Rules) result.Result {
 	queue, id, r := resolve(s, c.Host, c.Path)
 	if !r.Code.OK() {
 		return r
@@ -52,6 +52,9 @@
 	}
 	w := c.Workload
 	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
+	if rules != model.FirstRules {
+		w.Address = queue.Address()
+	}
 	w.Rounds = make([]model.Round, max(c.Repeat, 1))
 	for i := range w.Rounds {
 		w.Rounds[i].Steps = make([]model.StepState, len(w.Steps))
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -2,9 +2,16 @@
 
 import "time"
 
-// QueueName identifies a queue of workloads within the catalog.
+// QueueName identifies a queue of workloads within one catalog. Operators may give the
+// queue another name in the next one.
 type QueueName string
 
+// QueueAddress is where callers reach a queue. It identifies the queue across catalogs.
+type QueueAddress struct {
+	Host   string
+	Prefix string
+}
+
 // CatalogVersion is the version number of a catalog, chosen by the operator. The
 // catalog with the highest version is in force.
 type CatalogVersion int64
@@ -42,6 +49,9 @@
 	AdviceTicket time.Duration
 }
 
+// Address returns the address of the queue.
+func (q Queue) Address() QueueAddress { return QueueAddress{q.Host, q.Prefix} }
+
 // WorkerPool is a pool of instances whose workers run the tasks of queues.
 type WorkerPool struct {
 	Name PoolName
@@ -64,10 +74,20 @@
 	return Queue{}, false
 }
 
+// QueueOf returns the queue of the workload; false if the catalog has it no more. It
+// scans the list; use QueuesByName for repeated look-ups. A nil catalog has no queues.
+func (c *Catalog) QueueOf(w Workload) (Queue, bool) {
+	q, ok := c.Queue(w.Queue)
+	return q, ok && w.isIn(q)
+}
+
+// Queues are the queues of a catalog by name.
+type Queues map[QueueName]Queue
+
 // QueuesByName returns the queues as a map, for callers that make many look-ups.
 // The map of a nil catalog is empty.
-func (c *Catalog) QueuesByName() map[QueueName]Queue {
-	out := map[QueueName]Queue{}
+func (c *Catalog) QueuesByName() Queues {
+	out := Queues{}
 	if c != nil {
 		for _, q := range c.Queues {
 			out[q.Name] = q
@@ -76,6 +96,12 @@
 	return out
 }
 
+// Of returns the queue of the workload; false if the catalog has it no more.
+func (q Queues) Of(w Workload) (Queue, bool) {
+	found, ok := q[w.Queue]
+	return found, ok && w.isIn(found)
+}
+
 // Resolve returns the queue whose host equals host and whose prefix is the
 // longest match for path, together with the remainder of the path. It reports
 // false if no queue matches or the catalog is nil.
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -13,8 +13,13 @@
 // Workload is a set of steps that run on the workers of a queue's pool. A step
 // consists of identical tasks; a task is run until one of its runs succeeds.
 type Workload struct {
-	ID    WorkloadID
+	ID WorkloadID
+	// Queue is the name of the queue in the catalog in force, or its last one if the
+	// catalog has the queue no more.
 	Queue QueueName
+	// Address identifies the queue, whose name operators may change. It is not set if
+	// the workload was accepted by FirstRules and no catalog was published since.
+	Address QueueAddress `cbor:",omitzero"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -171,6 +176,10 @@
 	Reason string
 }
 
+// isIn reports whether the queue, which has the name of the workload's queue, is that
+// queue and not another one that has got its name.
+func (w Workload) isIn(q Queue) bool { return w.Address == QueueAddress{} || w.Address == q.Address() }
+
 // Started reports whether any run of any task was ever started.
 func (w Workload) Started() bool {
 	for _, t := range w.Tasks() {
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -13,10 +13,13 @@
 // workload explains a workload that has not ended: the progress of its steps and
 // the workers of its active runs.
 func (e *Explanation) workload(s model.State, w model.Workload) {
-	q, listed := s.Catalog.Queue(w.Queue)
+	q, listed := s.Catalog.QueueOf(w)
 	e.Condition = fmt.Sprintf("%s, queue %s, pool %s, accepted %s ago", workloadPhase(w), w.Queue, q.Pool, e.elapsed(w.AcceptedAt))
 	if !listed {
 		e.addReason("the catalog in force has no queue %s any more, so that nothing is started", w.Queue)
+		if w.Address != (model.QueueAddress{}) {
+			e.addReason("its queue is the one at host %s with the prefix %s, whatever its name", w.Address.Host, w.Address.Prefix)
+		}
 		e.addNext("publish a catalog with the queue, or cancel the workload")
 	} else if due := TargetCompletion(w, q); due < e.now {
 		e.addReason("it should have been complete %s ago", e.elapsed(due))
--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -29,8 +29,9 @@
 		return 0, false
 	}
 	n := 0
+	queues := s.Catalog.QueuesByName()
 	for _, w := range s.Workloads.All() {
-		if w.Queue == q.Name && !w.Started() {
+		if found, ok := queues.Of(w); ok && found.Name == q.Name && !w.Started() {
 			n++
 		}
 	}
--- a/core/query/workload_views.go
+++ b/core/query/workload_views.go
@@ -45,7 +45,7 @@
 }
 
 func workloadEntry(s model.State, w model.Workload) WorkloadEntry {
-	q, _ := s.Catalog.Queue(w.Queue)
+	q, _ := s.Catalog.QueueOf(w)
 	e := WorkloadEntry{ID: string(w.ID), Queue: string(w.Queue), Pool: string(q.Pool), Phase: workloadPhase(w).String(), AcceptedAt: utcTime(w.AcceptedAt)}
 	for _, round := range w.Rounds {
 		for _, step := range round.Steps {
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -88,7 +88,7 @@
 		return
 	}
 	for _, w := range s.Workloads.All() {
-		q, ok := s.Catalog.Queue(w.Queue)
+		q, ok := s.Catalog.QueueOf(w)
 		if !ok || !q.Advised {
 			continue
 		}
--- a/replica/schedule/log.go
+++ b/replica/schedule/log.go
@@ -89,7 +89,7 @@
 		return
 	}
 	m.logged[id] = true
-	q, _ := before.Catalog.Queue(w.Queue)
+	q, _ := before.Catalog.QueueOf(w)
 	took, late := f.EndedAt.Sub(w.AcceptedAt), max(0, f.EndedAt.Sub(query.TargetCompletion(w, q)))
 	m.settings.Metrics.finished.WithLabelValues(f.Phase.String()).Inc()
 	if f.Phase == model.WorkloadCompleted {
--- a/replica/storage/release_test.go
+++ b/replica/storage/release_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -120,3 +121,26 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, f.Phase, model.WorkloadFailed)
 }
+
+// Guards against a workload of the last release that starts nothing any more, because its
+// queue gets another name after the upgrade.
+func TestWorkloadOfLastReleaseKeepsItsQueue(t *testing.T) {
+	for _, name := range []string{"log", "snapshot"} {
+		t.Run(name, func(t *testing.T) {
+			s := readRelease(t, name)
+			c := *s.Catalog
+			c.Version++
+			c.Queues = slices.Clone(c.Queues)
+			for i := range c.Queues {
+				c.Queues[i].Name += "-renamed"
+			}
+			s = proposeHere(t, s, model.PublishCatalog{Catalog: c})
+			w, ok := s.Workloads.Get(secondStepNext)
+			assert.Assert(t, ok)
+			assert.Assert(t, w.StepReady(0, 1))
+			q, ok := s.Catalog.QueueOf(w)
+			assert.Assert(t, ok)
+			assert.Equal(t, q.Name, model.QueueName("qb-renamed"))
+		})
+	}
+}
