A configuration that removes the pool of a waiting job is refused

A job refers to its pool by name; once the instances of a pool had left, a configuration without the pool was accepted and the job waited for good.

Change: the configuration is refused as invalid and names the job, so that the operator can cancel it. Log entries of the last release keep their effect.

Evidence: TestPoolWithJobsIsNotRemoved fails without the change.

--- a/core/command/config/config.go
+++ b/core/command/config/config.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"lacewingturn.example/core/command/fleet"
+	"lacewingturn.example/core/command/job"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
 	"lacewingturn.example/core/result"
@@ -42,6 +43,11 @@
 	if problems := Validate(c); len(problems) > 0 {
 		return result.New(result.ConfigInvalid, "%s", describe(problems))
 	}
+	if env.Rules != model.FirstRules {
+		if r := job.CheckPools(*s, c); !r.Code.OK() {
+			return r
+		}
+	}
 	if r := fleet.Reconfigure(s, c); !r.Code.OK() {
 		return r
 	}
--- a/core/command/config/config_test.go
+++ b/core/command/config/config_test.go
@@ -122,3 +122,29 @@
 	c.Pools[0].Budget = model.Budget{MaxUnavailableShare: 1.0 / 49}
 	assert.Equal(t, len(config.Validate(c)), 0, "%v", config.Validate(c))
 }
+
+// Guards against an accepted job that never runs because the next configuration lacks its
+// pool, and against log entries of the first release that are refused now.
+func TestPoolWithJobsIsNotRemoved(t *testing.T) {
+	s := model.State{}
+	do := func(rules model.Rules, c model.Command) result.Result {
+		var r result.Result
+		s, r = command.Apply(s, s.Index+1, 1, model.Envelope{Rules: rules, Actor: "a", Command: c})
+		return r
+	}
+	two := valid()
+	two.Pools = append(two.Pools, model.Pool{Name: "q"})
+	two.Instances = append(two.Instances, model.InstanceSpec{ID: "i3", Pool: "q", Domain: two.Instances[0].Domain, Capacity: two.Instances[0].Capacity})
+	assert.Equal(t, do(model.CurrentRules, model.AcceptConfig{Config: two}).Code, result.Accepted)
+	job := model.Job{ID: "j", Team: "t", Pool: "q", Declared: model.Resources{MilliCPU: 1, MemoryMB: 1}}
+	assert.Equal(t, do(model.CurrentRules, model.SubmitJob{Job: job}).Code, result.Accepted)
+	s.Instances = s.Instances.Delete("i3") // moved away or removed
+	refused := do(model.CurrentRules, model.AcceptConfig{Base: 1, Config: valid()})
+	assert.Equal(t, refused.Code, result.ConfigInvalid)
+	assert.Assert(t, strings.Contains(refused.Detail, "pool q still has job j"), refused.Detail)
+	before := s
+	assert.Equal(t, do(model.FirstRules, model.AcceptConfig{Base: 1, Config: valid()}).Code, result.Accepted)
+	s = before
+	assert.Assert(t, do(model.CurrentRules, model.CancelJob{ID: "j"}).Code.OK())
+	assert.Equal(t, do(model.CurrentRules, model.AcceptConfig{Base: 1, Config: valid()}).Code, result.Accepted)
+}
