One place decides which message may end or replace a worker

Cause: any report with a later start took the name, the instance and the address over at once, and a departure names no incarnation.

A report whose pool is not in the catalog gets no lease and replaces nobody, unless runs are assigned to its sender. A departure ends only an incarnation that has announced to drain.

Why it works: no run that is active on a reporting worker is declared ended by somebody else's message. A restart under the same name, or on an idle or silent instance, is taken as before.

--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -13,6 +13,7 @@
 // their names.
 type Metrics struct {
 	reports         prometheus.Counter
+	unused          *prometheus.CounterVec
 	started         prometheus.Counter
 	ended           *prometheus.CounterVec
 	refused         *prometheus.CounterVec
@@ -32,6 +33,7 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		reports:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_worker_reports_total", Help: "Heartbeats of workers taken."}),
+		unused:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_worker_reports_unused_total", Help: "Heartbeats that speak for no worker that may get work, by reason."}, []string{"reason"}),
 		started:      prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_runs_started_total", Help: "Runs started."}),
 		ended:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_runs_ended_total", Help: "Runs ended by outcome and cause."}, []string{"outcome", "cause"}),
 		refused:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_progress_refused_total", Help: "Ends and starts of runs that were dropped because their command is invalid."}, []string{"what"}),
@@ -47,7 +49,7 @@
 		activeWorkloads: prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workloads_active", Help: "Workloads not in a final phase."}),
 		pendingReports:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_reports_waiting", Help: "Heartbeats that wait for a planning turn."}),
 	}
-	r.MustRegister(m.reports, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
+	r.MustRegister(m.reports, m.unused, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
 	return m
 }
 
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -39,10 +39,7 @@
 // assigned to it, and extends its lease. An incarnation that has ended or was replaced
 // gets no lease.
 func (m *Machine) orders(now time.Time, p pendingReport) Orders {
-	o := Orders{Lease: m.lease(), FencingToken: m.term, NextReport: busyInterval}
-	for _, end := range p.report.Ended {
-		o.AckCursor = max(o.AckCursor, end.Position)
-	}
+	o := Orders{Lease: m.lease(), FencingToken: m.term, AckCursor: lastPosition(p.report), NextReport: busyInterval}
 	if m.hasEnded(p.report.Worker) || m.workers[p.report.Worker] != p.worker {
 		return Orders{FencingToken: m.term, AckCursor: o.AckCursor, NextReport: busyInterval}
 	}
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -57,10 +57,18 @@
 	}
 	r := msg.report
 	w := m.workers[r.Worker]
+	if w == nil && !m.speaksForWorker(r) {
+		m.answerUnused(msg, unknownPool)
+		return
+	}
 	if m.superseded(r) || w != nil && r.Sequence <= w.Sequence {
 		msg.reply <- answer{err: result.New(result.Expired, "heartbeat of %s refused: the same or a later heartbeat with its name, instance or address was received before", r.Name)}
 		return
 	}
+	if w == nil && m.disputed(now, r) {
+		m.answerUnused(msg, disputedIdentity)
+		return
+	}
 	if w == nil {
 		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease()), throttle: throttle.NewWorker(), sentThrottle: map[model.RunRef]int{}}
 		m.workers[r.Worker] = w
@@ -145,17 +153,21 @@
 // shutdown.
 const departGrace = time.Second
 
+// depart handles the announcement that a worker has shut down. It names no incarnation, and
+// one that was delayed may arrive after the worker has started again under its name. Only
+// an incarnation that has announced that it drains counts as ended; any other gets no work
+// until its next report or the end of its lease shows whether it is there.
 func (m *Machine) depart(now time.Time, msg departed) {
 	if m.term == 0 {
 		msg.reply <- answer{err: errNotLeader}
 		return
 	}
 	if w := m.byName[msg.name]; w != nil {
-		if _, known := m.endedAt[w.Worker]; !known {
+		if _, known := m.endedAt[w.Worker]; !known && w.Draining {
 			m.markEnded(w.Worker, now.Add(departGrace))
 			m.logWorker(event.WorkerLeft, w.Report)
 		}
-		w.Draining = true
+		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(maxReportAge))
 	}
 	msg.reply <- answer{}
 }
