All members of a gang resume from one checkpoint

Cause: the checkpoint was kept and sent for each task.

Change: the step of a gang keeps one checkpoint, the first that a run reports at its end, and all members start from it. Members that the last release has recorded resume from one of theirs. A member that has not started when another ends the run is stopped: it would carry a later value than the others.

TestGangHasOneCheckpoint, TestGangOfFirstRulesResumesFromOneCheckpoint and TestEndedGangRunStartsNoFurtherMember fail without the change.

--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -123,15 +123,15 @@
 	step := w.Steps[ref.Step]
 	w = changeTask(w, ref, func(t *model.Task) {
 		t.Active = slices.DeleteFunc(slices.Clone(t.Active), func(r model.Run) bool { return r.Number == end.Run.Number })
-		if end.Checkpoint != "" {
+		if end.Checkpoint != "" && (!step.Gang || rules == model.FirstRules) {
 			t.Checkpoint = end.Checkpoint
 		}
 		if end.Outcome == model.RunFailed && (!step.Gang || rules == model.FirstRules) {
 			t.Failures++
 		}
 	})
-	if end.Outcome == model.RunFailed && step.Gang && rules != model.FirstRules {
-		w = countFailedGangRun(w, end.Run)
+	if step.Gang && rules != model.FirstRules {
+		w = recordGangEnd(w, end)
 	}
 	unassignRun(s, end.Worker, end.Run)
 	if end.Outcome == model.RunDone && !step.Lasting {
@@ -141,15 +141,20 @@
 	finishIfDecided(s, w, ref, rules)
 }
 
-// countFailedGangRun counts a failed run of a gang unless another member has failed it
-// before. All runs of a member end before its next one starts, so that the numbers of
-// failed runs never decrease.
-func countFailedGangRun(w model.Workload, run model.RunRef) model.Workload {
-	return changeStep(w, run.Task, func(step *model.StepState) {
-		if run.Number > step.LastFailedRun {
-			step.LastFailedRun = run.Number
+// recordGangEnd records the end of a member's run for its gang. The run counts as failed
+// once, whichever members fail it. The first checkpoint of a run is kept: one from any
+// member is valid for all, and the members that end with the gang report it before the one
+// whose worker was lost. All runs of a member end before its next one starts, so that the
+// numbers of ended runs never decrease.
+func recordGangEnd(w model.Workload, end model.RunEnd) model.Workload {
+	return changeStep(w, end.Run.Task, func(step *model.StepState) {
+		if end.Outcome == model.RunFailed && end.Run.Number > step.LastFailedRun {
+			step.LastFailedRun = end.Run.Number
 			step.FailedRuns++
 		}
+		if end.Checkpoint != "" && end.Run.Number > step.CheckpointRun {
+			step.Checkpoint, step.CheckpointRun = end.Checkpoint, end.Run.Number
+		}
 	})
 }
 
@@ -173,6 +178,9 @@
 			t.Done, t.Active, t.Checkpoint = true, nil, ""
 		})
 	}
+	if gang {
+		w = changeStep(w, ref, func(step *model.StepState) { step.Checkpoint, step.CheckpointRun = "", 0 })
+	}
 	return w
 }
 
--- a/core/command/workload/workload_test.go
+++ b/core/command/workload/workload_test.go
@@ -245,6 +245,48 @@
 	assert.Equal(t, task.Checkpoint, "half")
 }
 
+// Guards against members of a gang that resume from different checkpoints and wait for each
+// other for good: after the loss of one worker its member has an older checkpoint than the
+// others.
+func TestGangHasOneCheckpoint(t *testing.T) {
+	w := newFixture(t)
+	w.submit(model.Step{Count: 3, Gang: true, Checkpointing: true})
+	resume := func() (out []string) {
+		workload, _ := w.s.Workloads.Get(id)
+		for i := range 3 {
+			out = append(out, workload.ResumeFrom(run(0, i, 1).Task))
+		}
+		return out
+	}
+	finish := func(number int, checkpoints ...string) {
+		w.record(nil, start(0, 0, number, first), start(0, 1, number, first), start(0, 2, number, second))
+		for i, checkpoint := range checkpoints {
+			worker := []model.WorkerID{first, first, second}[i]
+			e := end(0, i, number, worker, model.RunInterrupted)
+			e.Checkpoint = checkpoint
+			w.record([]model.RunEnd{e})
+		}
+	}
+	finish(1, "new", "new", "old")
+	assert.DeepEqual(t, resume(), []string{"new", "new", "new"})
+	finish(2, "", "", "") // ended before it wrote one
+	assert.DeepEqual(t, resume(), []string{"new", "new", "new"})
+	finish(3, "", "newer", "newest")
+	assert.DeepEqual(t, resume(), []string{"newer", "newer", "newer"})
+}
+
+// Guards against members of a gang that resume from the different checkpoints which the
+// first release has recorded for them.
+func TestGangOfFirstRulesResumesFromOneCheckpoint(t *testing.T) {
+	w := newFixture(t)
+	w.submit(model.Step{Count: 2, Gang: true, Checkpointing: true})
+	workload, _ := w.s.Workloads.Get(id)
+	workload.Rounds[0].Steps[0].Tasks[1].Checkpoint = "recorded"
+	for i := range 2 {
+		assert.Equal(t, workload.ResumeFrom(run(0, i, 1).Task), "recorded")
+	}
+}
+
 // Guards against accepting workloads that cannot be run.
 func TestInvalidWorkloads(t *testing.T) {
 	w := newFixture(t)
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -29,8 +29,8 @@
 // codec and the commands that differ have to know of others.
 const (
 	CurrentRules Rules = iota
-	// FirstRules counts a failed run of a gang once for each member that failed, ties a
-	// workload to its queue by the name of the queue only, and accepts a configuration
+	// FirstRules counts a failed run of a gang once for each member that failed, keeps a
+	// checkpoint for each member of a gang, ties a workload to its queue by the name of the queue only, and accepts a configuration
 	// without the pool of a job that has not ended.
 	FirstRules
 )
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"iter"
+	"slices"
 	"time"
 )
 
@@ -93,6 +94,10 @@
 	// have failed counts once. LastFailedRun is the number of the latest of them.
 	FailedRuns    int `cbor:",omitempty"`
 	LastFailedRun int `cbor:",omitempty"`
+	// Checkpoint is the checkpoint that all members of a gang resume from, and
+	// CheckpointRun the run that has written it.
+	Checkpoint    string `cbor:",omitempty"`
+	CheckpointRun int    `cbor:",omitempty"`
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -107,7 +112,7 @@
 	// in StepState, except for runs that were recorded by FirstRules.
 	Failures int
 	// Checkpoint is the checkpoint that the next run resumes from; empty if it starts
-	// from the beginning.
+	// from the beginning. For the members of a gang it is set only by FirstRules.
 	Checkpoint string
 	// Active lists the runs that have not ended as far as the control state knows.
 	Active []Run
@@ -210,6 +215,39 @@
 	return tasks[ref.Index], true
 }
 
+// ResumeFrom returns the checkpoint that the next run of the task resumes from; empty if
+// there is none. All members of a gang resume from the same one.
+func (w Workload) ResumeFrom(ref TaskRef) string {
+	task, ok := w.Task(ref)
+	if !ok || !w.Steps[ref.Step].Gang {
+		return task.Checkpoint
+	}
+	step := w.Rounds[ref.Round].Steps[ref.Step]
+	if step.Checkpoint != "" {
+		return step.Checkpoint
+	}
+	for _, member := range step.Tasks {
+		if member.Checkpoint != "" {
+			return member.Checkpoint
+		}
+	}
+	return ""
+}
+
+// GangRunEnded reports whether a member of a gang has ended the run with the number, so
+// that the others must not start it any more.
+func (w Workload) GangRunEnded(run RunRef) bool {
+	if !w.Has(run.Task) || !w.Steps[run.Task.Step].Gang {
+		return false
+	}
+	for _, member := range w.Rounds[run.Task.Round].Steps[run.Task.Step].Tasks {
+		if !slices.ContainsFunc(member.Active, func(r Run) bool { return r.Number == run.Number }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Tasks iterates over all tasks with their positions.
 func (w Workload) Tasks() iter.Seq2[TaskRef, Task] {
 	return func(yield func(TaskRef, Task) bool) {
--- a/replica/schedule/failures_test.go
+++ b/replica/schedule/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -70,3 +71,33 @@
 		assert.Equal(t, h.suspected(), 1)
 	})
 }
+
+// Guards against a member of a gang that starts after another one has ended the run: it
+// would wait for the others, with a later checkpoint than theirs.
+func TestEndedGangRunStartsNoFurtherMember(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		half := func(r *Report) { r.Capacity.MilliCPU = 1000 }
+		h.mustReport("a", 1, half)
+		h.submit(1, model.Step{Count: 2, Need: oneTask.Need, Gang: true, Checkpointing: true})
+		b := h.mustReport("b", 1, half).Start
+		a := h.mustReport("a", 1, half).Start
+		assert.Equal(t, len(a)+len(b), 2)
+		h.mustReport("a", 1, func(r *Report) {
+			half(r)
+			ended(model.RunInterrupted, a[0])(r)
+			r.Ended[0].Checkpoint = "c"
+		})
+		o := h.mustReport("b", 1, half) // its first answer was lost
+		assert.Equal(t, len(o.Start), 0)
+		assert.DeepEqual(t, o.Stop, []model.RunRef{b[0].Run})
+		time.Sleep(planInterval)
+		restarted := h.mustReport("b", 1, half).Start
+		restarted = append(restarted, h.mustReport("a", 1, half).Start...)
+		restarted = append(restarted, h.mustReport("b", 1, half).Start...)
+		for _, s := range restarted {
+			assert.Equal(t, s.Run.Number, 2)
+			assert.Equal(t, s.Checkpoint, "c")
+		}
+		assert.Assert(t, len(restarted) >= 2)
+	})
+}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -51,10 +51,14 @@
 		}
 	}
 	for _, run := range a.Runs {
+		listed := lists(p.report, run)
+		if w, _ := state.Workloads.Get(run.Task.Workload); !listed && w.GangRunEnded(run) {
+			m.stopping[run] = true // the gang has ended before this member started
+		}
 		switch {
 		case m.stopping[run]:
 			o.Stop = append(o.Stop, run)
-		case !lists(p.report, run):
+		case !listed:
 			o.Start = append(o.Start, m.startOrder(now, state, run, p.report.Worker))
 		}
 	}
@@ -74,9 +78,8 @@
 
 func (m *Machine) startOrder(now time.Time, s model.State, run model.RunRef, id model.WorkerID) StartOrder {
 	w, _ := s.Workloads.Get(run.Task.Workload)
-	task, _ := w.Task(run.Task)
 	ticket, _ := m.tickets.get(now, run.Task, id)
-	return StartOrder{Run: run, Payload: w.Payload, Checkpoint: task.Checkpoint, Ticket: ticket}
+	return StartOrder{Run: run, Payload: w.Payload, Checkpoint: w.ResumeFrom(run.Task), Ticket: ticket}
 }
 
 // throttleOrders derives the speed of the fillers on the worker from the response times
