Runs that a worker may still have count for its room and its limits

Cause: only assigned and listed runs counted for the room, and only assigned ones for the limit of a step on one worker.

Change: the runs of the latest start orders count until the next report, which shows whether they were started; runs that a worker has without an assignment count for the limit of their step.

TestOrderedRunsUseResourcesUntilTheNextReport and TestRunsThatAreNotAssignedCountForTheLimit fail without the change.

--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -19,6 +19,9 @@
 	Labels []string
 	// Free is the capacity less the resources of assigned and of stopping runs.
 	Free model.Resources
+	// Unassigned lists the runs that the worker still has although they are not assigned
+	// to it any more, for example because a copy has ended first.
+	Unassigned []model.RunRef
 	// FillerMilliCPU is the processor time, in thousandths of a processor, that is
 	// left for more fillers: Free less the declared needs of the fillers on the
 	// worker.
@@ -195,7 +198,7 @@
 	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
-	if spec.MaxPerWorker > 0 && p.countRuns(w.ID, stepOf(ref)) >= spec.MaxPerWorker {
+	if spec.MaxPerWorker > 0 && p.countRuns(w, stepOf(ref)) >= spec.MaxPerWorker {
 		return false
 	}
 	if c.localOnly && w.Rack != spec.NearRack {
@@ -240,7 +243,7 @@
 		return b.UpkeepDue
 	}
 	if spec.Lasting {
-		if x, y := p.countRuns(a.ID, step), p.countRuns(b.ID, step); x != y {
+		if x, y := p.countRuns(a, step), p.countRuns(b, step); x != y {
 			return x < y
 		}
 	}
@@ -254,16 +257,19 @@
 }
 
 // countRuns returns the number of runs of the step on the worker, including those
-// started by this plan.
-func (p *planner) countRuns(id model.WorkerID, step stepRef) int {
-	counts, ok := p.runCounts[id]
+// started by this plan and those that are not assigned to it any more.
+func (p *planner) countRuns(w *Worker, step stepRef) int {
+	counts, ok := p.runCounts[w.ID]
 	if !ok {
 		counts = map[stepRef]int{}
-		a, _ := p.state.Assignments.Get(id)
+		a, _ := p.state.Assignments.Get(w.ID)
 		for _, run := range a.Runs {
 			counts[stepOf(run.Task)]++
 		}
-		p.runCounts[id] = counts
+		for _, run := range w.Unassigned {
+			counts[stepOf(run.Task)]++
+		}
+		p.runCounts[w.ID] = counts
 	}
 	return counts[step]
 }
@@ -273,7 +279,7 @@
 
 func (p *planner) start(w *Worker, spec model.Step, ref model.TaskRef, number int) {
 	if countsRuns(spec) {
-		p.countRuns(w.ID, stepOf(ref))
+		p.countRuns(w, stepOf(ref))
 		p.runCounts[w.ID][stepOf(ref)]++
 	}
 	w.Free = w.Free.Sub(spec.Reserved())
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -62,6 +62,10 @@
 			o.Start = append(o.Start, m.startOrder(now, state, run, p.report.Worker))
 		}
 	}
+	p.worker.ordered = nil
+	for _, start := range o.Start {
+		p.worker.ordered = append(p.worker.ordered, start.Run)
+	}
 	o.Throttle = p.worker.throttleOrders(now, state)
 	if free := p.worker.free(state); free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
 		o.NextReport = idleInterval
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -37,7 +37,11 @@
 	// the speed in percent that was last sent for each of them.
 	throttle     throttle.WorkerState
 	sentThrottle map[model.RunRef]int
-	freeCache    freeCache
+	// ordered lists the runs that the latest answer told the worker to start. The next
+	// report shows which of them it has started, because a worker drops a late answer
+	// and has one report outstanding at a time.
+	ordered   []model.RunRef
+	freeCache freeCache
 	// retiring is set while the instance is surplus to the demand of its pool.
 	retiring bool
 }
@@ -64,7 +68,7 @@
 
 // observe applies a newer report. The estimates of runs come from the state.
 func (w *worker) observe(now time.Time, r Report, s model.State) {
-	w.Report, w.reportedAt = r, now
+	w.Report, w.reportedAt, w.ordered = r, now, nil
 	progressByRun := map[model.RunRef]progress{}
 	for _, run := range r.Running {
 		next, speed, ok := w.progress[run.Run].track(now, run.Percent, estimateOf(s, run.Run.Task))
@@ -119,6 +123,9 @@
 	sequence int64
 	runs     []model.RunRef
 	free     model.Resources
+	// unassigned lists the runs that the worker has although they are not assigned to
+	// it any more.
+	unassigned []model.RunRef
 	// fillerMilliCPU is the processor time, in thousandths of a processor, that the
 	// fillers among the assigned runs declare.
 	fillerMilliCPU int64
@@ -131,48 +138,50 @@
 	a, _ := s.Assignments.Get(w.Worker)
 	known := w.freeCache.sequence == w.Sequence && len(w.freeCache.runs) == len(a.Runs) && (len(a.Runs) == 0 || &w.freeCache.runs[0] == &a.Runs[0])
 	if !known {
-		w.freeCache = freeCache{w.Sequence, a.Runs, w.computeFree(s, a.Runs), declaredByFillers(s, a.Runs)}
+		free, unassigned := w.computeFree(s, a.Runs)
+		w.freeCache = freeCache{w.Sequence, a.Runs, free, unassigned, declaredByFillers(s, a.Runs)}
 	}
 }
 
 // free returns the resources that are used neither by assigned runs nor by other
-// runs that the worker lists.
+// runs that the worker lists or may have started since.
 func (w *worker) free(s model.State) model.Resources {
 	w.updateFree(s)
 	return w.freeCache.free
 }
 
-// computeFree subtracts the runs from the capacity. It returns nothing free if the
-// size of a listed run is unknown.
-func (w *worker) computeFree(s model.State, assigned []model.RunRef) model.Resources {
-	free := w.Capacity
-	if w.sizes == nil {
-		w.sizes = map[model.RunRef]model.Resources{}
-	}
-	listed := map[model.RunRef]bool{}
+// computeFree subtracts the runs from the capacity, and returns the runs that are not
+// assigned. Nothing is free if the size of a listed run is unknown.
+func (w *worker) computeFree(s model.State, assigned []model.RunRef) (free model.Resources, unassigned []model.RunRef) {
+	sizes := map[model.RunRef]model.Resources{}
 	for _, run := range assigned {
-		listed[run] = true
-		size := sizeOf(s, run.Task)
-		w.sizes[run] = size
-		free = free.Sub(size)
+		sizes[run] = sizeOf(s, run.Task)
 	}
-	for _, run := range w.Running {
-		if listed[run.Run] {
-			continue
+	allKnown := true
+	addUnassigned := func(run model.RunRef) {
+		if _, added := sizes[run]; added {
+			return
 		}
-		listed[run.Run] = true
-		size, known := w.sizes[run.Run]
-		if !known {
-			return model.Resources{}
-		}
-		free = free.Sub(size)
+		size, known := w.sizes[run]
+		allKnown = allKnown && known
+		sizes[run] = size
+		unassigned = append(unassigned, run)
 	}
-	for run := range w.sizes {
-		if !listed[run] {
-			delete(w.sizes, run)
-		}
+	for _, run := range w.Running {
+		addUnassigned(run.Run)
+	}
+	for _, run := range w.ordered {
+		addUnassigned(run)
+	}
+	if !allKnown {
+		return model.Resources{}, unassigned
+	}
+	w.sizes = sizes
+	free = w.Capacity
+	for _, size := range sizes {
+		free = free.Sub(size)
 	}
-	return free
+	return free, unassigned
 }
 
 func sizeOf(s model.State, task model.TaskRef) model.Resources {
@@ -191,7 +200,7 @@
 	}
 	return place.Worker{
 		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels,
-		Free: free, FillerMilliCPU: free.MilliCPU - w.freeCache.fillerMilliCPU, Suspect: now.Before(w.suspectUntil), Retiring: w.retiring,
+		Free: free, Unassigned: w.freeCache.unassigned, FillerMilliCPU: free.MilliCPU - w.freeCache.fillerMilliCPU, Suspect: now.Before(w.suspectUntil), Retiring: w.retiring,
 	}, true
 }
 
