The age of an earlier leader's order is not taken from two clocks

The platform saw (a finding of the review): after the clock of the leader was stepped back and the leader was lost, the next one took instances that were down for upkeep for ones that are back and began upkeep beyond the limit (LIMIT).

Cause: the age of an order was the new leader's time of day less the time of the order in the log, which the earlier leader's clock had set.

Change: minAge counts the time since this replica leads by its steady clock, and the difference of two times in the log only beyond a tolerance of 10 s. It is also used for the pause between the orders of two leaders.

Cost: after an election, an upkeep order that has begun instances within the last seconds waits for up to UpkeepTime plus 2 s before it goes on.

Evidence: TestUpkeepCountsAfterAClockStep fails without the change.

--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -31,6 +31,9 @@
 	// handoverMargin is the margin added to OrderHandoverDelay between the orders of two
 	// leaders.
 	handoverMargin = 300 * time.Millisecond
+	// clockTolerance is how much too old an order of an earlier leader may appear,
+	// because the clocks of the two leaders differ or were stepped.
+	clockTolerance = 10 * time.Second
 	// settleTime is the longest time after an election during which no instance is
 	// moved, because pools appear too small until their workers have reported.
 	settleTime = 2 * time.Second
@@ -96,11 +99,15 @@
 	platform  Platform
 	port      loop.Port
 
-	term       model.Term // term in which this replica leads; 0 if it does not lead
-	nextTick   time.Time
-	nextListAt time.Time
-	listing    bool
-	listed     map[model.InstanceID]knownInstance
+	term model.Term // term in which this replica leads; 0 if it does not lead
+	// ledSince and ledSinceClock are the time at which this replica became leader, by
+	// its steady clock and by the clock of the log.
+	ledSince      time.Time
+	ledSinceClock model.Timestamp
+	nextTick      time.Time
+	nextListAt    time.Time
+	listing       bool
+	listed        map[model.InstanceID]knownInstance
 	// listCalledAt is when the last reading of the list was started.
 	listCalledAt     time.Time
 	workers          map[model.InstanceID]model.WorkerID // latest incarnations
@@ -206,6 +213,7 @@
 		m.term, m.nextTick = 0, time.Time{}
 	case m.term != v.Term:
 		m.term, m.nextTick = v.Term, now
+		m.ledSince, m.ledSinceClock = v.LeaderSince, v.State.Clock
 		m.nextListAt, m.listing, m.listed = now, false, map[model.InstanceID]knownInstance{}
 		m.retiringSince = nil
 		m.pausedUntil, m.unrecordedOrders = map[model.InstanceID]time.Time{}, nil
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -271,6 +271,32 @@
 	})
 }
 
+// Guards against upkeep beyond its limit after the clock of the earlier leader was stepped
+// back: its orders carry too early a time in the log, so that the next leader, whose clock
+// is right, took the instances that are down for ones that are back.
+func TestUpkeepCountsAfterAClockStep(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		leaving := idle("c")
+		leaving.Leaving = true
+		h.scheduler.set(busy("b"), leaving)
+		h.upkeep(1, "a", "c")
+		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
+		h.propose(model.BeginUpkeep{Number: 7, Instance: "a"})
+		begun := time.Now()
+		h.replica.mu.Lock()
+		order, _ := h.replica.view.State.Orders.Get("a")
+		order.At = order.At.Add(-5 * time.Second)
+		h.replica.view.State.Orders = h.replica.view.State.Orders.Set("a", order)
+		h.replica.mu.Unlock()
+		h.replica.lead(2)
+		h.scheduler.set(busy("b"), idle("c"))
+		time.Sleep(6 * time.Second)
+		first := h.platform.calls()[0]
+		assert.Equal(t, first.what, "c for 7")
+		assert.Assert(t, first.at.Sub(begun) >= 2*time.Second, "%v", first.at.Sub(begun))
+	})
+}
+
 // Guards against a new leader that gives an order for an instance too soon after an
 // order of the earlier leader, and against one that gives no orders for other
 // instances during that pause.
--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -63,7 +63,15 @@
 // OrderHandoverDelay since the last order of an earlier leader is over.
 func (m *Machine) mayOrder(now time.Time, s model.State, id model.InstanceID) bool {
 	last, ok := s.Orders.Get(id)
-	return !ok || last.Term == m.term || max(model.TimestampOf(now), s.Clock).Sub(last.At) > m.settings.OrderHandoverDelay+handoverMargin
+	return !ok || last.Term == m.term || m.minAge(now, last) > m.settings.OrderHandoverDelay+handoverMargin
+}
+
+// minAge returns the time that has certainly passed since an order of an earlier leader.
+// Since this replica leads it is measured by its steady clock; before, it is the difference
+// of two times in the log, which may come from two clocks.
+func (m *Machine) minAge(now time.Time, order model.InstanceOrder) time.Duration {
+	before := m.ledSinceClock.Sub(order.At) - clockTolerance
+	return now.Sub(m.ledSince) + max(0, before)
 }
 
 // sendOrder calls the platform on a goroutine of its own, which posts the result to
--- a/replica/fleet/upkeep.go
+++ b/replica/fleet/upkeep.go
@@ -31,7 +31,7 @@
 	}
 	for id, last := range s.Orders.All() {
 		// The log does not say whether the order of an earlier leader was for upkeep.
-		if last.Term != m.term && in.Now.Sub(last.At) < m.settings.UpkeepTime+returnSlack {
+		if last.Term != m.term && m.minAge(now, last) < m.settings.UpkeepTime+returnSlack {
 			in.Down[id] = true
 		}
 	}
