A run that its worker ignores is started elsewhere

Cause: a start order was repeated until the worker listed the run.

Change: after 5 orders and 2 s without the run in its list the worker is told to stop the run, so that it rejects a late start; the next report that does not list it ends the run, and the task starts elsewhere. The worker gets no work for 5 s and after that, for 6 s, only what no other worker can take. Answers that were lost while the worker was silent do not count.

Evidence: TestIgnoredStartsAreMadeElsewhere fails without the change. TestLostAnswersAreNotIgnoredStarts guards the other direction. Not tried with real processes.

--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -58,14 +58,15 @@
 		switch {
 		case m.stopping[run]:
 			o.Stop = append(o.Stop, run)
-		case !listed:
+		case listed:
+		case p.worker.ignores(now, run):
+			m.abandonStart(now, p.worker, run)
+			o.Stop = append(o.Stop, run)
+		default:
 			o.Start = append(o.Start, m.startOrder(now, state, run, p.report.Worker))
 		}
 	}
-	p.worker.ordered = nil
-	for _, start := range o.Start {
-		p.worker.ordered = append(p.worker.ordered, start.Run)
-	}
+	p.worker.recordOrdered(now, o.Start)
 	o.Throttle = p.worker.throttleOrders(now, state)
 	if free := p.worker.free(state); free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
 		o.NextReport = idleInterval
--- a/replica/schedule/room_test.go
+++ b/replica/schedule/room_test.go
@@ -52,3 +52,41 @@
 		assert.Equal(t, w.Rounds[0].Steps[0].Done, 1)
 	})
 }
+
+// Guards against an accepted workload that never ends, because a worker goes on reporting
+// and does not start its runs; and against a worker that gets nothing any more after that.
+func TestIgnoredStartsAreMadeElsewhere(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		id := h.submit(1, oneTask)
+		began := time.Now()
+		for len(h.mustReport("silent", 1, nil).Start) > 0 {
+			assert.Assert(t, time.Since(began) < 2*startTimeout)
+			assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
+			time.Sleep(idleInterval)
+		}
+		assert.Assert(t, time.Since(began) >= startTimeout)
+		assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0, "the silent worker has not been told to stop the run yet")
+		h.mustReport("silent", 1, nil)
+		time.Sleep(planInterval)
+		o := h.mustReport("b", 1, nil)
+		assert.Equal(t, len(o.Start), 1)
+		assert.Equal(t, o.Start[0].Run.Number, 2)
+		h.mustReport("b", 1, ended(model.RunDone, o.Start[0]))
+		assert.Assert(t, h.replica.View().State.Finished.Has(id))
+
+		time.Sleep(ignoredBackoff)
+		h.submit(2, oneTask)
+		assert.Equal(t, len(h.mustReport("silent", 1, nil).Start), 1)
+	})
+}
+
+// Guards against a worker that is punished because the answers with its start order were
+// lost while it could not be reached.
+func TestLostAnswersAreNotIgnoredStarts(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		assert.Equal(t, len(h.mustReport("a", 1, nil).Start), 1)
+		time.Sleep(startTimeout + time.Second)
+		assert.Equal(t, len(h.mustReport("a", 1, nil).Start), 1)
+	})
+}
--- /dev/null
+++ b/replica/schedule/unstarted.go
@@ -0,0 +1,61 @@
+package schedule
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/node/event"
+)
+
+const (
+	// maxStartOrders is how often a worker is told to start a run before the run is
+	// started elsewhere.
+	maxStartOrders = 5
+	// startTimeout is the shortest time for which the start order is repeated. Some
+	// answers may be lost.
+	startTimeout = 2 * time.Second
+	// ignoredBackoff is how long a worker gets no work after it ignored a start order.
+	ignoredBackoff = 5 * time.Second
+)
+
+// startAttempts counts the start orders for a run that the worker has not listed.
+type startAttempts struct {
+	first time.Time
+	count int
+}
+
+// recordOrdered counts the start orders of an answer.
+func (w *worker) recordOrdered(now time.Time, starts []StartOrder) {
+	w.ordered = nil
+	unstarted := map[model.RunRef]startAttempts{}
+	for _, start := range starts {
+		w.ordered = append(w.ordered, start.Run)
+		attempts, ok := w.unstarted[start.Run]
+		if !ok {
+			attempts.first = now
+		}
+		attempts.count++
+		unstarted[start.Run] = attempts
+	}
+	w.unstarted = unstarted
+}
+
+// ignores reports whether the worker goes on reporting without starting the run.
+func (w *worker) ignores(now time.Time, run model.RunRef) bool {
+	attempts := w.unstarted[run]
+	return attempts.count >= maxStartOrders && now.Sub(attempts.first) >= startTimeout
+}
+
+// abandonStart stops a run that the worker was told to start and does not list. The stop
+// makes the worker reject a late start; the run counts as ended with the next report that
+// does not list it. The worker gets no work for ignoredBackoff, and after that only work
+// that no other worker can take.
+func (m *Machine) abandonStart(now time.Time, w *worker, run model.RunRef) {
+	m.stopping[run] = true
+	m.avoided.add(now, run.Task, w.Worker)
+	w.backoffUntil = now.Add(ignoredBackoff)
+	w.suspectUntil = now.Add(ignoredBackoff + suspectPeriod)
+	event.StartIgnored.Log(m.settings.Logger, append(runFields(run), zap.String("worker", string(w.Worker)), zap.Int("orders", w.unstarted[run].count))...)
+}
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -40,7 +40,9 @@
 	// ordered lists the runs that the latest answer told the worker to start. The next
 	// report shows which of them it has started, because a worker drops a late answer
 	// and has one report outstanding at a time.
-	ordered   []model.RunRef
+	ordered []model.RunRef
+	// unstarted holds the runs that the worker was told to start and has not listed.
+	unstarted map[model.RunRef]startAttempts
 	freeCache freeCache
 	// retiring is set while the instance is surplus to the demand of its pool.
 	retiring bool
