Planning copies less of the workloads and queues

Change: the progress of a gang and the address of the queue are pointers, and the index of queues holds pointers too.

--- a/core/command/catalog/rebind.go
+++ b/core/command/catalog/rebind.go
@@ -10,8 +10,8 @@
 func rebind(s *model.State, next *model.Catalog) {
 	r := newRebinding(s.Catalog, next)
 	for _, w := range s.Workloads.All() {
-		if name, address, ok := r.queueOf(w); ok && (name != w.Queue || address != w.Address) {
-			w.Queue, w.Address = name, address
+		if name, address, ok := r.queueOf(w); ok && (name != w.Queue || w.Address == nil || address != *w.Address) {
+			w.Queue, w.Address = name, &address
 			s.Workloads = s.Workloads.Set(w.ID, w)
 		}
 	}
@@ -45,12 +45,12 @@
 // that has no such queue, it returns those that identify the queue later; false if none do.
 func (r rebinding) queueOf(w model.Workload) (model.QueueName, model.QueueAddress, bool) {
 	before, existed := r.before[w.Queue]
-	address := w.Address
-	if address == (model.QueueAddress{}) {
-		if !existed {
-			return "", address, false
-		}
-		address = before
+	if w.Address == nil && !existed {
+		return "", model.QueueAddress{}, false
+	}
+	address := before
+	if w.Address != nil {
+		address = *w.Address
 	}
 	if name, ok := r.nameAt[address]; ok {
 		return name, address, true
--- a/core/command/catalog/rebind_test.go
+++ b/core/command/catalog/rebind_test.go
@@ -55,9 +55,9 @@
 		return "none"
 	}
 	assert.Equal(x.t, w.Queue, q.Name)
-	indexed, ok := x.s.Catalog.QueuesByName().Of(w)
+	indexed, ok := x.s.Catalog.QueuesByName().Of(&w)
 	assert.Assert(x.t, ok)
-	assert.Equal(x.t, indexed, q)
+	assert.Equal(x.t, *indexed, q)
 	return string(q.Pool)
 }
 
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -44,7 +44,7 @@
 func (p *planner) candidatesOf(include func(model.PoolName) bool) []*candidate {
 	var out []*candidate
 	for _, w := range p.state.Workloads.All() {
-		if q, ok := p.queues.Of(w); ok && include(q.Pool) && p.waits(w) {
+		if q, ok := p.queues.Of(&w); ok && include(q.Pool) && p.waits(w) {
 			out = append(out, p.candidate(w, q))
 		}
 	}
@@ -73,12 +73,12 @@
 	return false
 }
 
-func (p *planner) candidate(w model.Workload, q model.Queue) *candidate {
+func (p *planner) candidate(w model.Workload, q *model.Queue) *candidate {
 	c := &candidate{workload: w, pool: q.Pool, priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, left: query.RemainingCriticalPath(w)}
 	for i := range w.Steps {
 		c.lasting = c.lasting || w.Steps[i].Lasting
 	}
-	c.deadline = query.TargetCompletion(w, q)
+	c.deadline = query.TargetCompletion(w, *q)
 	c.late = c.deadline < p.options.Now.Add(c.left)
 	return c
 }
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -130,7 +130,7 @@
 	if !ok {
 		return victim{}, false
 	}
-	q, ok := p.queues.Of(w)
+	q, ok := p.queues.Of(&w)
 	step := w.Steps[run.Task.Step]
 	if !ok || step.Lasting || step.Gang {
 		return victim{}, false
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -85,7 +85,7 @@
 	if rules == model.FirstRules {
 		return memberFailures(step)
 	}
-	return step.FailedRuns + maxMemberFailures(step)
+	return step.GangProgress().FailedRuns + maxMemberFailures(step)
 }
 
 // memberFailures returns the sum of the failures of the members of a gang.
@@ -148,12 +148,16 @@
 // numbers of ended runs never decrease.
 func recordGangEnd(w model.Workload, end model.RunEnd) model.Workload {
 	return changeStep(w, end.Run.Task, func(step *model.StepState) {
-		if end.Outcome == model.RunFailed && end.Run.Number > step.LastFailedRun {
-			step.LastFailedRun = end.Run.Number
-			step.FailedRuns++
+		gang := step.GangProgress()
+		if end.Outcome == model.RunFailed && end.Run.Number > gang.LastFailedRun {
+			gang.LastFailedRun = end.Run.Number
+			gang.FailedRuns++
 		}
-		if end.Checkpoint != "" && end.Run.Number > step.CheckpointRun {
-			step.Checkpoint, step.CheckpointRun = end.Checkpoint, end.Run.Number
+		if end.Checkpoint != "" && end.Run.Number > gang.CheckpointRun {
+			gang.Checkpoint, gang.CheckpointRun = end.Checkpoint, end.Run.Number
+		}
+		if gang != step.GangProgress() {
+			step.Gang = &gang
 		}
 	})
 }
@@ -179,7 +183,7 @@
 		})
 	}
 	if gang {
-		w = changeStep(w, ref, func(step *model.StepState) { step.Checkpoint, step.CheckpointRun = "", 0 })
+		w = changeStep(w, ref, func(step *model.StepState) { step.Gang = nil })
 	}
 	return w
 }
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -53,7 +53,8 @@
 	w := c.Workload
 	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
 	if rules != model.FirstRules {
-		w.Address = queue.Address()
+		address := queue.Address()
+		w.Address = &address
 	}
 	w.Rounds = make([]model.Round, max(c.Repeat, 1))
 	for i := range w.Rounds {
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -78,28 +78,31 @@
 // scans the list; use QueuesByName for repeated look-ups. A nil catalog has no queues.
 func (c *Catalog) QueueOf(w Workload) (Queue, bool) {
 	q, ok := c.Queue(w.Queue)
-	return q, ok && w.isIn(q)
+	return q, ok && w.isIn(&q)
 }
 
-// Queues are the queues of a catalog by name.
-type Queues map[QueueName]Queue
+// Queues are the queues of a catalog by name. They are not modified.
+type Queues map[QueueName]*Queue
 
 // QueuesByName returns the queues as a map, for callers that make many look-ups.
 // The map of a nil catalog is empty.
 func (c *Catalog) QueuesByName() Queues {
 	out := Queues{}
 	if c != nil {
-		for _, q := range c.Queues {
-			out[q.Name] = q
+		for i := range c.Queues {
+			out[c.Queues[i].Name] = &c.Queues[i]
 		}
 	}
 	return out
 }
 
-// Of returns the queue of the workload; false if the catalog has it no more.
-func (q Queues) Of(w Workload) (Queue, bool) {
+// Of returns the queue of the workload; nil and false if the catalog has it no more.
+func (q Queues) Of(w *Workload) (*Queue, bool) {
 	found, ok := q[w.Queue]
-	return found, ok && w.isIn(found)
+	if !ok || !w.isIn(found) {
+		return nil, false
+	}
+	return found, true
 }
 
 // Resolve returns the queue whose host equals host and whose prefix is the
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -18,9 +18,10 @@
 	// Queue is the name of the queue in the catalog in force, or its last one if the
 	// catalog has the queue no more.
 	Queue QueueName
-	// Address identifies the queue, whose name operators may change. It is not set if
-	// the workload was accepted by FirstRules and no catalog was published since.
-	Address QueueAddress `cbor:",omitzero"`
+	// Address identifies the queue, whose name operators may change. It is nil if the
+	// workload was accepted by FirstRules and no catalog was published since. It is a
+	// pointer because planning copies all workloads.
+	Address *QueueAddress `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -90,14 +91,29 @@
 	// Done is the number of tasks that have succeeded so far.
 	Done  int
 	Tasks []Task
-	// FailedRuns is the number of failed runs of a gang. A run that several members
-	// have failed counts once. LastFailedRun is the number of the latest of them.
-	FailedRuns    int `cbor:",omitempty"`
-	LastFailedRun int `cbor:",omitempty"`
-	// Checkpoint is the checkpoint that all members of a gang resume from, and
-	// CheckpointRun the run that has written it.
-	Checkpoint    string `cbor:",omitempty"`
-	CheckpointRun int    `cbor:",omitempty"`
+	// Gang is the progress of a gang as a whole; nil if there is none yet. It is a
+	// pointer because planning copies the steps of all workloads.
+	Gang *GangProgress `cbor:",omitempty"`
+}
+
+// GangProgress is what the runs of a gang have left behind.
+type GangProgress struct {
+	// FailedRuns is the number of failed runs. A run that several members have failed
+	// counts once. LastFailedRun is the number of the latest of them.
+	FailedRuns    int
+	LastFailedRun int
+	// Checkpoint is the checkpoint that all members resume from, and CheckpointRun the
+	// run that has written it.
+	Checkpoint    string
+	CheckpointRun int
+}
+
+// GangProgress returns the progress of the gang; the zero value if there is none.
+func (s StepState) GangProgress() GangProgress {
+	if s.Gang == nil {
+		return GangProgress{}
+	}
+	return *s.Gang
 }
 
 // Complete reports whether all tasks have succeeded.
@@ -183,7 +199,9 @@
 
 // isIn reports whether the queue, which has the name of the workload's queue, is that
 // queue and not another one that has got its name.
-func (w Workload) isIn(q Queue) bool { return w.Address == QueueAddress{} || w.Address == q.Address() }
+func (w *Workload) isIn(q *Queue) bool {
+	return w.Address == nil || w.Address.Prefix == q.Prefix && w.Address.Host == q.Host
+}
 
 // Started reports whether any run of any task was ever started.
 func (w Workload) Started() bool {
@@ -223,8 +241,8 @@
 		return task.Checkpoint
 	}
 	step := w.Rounds[ref.Round].Steps[ref.Step]
-	if step.Checkpoint != "" {
-		return step.Checkpoint
+	if checkpoint := step.GangProgress().Checkpoint; checkpoint != "" {
+		return checkpoint
 	}
 	for _, member := range step.Tasks {
 		if member.Checkpoint != "" {
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -26,7 +26,7 @@
 	out := map[model.PoolName]Demand{}
 	queues := s.Catalog.QueuesByName()
 	for _, w := range s.Workloads.All() {
-		q, ok := queues.Of(w)
+		q, ok := queues.Of(&w)
 		if !ok {
 			continue
 		}
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -17,7 +17,7 @@
 	e.Condition = fmt.Sprintf("%s, queue %s, pool %s, accepted %s ago", workloadPhase(w), w.Queue, q.Pool, e.elapsed(w.AcceptedAt))
 	if !listed {
 		e.addReason("the catalog in force has no queue %s any more, so that nothing is started", w.Queue)
-		if w.Address != (model.QueueAddress{}) {
+		if w.Address != nil {
 			e.addReason("its queue is the one at host %s with the prefix %s, whatever its name", w.Address.Host, w.Address.Prefix)
 		}
 		e.addNext("publish a catalog with the queue, or cancel the workload")
@@ -46,7 +46,7 @@
 		e.addReason("%s waits for steps %v", where, w.Steps[step].After)
 		return
 	}
-	running, waiting, failures := 0, 0, state.FailedRuns
+	running, waiting, failures := 0, 0, state.GangProgress().FailedRuns
 	for _, t := range state.Tasks {
 		running += len(t.Active)
 		failures += t.Failures
--- a/core/query/inflow.go
+++ b/core/query/inflow.go
@@ -41,7 +41,7 @@
 	out := map[model.PoolName]Inflow{}
 	queues := s.Catalog.QueuesByName()
 	for _, w := range s.Workloads.All() {
-		q, ok := queues.Of(w)
+		q, ok := queues.Of(&w)
 		if !ok {
 			continue
 		}
--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -31,7 +31,7 @@
 	n := 0
 	queues := s.Catalog.QueuesByName()
 	for _, w := range s.Workloads.All() {
-		if found, ok := queues.Of(w); ok && found.Name == q.Name && !w.Started() {
+		if found, ok := queues.Of(&w); ok && found.Name == q.Name && !w.Started() {
 			n++
 		}
 	}
--- a/core/query/workload_views.go
+++ b/core/query/workload_views.go
@@ -49,7 +49,7 @@
 	e := WorkloadEntry{ID: string(w.ID), Queue: string(w.Queue), Pool: string(q.Pool), Phase: workloadPhase(w).String(), AcceptedAt: utcTime(w.AcceptedAt)}
 	for _, round := range w.Rounds {
 		for _, step := range round.Steps {
-			e.Failures += step.FailedRuns
+			e.Failures += step.GangProgress().FailedRuns
 		}
 	}
 	for _, t := range w.Tasks() {
--- a/replica/schedule/failures.go
+++ b/replica/schedule/failures.go
@@ -37,7 +37,7 @@
 	}
 	a, _ := s.Assignments.Get(id)
 	step := w.Rounds[run.Task.Round].Steps[run.Task.Step]
-	return slices.Contains(a.Runs, run) && !(w.Steps[run.Task.Step].Gang && run.Number <= step.LastFailedRun)
+	return slices.Contains(a.Runs, run) && !(w.Steps[run.Task.Step].Gang && run.Number <= step.GangProgress().LastFailedRun)
 }
 
 // avoidAfterFailure keeps the tasks of a failed run from the worker for avoidPeriod. For a
