--- a/core/command/catalog/rebind_test.go
+++ b/core/command/catalog/rebind_test.go
@@ -52,6 +52,7 @@
 	assert.Assert(x.t, ok)
 	q, ok := x.s.Catalog.QueueOf(w)
 	if !ok {
+		assert.Equal(x.t, q, model.Queue{}, "views would show another queue")
 		return "none"
 	}
 	assert.Equal(x.t, w.Queue, q.Name)
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -77,8 +77,10 @@
 // QueueOf returns the queue of the workload; false if the catalog has it no more. It
 // scans the list; use QueuesByName for repeated look-ups. A nil catalog has no queues.
 func (c *Catalog) QueueOf(w Workload) (Queue, bool) {
-	q, ok := c.Queue(w.Queue)
-	return q, ok && w.isIn(&q)
+	if q, ok := c.Queue(w.Queue); ok && w.isIn(&q) {
+		return q, true
+	}
+	return Queue{}, false
 }
 
 // Queues are the queues of a catalog by name. They are not modified.
--- a/core/model/command.go
+++ b/core/model/command.go
@@ -30,8 +30,9 @@
 const (
 	CurrentRules Rules = iota
 	// FirstRules counts a failed run of a gang once for each member that failed, keeps a
-	// checkpoint for each member of a gang, ties a workload to its queue by the name of the queue only, and accepts a configuration
-	// without the pool of a job that has not ended.
+	// checkpoint for each member of a gang, ties a workload to its queue by the name of
+	// the queue only, and accepts a configuration without the pool of a job that has not
+	// ended.
 	FirstRules
 )
 
--- a/replica/schedule/isolate_test.go
+++ b/replica/schedule/isolate_test.go
@@ -127,3 +127,12 @@
 		assert.Equal(t, started[0].Run.Number, 2)
 	})
 }
+
+// Guards against a worker that gets work again too early, because a refused run shortens
+// the longer pause after a start that could not be committed.
+func TestRefusedRunDoesNotShortenAPause(t *testing.T) {
+	now := time.Now()
+	w := &worker{backoffUntil: now.Add(refusedBackoff)}
+	w.recordEnd(now, Ended{Refused: true}, false)
+	assert.Equal(t, w.backoffUntil, now.Add(refusedBackoff))
+}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -52,7 +52,7 @@
 	}
 	for _, run := range a.Runs {
 		listed := lists(p.report, run)
-		if w, _ := state.Workloads.Get(run.Task.Workload); !listed && w.GangRunEnded(run) {
+		if !listed && gangRunEnded(state, run) {
 			m.stopping[run] = true // the gang has ended before this member started
 		}
 		switch {
@@ -81,6 +81,12 @@
 		slices.ContainsFunc(r.Ended, func(o Ended) bool { return o.Run == run })
 }
 
+// gangRunEnded reports whether another member of the run's gang has ended the run.
+func gangRunEnded(s model.State, run model.RunRef) bool {
+	w, ok := s.Workloads.Get(run.Task.Workload)
+	return ok && w.GangRunEnded(run)
+}
+
 func (m *Machine) startOrder(now time.Time, s model.State, run model.RunRef, id model.WorkerID) StartOrder {
 	w, _ := s.Workloads.Get(run.Task.Workload)
 	ticket, _ := m.tickets.get(now, run.Task, id)
--- a/replica/schedule/unstarted.go
+++ b/replica/schedule/unstarted.go
@@ -28,6 +28,10 @@
 
 // recordOrdered counts the start orders of an answer.
 func (w *worker) recordOrdered(now time.Time, starts []StartOrder) {
+	if len(starts) == 0 {
+		w.ordered, w.unstarted = nil, nil
+		return
+	}
 	w.ordered = nil
 	unstarted := map[model.RunRef]startAttempts{}
 	for _, start := range starts {
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -6,6 +6,7 @@
 
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/command/throttle"
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 )
 
@@ -109,7 +110,7 @@
 func (w *worker) recordEnd(now time.Time, end Ended, newFailure bool) {
 	switch {
 	case end.Refused:
-		w.backoffUntil = now.Add(refusalBackoff)
+		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(refusalBackoff))
 	case end.Outcome == model.RunDone:
 		w.failures = 0
 	case newFailure:
