The pause between the orders of two leaders is by the time of day again

Users saw: after an election pools grew late, because instances that an earlier leader had ordered within the last 13 s got no order for 3.3 s.

Change: mayOrder is as before. The count of instances that are down for upkeep keeps minAge.

--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -63,7 +63,7 @@
 // OrderHandoverDelay since the last order of an earlier leader is over.
 func (m *Machine) mayOrder(now time.Time, s model.State, id model.InstanceID) bool {
 	last, ok := s.Orders.Get(id)
-	return !ok || last.Term == m.term || m.minAge(now, last) > m.settings.OrderHandoverDelay+handoverMargin
+	return !ok || last.Term == m.term || max(model.TimestampOf(now), s.Clock).Sub(last.At) > m.settings.OrderHandoverDelay+handoverMargin
 }
 
 // minAge returns the time that has certainly passed since an order of an earlier leader.
