--- /dev/null
+++ b/tools/review.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Builds the programs and the stand-ins of the review and plays its cases N times each
+# (first argument, 5 by default). The records go to a temporary folder, which is printed.
+# Exits with 1 if a case was broken or could not run.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+times=${1:-5}
+cases=(unreadable-id gang-checkpoint foreign-heartbeat gang-failed renamed-route late-delete cancelled-start copy-apart)
+
+go build -ldflags=-linkmode=external -o target/ ./cmd/lacewingturnd || exit 1
+bash review/build.sh || exit 1
+records=$(mktemp -d)
+echo "records: $records"
+
+# play prints the outcome of each run of a case: 0 held, 1 broken, any other not run.
+play() {
+	for n in $(seq "$times"); do
+		review/bin/standin -case "$1" -record "$records/$1-$n.txt" >"$records/$1-$n.log" 2>&1
+		echo "$?"
+	done
+}
+
+for c in "${cases[@]}"; do
+	play "$c" >"$records/$c.outcomes" &
+done
+wait
+
+status=0
+printf '%-20s %6s %6s %7s\n' case held broken 'not run'
+for c in "${cases[@]}"; do
+	held=$(grep -cx 0 "$records/$c.outcomes")
+	broken=$(grep -cx 1 "$records/$c.outcomes")
+	printf '%-20s %6d %6d %7d\n' "$c" "$held" "$broken" "$((times - held - broken))"
+	[ "$held" -eq "$times" ] || status=1
+done
+exit "$status"
