--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -61,6 +61,7 @@
 	Replica   *replicacommand.Replica
 	Scheduler *schedule.Machine
 	Reader    *schedulequery.Reader
+	Metrics   prometheus.Registerer
 	Log       *zap.Logger
 }
 
@@ -71,7 +72,7 @@
 		p.Control.SetSeeds(seedAddresses(s))
 	})
 	router := mux.NewRouter()
-	platformcommand.NewWorkerHandler(p.Scheduler, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, p.Log).Register(router)
+	platformcommand.NewWorkerHandler(p.Scheduler, p.Reader, p.Platform.Domain.Region, p.Platform.ControlAddress, platformcommand.NewWorkerMetrics(p.Metrics), p.Log).Register(router)
 	platformcommand.NewOrderHandler(p.Forwarder, p.Log).Register(router)
 	redirect := func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
--- a/replica/schedule/identity.go
+++ b/replica/schedule/identity.go
@@ -171,18 +171,16 @@
 	msg.reply <- answer{orders: Orders{FencingToken: m.term, AckCursor: lastPosition(r), NextReport: busyInterval}}
 }
 
-// refuseExpired refuses a heartbeat whose sender's place another one has taken.
+// refuseExpired refuses a heartbeat whose sender's place another one has taken. Late
+// heartbeats of a worker that goes on are frequent, so that only the place of another
+// incarnation is logged.
 func (m *Machine) refuseExpired(msg reported) {
 	r := msg.report
 	m.settings.Metrics.unused.WithLabelValues(expired.String()).Inc()
-	fields := []zap.Field{
-		zap.String(telemetry.SamplingKey, r.Name), zap.String("worker", string(r.Worker)), zap.Int64("sequence", r.Sequence),
-		zap.String("id", string(r.Instance)), zap.String("address", r.Address),
-	}
 	if holder := m.laterHolder(r); holder != nil {
-		fields = append(fields, zap.String("holder", string(holder.Worker)))
+		event.HeartbeatExpired.Log(m.settings.Logger, zap.String(telemetry.SamplingKey, r.Name), zap.String("worker", string(r.Worker)), zap.Int64("sequence", r.Sequence),
+			zap.String("id", string(r.Instance)), zap.String("address", r.Address), zap.String("holder", string(holder.Worker)))
 	}
-	event.HeartbeatExpired.Log(m.settings.Logger, fields...)
 	msg.reply <- answer{err: result.New(result.Expired, "heartbeat of %s refused: the same or a later heartbeat with its name, instance or address was received before", r.Name)}
 }
 
