A heartbeat of a life with another service, instance or address is not used

What a worker would see: a copy of its heartbeat with a service that the catalog does not have and a higher sequence was taken for its own. The worker then belonged to that service, and its next heartbeats were refused as old.

Cause: only the sequence was compared among heartbeats of one incarnation.

Change: service, instance and address stay the same for the life of a worker.

Test: TestHeartbeatOfTheSameLifeWithAnotherPlaceIsNotUsed fails before.

--- a/replica/schedule/identity.go
+++ b/replica/schedule/identity.go
@@ -20,6 +20,8 @@
 //   - An incarnation with assigned runs that is not silent holds: its runs go on. A later
 //     start under its name is used beside it, because a worker that has started again holds
 //     nothing of before; a later start under another name waits.
+//   - A report of a known incarnation that names another pool, instance or address than
+//     before is not used unless the incarnation is silent: these stay the same for its life.
 //   - A report with an earlier start than the holder of its name, instance or address, or
 //     with an old sequence, is refused as expired. A sender that goes on reporting all the
 //     same for readmitAfter is used again: a late heartbeat comes once, a live worker goes on.
@@ -63,6 +65,8 @@
 	switch {
 	case w == nil && !m.speaksForWorker(r):
 		return unknownPool
+	case w != nil && m.reporting(now, w) && !sameSender(w.Report, r):
+		return disputedIdentity
 	case !m.superseded(r) && (w == nil || r.Sequence > w.Sequence):
 		if w == nil && m.disputed(now, r) {
 			return disputedIdentity
@@ -83,6 +87,12 @@
 	return known || state.Catalog == nil || state.Assignments.Has(r.Worker)
 }
 
+// sameSender reports whether two reports of an incarnation agree in what stays the same for
+// its life.
+func sameSender(a, b Report) bool {
+	return a.Pool == b.Pool && a.Instance == b.Instance && a.Address == b.Address
+}
+
 // superseded reports whether a later incarnation holds the worker's name, instance or
 // address. An incarnation that is in use beside the holder is not superseded.
 func (m *Machine) superseded(r Report) bool {
--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -199,3 +199,21 @@
 		assert.Equal(t, len(h.mustReport("a", 9, nil).Start), 1)
 	})
 }
+
+// Guards against a worker at work that is out of use for a while, or gets tasks of another
+// service, because another writer sent a heartbeat of its incarnation with another service,
+// instance or address.
+func TestHeartbeatOfTheSameLifeWithAnotherPlaceIsNotUsed(t *testing.T) {
+	for _, change := range []func(*Report){
+		func(r *Report) { r.Pool = "elsewhere" }, func(r *Report) { r.Instance = "m-z" }, func(r *Report) { r.Address = "10.0.0.1:z" },
+	} {
+		runHarness(t, func(h *harness) {
+			h.submit(1, oneTask)
+			start := h.mustReport("a", 1, nil).Start
+			h.mustReport("a", 1, running(start...))
+			foreign := func(r *Report) { change(r); r.Sequence = 1 << 40 }
+			assert.Equal(t, h.mustReport("a", 1, foreign).Lease, time.Duration(0))
+			assert.Equal(t, h.mustReport("a", 1, running(start...)).Lease, lease)
+		})
+	}
+}
