Heartbeats of a worker's own life by another writer start none of its runs again

What workers saw: another writer that sends heartbeats under the id and the start time of a worker at work, with higher sequences and without its runs, made the runs start a second time while they went on.

Two causes, each with its test in replica/schedule, which fails before: - A start order that five reports do not list is given up, and a stopped run that a report does not list counts as ended. A worker lists each run from its start until its end is acknowledged, so that a run that was listed once and then is not is no sign of either. It now stays for the length of a lease after it was last listed (TestRunThatWasListedOutlivesForeignReports). - While its own heartbeats were refused as old, the worker counted as silent, and a later start under its name replaced it. A refused heartbeat now shows that its sender goes on (TestWorkerWhoseHeartbeatsAreRefusedIsNotSilent). A lower sequence among refused heartbeats no longer keeps them from being counted.

--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -42,7 +42,7 @@
 		m.pruneEnded(now, state)
 	}
 	causes := map[model.RunRef]string{}
-	progress := model.RecordProgress{Ends: append(m.reportedEnds(state, causes), m.lostRuns(now, state, causes)...)}
+	progress := model.RecordProgress{Ends: append(m.reportedEnds(now, state, causes), m.lostRuns(now, state, causes)...)}
 	after := applied(state, progress)
 	changed := len(progress.Ends) > 0 || state.Index != m.plannedIndex
 	m.pruneStops(after)
@@ -83,7 +83,7 @@
 
 // reportedEnds lists the reported ends of runs that are recorded as active, and
 // the runs that are to be stopped and were never started.
-func (m *Machine) reportedEnds(s model.State, causes map[model.RunRef]string) []model.RunEnd {
+func (m *Machine) reportedEnds(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
 	for _, p := range m.pending {
 		a, _ := s.Assignments.Get(p.report.Worker)
@@ -96,7 +96,7 @@
 		for _, run := range a.Runs {
 			// A run that the worker does not list never started there: the start order
 			// was lost, or not sent because the run is to be stopped.
-			if m.stopping[run] && !lists(p.report, run) {
+			if m.stopping[run] && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) {
 				causes[run] = causeUnstarted
 				out = append(out, model.RunEnd{Run: run, Worker: p.report.Worker, Outcome: model.RunInterrupted})
 			}
@@ -153,7 +153,7 @@
 	due := instancesWithUpkeepDue(s)
 	var out []place.Worker
 	for _, w := range m.workers {
-		if m.cordons[w.Instance] || !m.reporting(now, w) {
+		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > maxReportAge {
 			continue
 		}
 		if offer, ok := w.offer(now, s); ok {
--- a/replica/schedule/health.go
+++ b/replica/schedule/health.go
@@ -36,6 +36,8 @@
 	percent    int
 	advancedAt time.Time
 	listedAt   time.Time // when the run was first reported
+	// lastListedAt is when the run was last reported.
+	lastListedAt time.Time
 }
 
 // track applies the reported progress of a run. It also returns the speed of the
@@ -43,14 +45,14 @@
 // if there is no measurement.
 func (p progress) track(now time.Time, percent int, estimate time.Duration) (progress, float64, bool) {
 	if p.listedAt.IsZero() {
-		return progress{percent, now, now}, 0, false
+		return progress{percent: percent, advancedAt: now, listedAt: now}, 0, false
 	}
 	delta := percent - p.percent
 	if delta == 0 {
 		return p, 0, false
 	}
 	elapsed := now.Sub(p.advancedAt)
-	next := progress{percent, now, p.listedAt}
+	next := progress{percent: percent, advancedAt: now, listedAt: p.listedAt}
 	if delta < 0 || elapsed <= 0 || estimate <= 0 {
 		return next, 0, false
 	}
--- a/replica/schedule/identity.go
+++ b/replica/schedule/identity.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/telemetry"
@@ -75,6 +76,9 @@
 	case m.refusals.add(now, r.Worker, r.Sequence):
 		return readmitted
 	}
+	if w != nil {
+		w.heardAt = now
+	}
 	return expired
 }
 
@@ -125,9 +129,10 @@
 	return m.reporting(now, w) && m.view.State.Assignments.Has(w.Worker)
 }
 
-// reporting reports whether the worker has not ended and is not silent for maxReportAge.
+// reporting reports whether the worker has not ended and is not silent for maxReportAge. A
+// heartbeat that was refused shows too that its sender goes on.
 func (m *Machine) reporting(now time.Time, w *worker) bool {
-	return !m.hasEnded(w.Worker) && now.Sub(w.reportedAt) <= maxReportAge
+	return !m.hasEnded(w.Worker) && now.Sub(compare.Later(w.reportedAt, w.heardAt)) <= maxReportAge
 }
 
 // sameIdentity returns the holders of the name, the instance and the address of the report;
--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -217,3 +217,48 @@
 		})
 	}
 }
+
+// Guards against a run that is started a second time, because another writer sends
+// heartbeats of the worker's own life, with higher sequences and without the run: it is no
+// proof that the worker ignores the start or has stopped.
+func TestRunThatWasListedOutlivesForeignReports(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		start := h.mustReport("a", 1, nil).Start
+		h.mustReport("a", 1, running(start...))
+		listed := time.Now()
+		for time.Since(listed) < lease {
+			assert.Equal(t, len(h.mustReport("a", 1, nil).Start), 0)
+			assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
+			time.Sleep(idleInterval)
+		}
+		time.Sleep(leaseEnd(listed, lease).Sub(time.Now()))
+		// The worker's own lease is over: the task is started again, as one that is ignored is.
+		for range 20 {
+			h.mustReport("a", 1, nil)
+			if len(h.mustReport("b", 1, nil).Start) == 1 {
+				return
+			}
+			time.Sleep(idleInterval)
+		}
+		t.Error("the task is not started again")
+	})
+}
+
+// Guards against a worker at work that is replaced as silent, because its heartbeats are
+// refused after one of its life with a higher sequence.
+func TestWorkerWhoseHeartbeatsAreRefusedIsNotSilent(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		start := h.mustReport("a", 1, nil).Start
+		h.mustReport("a", 1, running(start...))
+		h.mustReport("a", 1, func(r *Report) { running(start...)(r); r.Sequence = 1 << 40 })
+		for range 8 {
+			_, err := h.report("a", 1, running(start...))
+			assert.ErrorContains(t, err, "later heartbeat")
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, len(h.mustReport("a", 9, nil).Start), 0)
+		assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
+	})
+}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -59,6 +59,7 @@
 		case m.stopping[run]:
 			o.Stop = append(o.Stop, run)
 		case listed:
+		case p.worker.mayRun(now, run, m.lease()):
 		case p.worker.ignores(now, run):
 			m.abandonStart(now, p.worker, run)
 			o.Stop = append(o.Stop, run)
--- a/replica/schedule/refusals.go
+++ b/replica/schedule/refusals.go
@@ -30,17 +30,21 @@
 
 // add records a heartbeat that would be refused. It reports true if the incarnation goes on
 // reporting for so long that the heartbeat is to be used. Only heartbeats with rising
-// sequences count.
+// sequences count; a lower sequence shows that there are two senders, and the count goes on
+// from it.
 func (f refusals) add(now time.Time, id model.WorkerID, sequence int64) bool {
 	x, ok := f[id]
 	if !ok || now.Sub(x.last) > refusalMemory {
 		x = refusal{first: now}
 	}
-	if sequence <= x.sequence {
-		return false
+	rising := sequence > x.sequence
+	if rising {
+		x.count++
 	}
-	x.last, x.sequence, x.count = now, sequence, x.count+1
-	if x.count > minRefusals && now.Sub(x.first) >= readmitAfter {
+	if sequence != x.sequence {
+		x.last, x.sequence = now, sequence
+	}
+	if rising && x.count > minRefusals && now.Sub(x.first) >= readmitAfter {
 		delete(f, id)
 		return true
 	}
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -14,13 +14,16 @@
 type worker struct {
 	Report
 	reportedAt time.Time
+	// heardAt is when the last heartbeat was refused as expired.
+	heardAt time.Time
 	// leaseUntil is when all runs on the worker have certainly ended if it does not
 	// report again.
 	leaseUntil time.Time
 	// sizes holds the resources of each run that was assigned to the worker, until
 	// neither the state nor the worker lists the run.
 	sizes map[model.RunRef]model.Resources
-	// progress holds the progress of each run and when it last advanced.
+	// progress holds the progress of each run and when it last advanced. A run that is not
+	// listed any more, and not as ended either, stays for the length of a lease.
 	progress map[model.RunRef]progress
 	// failures counts the failed runs since the last success.
 	failures int
@@ -75,9 +78,18 @@
 // observe applies a newer report. The estimates of runs come from the state.
 func (w *worker) observe(now time.Time, r Report, s model.State) {
 	w.Report, w.reportedAt, w.ordered = r, now, nil
-	progressByRun := map[model.RunRef]progress{}
+	progressByRun := make(map[model.RunRef]progress, len(r.Running))
+	for run, p := range w.progress {
+		if now.Before(leaseEnd(p.lastListedAt, lease)) {
+			progressByRun[run] = p
+		}
+	}
+	for _, end := range r.Ended {
+		delete(progressByRun, end.Run)
+	}
 	for _, run := range r.Running {
 		next, speed, ok := w.progress[run.Run].track(now, run.Percent, estimateOf(s, run.Run.Task))
+		next.lastListedAt = now
 		progressByRun[run.Run] = next
 		if ok {
 			w.addSample(speed)
@@ -90,6 +102,14 @@
 	}
 }
 
+// mayRun reports whether the worker has listed the run and may still have it, although its
+// latest report does not list it. A worker lists each run until its end is acknowledged, so
+// that the report is from another sender; the run ends with its lease at the latest.
+func (w *worker) mayRun(now time.Time, run model.RunRef, lease time.Duration) bool {
+	p, listed := w.progress[run]
+	return listed && now.Before(leaseEnd(p.lastListedAt, lease))
+}
+
 // addSample adds a measurement to the moving average of the speed.
 func (w *worker) addSample(speed float64) {
 	if w.samples == 0 {
