--- a/cmd/internal/soak/faults_test.go
+++ b/cmd/internal/soak/faults_test.go
@@ -241,3 +241,12 @@
 	w := s.anyWorker()
 	s.runFault(func() { w.Partition(true) }, func() { w.Partition(false) })
 }
+
+// writeOddHeartbeats plays another writer, whose heartbeats name workers, until ctx ends. It
+// draws from a generator of its own, so that the faults of a seed stay the same.
+func (s *faultInjector) writeOddHeartbeats(ctx context.Context, rng *rand.Rand) {
+	writer := standin.NewWriter(s.controls)
+	for wait.Sleep(ctx, time.Duration(rng.Int64N(int64(maxPause)))) == nil {
+		writer.Send(ctx, s.workers[rng.IntN(len(s.workers))], rng)
+	}
+}
