--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -262,3 +262,24 @@
 		assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
 	})
 }
+
+// Guards against a run that is started a second time after an election, because another
+// writer sends heartbeats of the worker's own life to the new leader before the worker does.
+// The new leader does not know that the worker has listed the run.
+func TestRunOutlivesForeignReportsAfterAnElection(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		start := h.mustReport("a", 1, nil).Start
+		h.mustReport("a", 1, running(start...))
+		listed := time.Now()
+		h.replica.lead(2)
+		for time.Since(listed) < lease {
+			foreign := h.mustReport("a", 1, func(r *Report) { r.Sequence += 1 << 40 })
+			if started := len(h.mustReport("b", 1, nil).Start); started > 0 || len(foreign.Stop) > 0 {
+				t.Errorf("the run counts as not started %s after it was listed", time.Since(listed))
+				return
+			}
+			time.Sleep(idleInterval)
+		}
+	})
+}
