--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -232,7 +232,7 @@
 			assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
 			time.Sleep(idleInterval)
 		}
-		time.Sleep(leaseEnd(listed, lease).Sub(time.Now()))
+		time.Sleep(time.Until(leaseEnd(listed, lease)))
 		// The worker's own lease is over: the task is started again, as one that is ignored is.
 		for range 20 {
 			h.mustReport("a", 1, nil)
