--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -44,6 +44,7 @@
 }{
 	{1, 6 * time.Second, "none; the short run of CI"},
 	{103, 12 * time.Second, "two replicas whose disks had been full for a time took no part in the group until they were restarted"},
+	{1796504727503, 12 * time.Second, "a heartbeat of another writer without all fields replaced a worker at work, whose tasks ran twice"},
 	{643, 12 * time.Second, "this test deleted the data folder of a second replica before the replacement of the first voted"},
 }
 
