The count of pending workloads looks at one queue only

Each read of the count built a map of all queues of the catalog, to compare the name of the one that was asked for with it afterwards. The map now holds that queue alone. The tests of core/query and platform/query pass unchanged.

--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -29,9 +29,9 @@
 		return 0, false
 	}
 	n := 0
-	queues := s.Catalog.QueuesByName()
+	queue := model.Queues{q.Name: &q}
 	for _, w := range s.Workloads.All() {
-		if found, ok := queues.Of(&w); ok && found.Name == q.Name && !w.Started() {
+		if _, ok := queue.Of(&w); ok && !w.Started() {
 			n++
 		}
 	}
