One replica for tests, in place of three copies

The simulation of another writer had written the fake replica of the tests of replica/schedule and replica/fleet again. replica/replicatest now serves the three; the tests keep their assertions. Commands of the fleet's tests must now also be readable from the log, as those of the scheduler's had to.

--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -12,48 +12,15 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
-	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/replicatest"
 )
 
 const orderHandoverDelay = 3 * time.Second
 
-// fakeReplica applies commands at once and always has a quorum.
-type fakeReplica struct {
-	mu   sync.Mutex
-	view replica.View
-}
-
-func (f *fakeReplica) View() *replica.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	v := f.view
-	v.QuorumContact = time.Now()
-	return &v
-}
-
-func (f *fakeReplica) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make([]result.Result, len(commands))
-	for i, env := range commands {
-		env.Time = model.TimestampOf(time.Now())
-		f.view.State, out[i] = command.Apply(f.view.State, f.view.State.Index+1, f.view.Term, env)
-	}
-	return out, nil
-}
-
-// lead makes the replica the leader of a new term.
-func (f *fakeReplica) lead(term model.Term) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.view.Term, f.view.State.Term, f.view.IsLeader, f.view.LeaderSince = term, term, true, time.Now()
-}
-
 // fakeScheduler reports the instances that the test sets.
 type fakeScheduler struct {
 	mu        sync.Mutex
@@ -158,7 +125,7 @@
 // harness runs a machine on a loop, with a fake replica, scheduler and platform.
 type harness struct {
 	t         *testing.T
-	replica   *fakeReplica
+	replica   *replicatest.Replica
 	scheduler *fakeScheduler
 	platform  *fakePlatform
 }
@@ -168,8 +135,7 @@
 func runHarness(t *testing.T, test func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		h := &harness{t, &fakeReplica{}, &fakeScheduler{}, &fakePlatform{}}
-		h.replica.lead(1)
+		h := &harness{t, replicatest.NewLeader(1), &fakeScheduler{}, &fakePlatform{}}
 		h.platform.recorded = func(id model.InstanceID) bool { return h.replica.View().State.Orders.Has(id) }
 		h.propose(model.PublishCatalog{Catalog: model.Catalog{Version: 1, Pools: []model.WorkerPool{{Name: "p"}, {Name: "off", Standby: true}}}})
 		l := loop.New(64)
@@ -262,7 +228,7 @@
 		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
 		h.propose(model.BeginUpkeep{Number: 7, Instance: "a"})
 		begun := time.Now()
-		h.replica.lead(2)
+		h.replica.Lead(2)
 		h.scheduler.set(busy("b"), idle("c"))
 		time.Sleep(5 * time.Second)
 		first := h.platform.calls()[0]
@@ -283,12 +249,10 @@
 		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
 		h.propose(model.BeginUpkeep{Number: 7, Instance: "a"})
 		begun := time.Now()
-		h.replica.mu.Lock()
-		order, _ := h.replica.view.State.Orders.Get("a")
+		order, _ := h.replica.View().State.Orders.Get("a")
 		order.At = order.At.Add(-5 * time.Second)
-		h.replica.view.State.Orders = h.replica.view.State.Orders.Set("a", order)
-		h.replica.mu.Unlock()
-		h.replica.lead(2)
+		h.replica.Change(func(v *replica.View) { v.State.Orders = v.State.Orders.Set("a", order) })
+		h.replica.Lead(2)
 		h.scheduler.set(busy("b"), idle("c"))
 		time.Sleep(6 * time.Second)
 		first := h.platform.calls()[0]
@@ -305,7 +269,7 @@
 		h.scheduler.set(idle("a"), idle("c"), busy("b"))
 		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
 		ordered := time.Now()
-		h.replica.lead(2)
+		h.replica.Lead(2)
 		h.upkeep(2, "a", "c")
 		time.Sleep(orderHandoverDelay + 2*time.Second)
 		at := map[string]time.Duration{}
@@ -400,7 +364,7 @@
 		runHarness(t, func(h *harness) {
 			h.platform.set(nil, c.listed...)
 			h.scheduler.set(busy("b"), busy("c"), idle("d"))
-			h.replica.lead(2) // reads the list again
+			h.replica.Lead(2) // reads the list again
 			time.Sleep(settleTime - pollInterval)
 			assert.Equal(t, len(h.platform.calls()), c.moves)
 		})
--- a/replica/schedule/bench_test.go
+++ b/replica/schedule/bench_test.go
@@ -12,7 +12,7 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
-	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/replicatest"
 )
 
 // BenchmarkReport measures the leader's work for one heartbeat of a worker without
@@ -47,8 +47,8 @@
 
 // loadedMachine returns a machine with waiting tasks whose workers each run ten
 // tasks that use all their processors.
-func loadedMachine(b *testing.B, workers int) (*Machine, *fakeReplica) {
-	r := &fakeReplica{view: replica.View{Term: 1, IsLeader: true, LeaderSince: time.Now()}}
+func loadedMachine(b *testing.B, workers int) (*Machine, *replicatest.Replica) {
+	r := replicatest.NewLeader(1)
 	propose := func(c model.Command) {
 		if _, err := r.Propose(context.Background(), []model.Envelope{{Command: c}}); err != nil {
 			b.Fatal(err)
@@ -81,7 +81,7 @@
 }
 
 // fullReport returns a heartbeat that lists the runs assigned to a worker.
-func fullReport(r *fakeReplica, name string) Report {
+func fullReport(r *replicatest.Replica, name string) Report {
 	id := model.MakeWorkerID(name, 1)
 	report := Report{
 		Worker: id, Name: name, StartedAt: 1, Address: name, Instance: model.InstanceID(name), Pool: "p",
--- a/replica/schedule/health_test.go
+++ b/replica/schedule/health_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/replica"
 )
 
 // at adds the runs to a report with a progress in percent.
@@ -71,12 +72,10 @@
 	runHarness(t, func(h *harness) {
 		a := &advisor{}
 		h.onLoop(func() { h.machine.settings.Advisor = a })
-		h.replica.mu.Lock()
-		catalog := *h.replica.view.State.Catalog
+		catalog := *h.replica.View().State.Catalog
 		catalog.Queues = append([]model.Queue(nil), catalog.Queues...)
 		catalog.Queues[0].Advised = true
-		h.replica.view.State.Catalog = &catalog
-		h.replica.mu.Unlock()
+		h.replica.Change(func(v *replica.View) { v.State.Catalog = &catalog })
 		h.mustReport("a", 1, nil)
 		h.mustReport("b", 1, nil)
 		h.submit(1, oneTask)
--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -66,7 +66,7 @@
 		start := h.mustReport("a", 1, nil).Start
 		h.propose(model.PublishCatalog{Catalog: model.Catalog{Version: 2, Pools: []model.WorkerPool{{Name: "r"}}}})
 		assert.Equal(t, h.mustReport("a", 1, running(start...)).Lease, lease)
-		h.replica.lead(2)
+		h.replica.Lead(2)
 		assert.Equal(t, h.mustReport("a", 1, running(start...)).Lease, lease)
 		assert.Equal(t, h.mustReport("b", 1, nil).Lease, time.Duration(0))
 	})
@@ -272,7 +272,7 @@
 		start := h.mustReport("a", 1, nil).Start
 		h.mustReport("a", 1, running(start...))
 		listed := time.Now()
-		h.replica.lead(2)
+		h.replica.Lead(2)
 		for time.Since(listed) < lease {
 			foreign := h.mustReport("a", 1, func(r *Report) { r.Sequence += 1 << 40 })
 			if started := len(h.mustReport("b", 1, nil).Start); started > 0 || len(foreign.Stop) > 0 {
--- a/replica/schedule/isolate_test.go
+++ b/replica/schedule/isolate_test.go
@@ -64,7 +64,7 @@
 // heartbeats, because every cycle plans it again.
 func TestRefusedStartCostsOnlyItself(t *testing.T) {
 	runHarness(t, func(h *harness) {
-		h.replica.refuse = naming(model.MakeWorkerID("bad", 1))
+		h.replica.Refuse(naming(model.MakeWorkerID("bad", 1)))
 		small := func(r *Report) { r.Capacity.MilliCPU = 1000 } // is preferred, because it has the least free capacity
 		assert.Equal(t, len(h.mustReport("bad", 1, small).Start), 0)
 		h.mustReport("sound", 1, nil)
@@ -85,7 +85,7 @@
 // member is refused.
 func TestRefusedMemberDropsItsGangOnly(t *testing.T) {
 	runHarness(t, func(h *harness) {
-		h.replica.refuse = naming(model.MakeWorkerID("bad", 1))
+		h.replica.Refuse(naming(model.MakeWorkerID("bad", 1)))
 		whole := func(r *Report) { r.Capacity.MilliCPU = 1000 }
 		h.mustReport("bad", 1, whole)
 		h.mustReport("sound", 1, whole)
@@ -113,14 +113,14 @@
 		sound := h.mustReport("sound", 1, whole).Start
 		bad := h.mustReport("bad", 1, whole).Start
 		assert.Equal(t, len(bad)+len(sound), 2)
-		h.replica.refuse = naming(model.MakeWorkerID("bad", 1))
+		h.replica.Refuse(naming(model.MakeWorkerID("bad", 1)))
 		_, err := h.report("bad", 1, ended(model.RunDone, bad[0]))
 		var res result.Result
 		assert.Assert(t, errors.As(err, &res) && res.Code == result.InvalidInput, "%v", err)
 		time.Sleep(2 * lease) // from now on each cycle also records that the silent worker's run is lost
 		o := h.mustReport("sound", 1, ended(model.RunDone, sound[0]))
 		assert.Equal(t, o.AckCursor, int64(1))
-		h.replica.refuse = nil
+		h.replica.Refuse(nil)
 		time.Sleep(planInterval)
 		started := h.mustReport("sound", 1, func(r *Report) { whole(r); ended(model.RunDone, sound[0])(r) }).Start
 		assert.Equal(t, len(started), 1)
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,64 +13,18 @@
 	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
-	"lacewingturn.example/api/codec"
-	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
-	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
-	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/replicatest"
 )
 
 const maxLease = 6 * time.Second
 
-// fakeReplica applies commands at once and always has a quorum. Like a replica it
-// refuses a command that cannot be decoded from the log.
-type fakeReplica struct {
-	mu       sync.Mutex
-	view     replica.View
-	noQuorum bool // contact to the quorum is lost
-	// refuse, if not nil, selects further commands that are refused as invalid.
-	refuse func(model.Command) bool
-}
-
-func (f *fakeReplica) View() *replica.View {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	v := f.view
-	if !f.noQuorum {
-		v.QuorumContact = time.Now()
-	}
-	return &v
-}
-
-func (f *fakeReplica) Propose(_ context.Context, commands []model.Envelope) ([]result.Result, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make([]result.Result, len(commands))
-	for i, env := range commands {
-		if _, _, err := codec.EncodeForLog(env); err != nil || f.refuse != nil && f.refuse(env.Command) {
-			out[i] = result.New(result.InvalidInput, "the command is invalid: %v", err)
-			continue
-		}
-		env.Time = model.TimestampOf(time.Now())
-		f.view.State, out[i] = command.Apply(f.view.State, f.view.State.Index+1, f.view.Term, env)
-	}
-	return out, nil
-}
-
-// lead makes the replica the leader of a term; a follower if the term is 0.
-func (f *fakeReplica) lead(term model.Term) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.view.Term, f.view.IsLeader, f.view.LeaderSince = term, term != 0, time.Now()
-	f.view.State.Term = term // as the first entry of a leader sets it
-}
-
 // harness runs a machine on a loop, with a fake replica and a catalog of one queue.
 type harness struct {
 	t        *testing.T
-	replica  *fakeReplica
+	replica  *replicatest.Replica
 	machine  *Machine
 	logs     *observer.ObservedLogs
 	loop     loop.Port
@@ -98,7 +51,7 @@
 func runHarness(t *testing.T, test func(h *harness)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		h := &harness{t: t, replica: &fakeReplica{view: replica.View{Term: 1, IsLeader: true, LeaderSince: time.Now()}}}
+		h := &harness{t: t, replica: replicatest.NewLeader(1)}
 		catalog := model.Catalog{
 			Version: 1, Pools: []model.WorkerPool{{Name: "p"}},
 			Queues: []model.Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", MaxFailures: 3, Stretch: 2, Target: time.Second}},
@@ -200,7 +153,7 @@
 		h.submit(1, oneTask)
 		h.mustReport("a", 1, nil)
 		time.Sleep(time.Second)
-		h.replica.lead(2)
+		h.replica.Lead(2)
 		since := time.Now()
 		for time.Since(since) <= lease+time.Duration(maxClockDrift*float64(lease)) {
 			assert.Equal(t, len(h.mustReport("b", 2, nil).Start), 0)
@@ -303,13 +256,11 @@
 func TestLeaderWithoutQuorumGrantsNothing(t *testing.T) {
 	runHarness(t, func(h *harness) {
 		h.submit(1, oneTask)
-		h.replica.mu.Lock()
-		h.replica.noQuorum, h.replica.view.QuorumContact = true, time.Now()
-		h.replica.mu.Unlock()
+		h.replica.LoseQuorum()
 		time.Sleep(time.Second)
 		_, err := h.report("a", 1, nil)
 		assert.ErrorContains(t, err, "does not lead")
-		h.replica.lead(0)
+		h.replica.Lead(0)
 		_, err = h.report("a", 1, nil)
 		assert.ErrorContains(t, err, "does not lead")
 	})
@@ -376,8 +327,7 @@
 // Guards against a move of an instance with work on it: while a start is being
 // committed the state does not show the run yet, but the instance is not idle.
 func TestStartsInCommitAreObserved(t *testing.T) {
-	r := &fakeReplica{}
-	r.lead(1)
+	r := replicatest.NewLeader(1)
 	m := New(t.Context(), loop.New(1), r, clock.NewSuspendDetector(), Settings{MaxLease: maxLease, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop()})
 	now := time.Now()
 	m.Flush(now)
--- a/replica/schedule/simulation_test.go
+++ b/replica/schedule/simulation_test.go
@@ -218,7 +218,7 @@
 		s.publish()
 	case 12:
 		s.term++
-		s.h.replica.lead(s.term)
+		s.h.replica.Lead(s.term)
 	}
 }
 
