One pass over the checkpoints of a heartbeat, the same for both lists

withValidCheckpoints had the same loop for running and for ended runs, and looked at each list twice if a checkpoint was invalid. One function serves both and clones a list at its first invalid checkpoint.

--- a/core/command/catalog/rebind_test.go
+++ b/core/command/catalog/rebind_test.go
@@ -82,7 +82,7 @@
 	x.publish(model.CurrentRules, queueAt("b", "/1/"), queueAt("a", "/2/"))
 	assert.Equal(t, x.pool("/1/"), "/1/")
 	assert.Equal(t, x.pool("/2/"), "/2/")
-	x.publish(model.CurrentRules, queueAt("b", "/2/")) // b was at /1/ before, which is gone
+	x.publish(model.CurrentRules, queueAt("b", "/2/")) // the catalog before had b at /1/
 	assert.Equal(t, x.pool("/1/"), "none")
 	assert.Equal(t, x.pool("/2/"), "/2/")
 	x.publish(model.CurrentRules, queueAt("b", "/3/"), queueAt("a", "/2/"))
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -46,24 +46,25 @@
 // withValidCheckpoints returns the report without the checkpoints that must not enter
 // the state. A run without a checkpoint resumes from the one that is recorded already.
 func (r Report) withValidCheckpoints() Report {
-	invalid := func(checkpoint string) bool { return !model.ValidCheckpoint(checkpoint) }
-	if slices.ContainsFunc(r.Running, func(o Running) bool { return invalid(o.Checkpoint) }) {
-		r.Running = slices.Clone(r.Running)
-		for i := range r.Running {
-			if invalid(r.Running[i].Checkpoint) {
-				r.Running[i].Checkpoint = ""
-			}
+	r.Running = withoutInvalid(r.Running, func(o *Running) *string { return &o.Checkpoint })
+	r.Ended = withoutInvalid(r.Ended, func(e *Ended) *string { return &e.Checkpoint })
+	return r
+}
+
+// withoutInvalid returns the list with its invalid checkpoints emptied; the given list is
+// not modified.
+func withoutInvalid[T any](list []T, checkpoint func(*T) *string) []T {
+	out := list
+	for i := range list {
+		if model.ValidCheckpoint(*checkpoint(&list[i])) {
+			continue
 		}
-	}
-	if slices.ContainsFunc(r.Ended, func(e Ended) bool { return invalid(e.Checkpoint) }) {
-		r.Ended = slices.Clone(r.Ended)
-		for i := range r.Ended {
-			if invalid(r.Ended[i].Checkpoint) {
-				r.Ended[i].Checkpoint = ""
-			}
+		if &out[0] == &list[0] {
+			out = slices.Clone(list)
 		}
+		*checkpoint(&out[i]) = ""
 	}
-	return r
+	return out
 }
 
 // Running is a run that has not ended on the worker.
