--- /dev/null
+++ b/core/model/account.go
@@ -0,0 +1,69 @@
+package model
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+)
+
+// AccountName identifies a client account within one catalog.
+type AccountName string
+
+// ClientAccount is a customer whose callers share the fleet with those of others.
+type ClientAccount struct {
+	Name AccountName
+	// Weight is the account's share of the capacity while all of it is in use, relative to
+	// the weights of the other accounts; greater than 0.
+	Weight float64
+	// Rate is the number of workloads a second up to which the account is served before what
+	// others submit beyond their own rates; 0 means no limit.
+	Rate float64
+	// Cap is the most that the account may have running in all pools together. A component
+	// that is 0 sets no limit.
+	Cap Resources
+}
+
+// KeyDigest identifies a key of a client account. The keys themselves are kept only in the
+// catalog's document.
+type KeyDigest [16]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(sum[:16])
+}
+
+// Compare orders digests; it returns a number below, equal to or above 0.
+func (d KeyDigest) Compare(o KeyDigest) int { return bytes.Compare(d[:], o[:]) }
+
+// AccountKey assigns a key to a client account.
+type AccountKey struct {
+	Digest  KeyDigest
+	Account AccountName
+}
+
+// AccountOf returns the account that the key belongs to; false if the catalog is nil or
+// has no such key. A nil key belongs to no account.
+func (c *Catalog) AccountOf(key *KeyDigest) (AccountName, bool) {
+	if c == nil || key == nil {
+		return "", false
+	}
+	i, ok := slices.BinarySearchFunc(c.Keys, *key, func(k AccountKey, d KeyDigest) int { return k.Digest.Compare(d) })
+	if !ok {
+		return "", false
+	}
+	return c.Keys[i].Account, true
+}
+
+// Account returns the client account with the name; false if the catalog is nil or has
+// no such account.
+func (c *Catalog) Account(name AccountName) (ClientAccount, bool) {
+	if c == nil {
+		return ClientAccount{}, false
+	}
+	i := slices.IndexFunc(c.Accounts, func(a ClientAccount) bool { return a.Name == name })
+	if i < 0 {
+		return ClientAccount{}, false
+	}
+	return c.Accounts[i], true
+}
--- a/core/model/catalog.go
+++ b/core/model/catalog.go
@@ -24,6 +24,12 @@
 	Document []byte
 	Queues   []Queue
 	Pools    []WorkerPool
+	// RequireKeys is set if calls need the key of a client account, except those of public
+	// queues. Without it all callers are anonymous.
+	RequireKeys bool            `cbor:",omitempty"`
+	Accounts    []ClientAccount `cbor:",omitempty"`
+	// Keys holds the keys of all accounts in ascending order of their digests.
+	Keys []AccountKey `cbor:",omitempty"`
 }
 
 // Queue accepts workloads at an address and runs their tasks on one pool.
@@ -47,6 +53,8 @@
 	Advised bool
 	// AdviceTicket is the validity period of a ticket issued by the policy service.
 	AdviceTicket time.Duration
+	// Public is true if calls need no key.
+	Public bool `cbor:",omitempty"`
 }
 
 // Address returns the address of the queue.
--- a/core/model/commands_workload.go
+++ b/core/model/commands_workload.go
@@ -10,12 +10,16 @@
 	Path     string
 	Workload Workload // queue, ID, rounds and times are not set
 	Repeat   int      // number of rounds; 0 means one
+	// Key is the key that the caller presented; nil if none.
+	Key *KeyDigest `cbor:",omitempty"`
 }
 
 // CancelWorkload cancels the workload at the given host and path.
 type CancelWorkload struct {
 	Host string
 	Path string
+	// Key is the key that the caller presented; nil if none.
+	Key *KeyDigest `cbor:",omitempty"`
 }
 
 // RecordProgress records that runs have ended and started. The ends are applied
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -22,6 +22,8 @@
 	// workload was accepted by FirstRules and no catalog was published since. It is a
 	// pointer because planning copies all workloads.
 	Address *QueueAddress `cbor:",omitempty"`
+	// Account is the client account whose key submitted the workload; empty if none.
+	Account AccountName `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -195,6 +197,8 @@
 	EndedAt Timestamp
 	// Reason says why the workload has failed; empty in other phases.
 	Reason string
+	// Account is the account of the workload; empty if none.
+	Account AccountName `cbor:",omitempty"`
 }
 
 // isIn reports whether the queue, which has the name of the workload's queue, is that
