Caps of client accounts: no start brings one above its cap

Cause: no code counted what an account has running. Change: core/command/share derives it for each plan from active runs, from runs that workers still have although they are not assigned, and after an election from the runs that workloads had when they ended; core/command/place asks it before each start and for each gang. Without accounts there is no ledger.

With the count of unassigned runs or of those from before the election taken out, TestStoppingRunsCountForTheCap and TestRunsFromBeforeAnElectionCountForTheCap fail.

--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -15,7 +15,7 @@
 		number = max(number, t.LastRun)
 	}
 	spec := c.workload.Steps[step]
-	if !p.pools[c.pool].mayFit(spec.Reserved()) {
+	if !p.pools[c.pool].mayFit(spec.Reserved()) || !c.account.MayStart(spec.Need, spec.Count) {
 		return
 	}
 	ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step}
@@ -58,19 +58,20 @@
 		member.Index = k
 		w := p.chooseAmong(group, c, spec, member, nil)
 		if w == nil {
-			p.undo(chosen, spec, ref)
+			p.undo(chosen, c, spec, ref)
 			group.updateLargestFree() // it may have been lowered for the members that fitted
 			return false
 		}
-		p.start(w, spec, member, number)
+		p.start(w, c, spec, member, number)
 		chosen = append(chosen, w)
 	}
 	return true
 }
 
 // undo takes back the latest starts of tasks of the step, which are on the given workers.
-func (p *planner) undo(on []*Worker, spec model.Step, ref model.TaskRef) {
+func (p *planner) undo(on []*Worker, c *candidate, spec model.Step, ref model.TaskRef) {
 	for _, w := range on {
+		c.account.Undo(spec.Need)
 		w.Free = w.Free.Add(spec.Reserved())
 		w.FillerMilliCPU += spec.Need.MilliCPU
 		if countsRuns(spec) {
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
@@ -14,6 +15,7 @@
 type candidate struct {
 	workload model.Workload
 	pool     model.PoolName
+	account  *share.Account // nil if the workload belongs to none
 	priority int
 	advised  bool            // tasks need a ticket of the policy service
 	lasting  bool            // at least one step is lasting
@@ -74,7 +76,7 @@
 }
 
 func (p *planner) candidate(w model.Workload, q *model.Queue) *candidate {
-	c := &candidate{workload: w, pool: q.Pool, priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, left: query.RemainingCriticalPath(w)}
+	c := &candidate{workload: w, pool: q.Pool, account: p.shares.Account(w.Account), priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, left: query.RemainingCriticalPath(w)}
 	for i := range w.Steps {
 		c.lasting = c.lasting || w.Steps[i].Lasting
 	}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/model"
 )
 
@@ -55,6 +56,9 @@
 	// RemoteDataFactor is the slowdown of tasks outside the rack of their data and
 	// of gangs on more than one rack, as a multiple of their estimated run time.
 	RemoteDataFactor float64
+	// Unassigned is the sum of the needs of each account's runs that the state does not list
+	// as active and that may still be running, on any worker.
+	Unassigned map[model.AccountName]model.Resources
 }
 
 // Plan returns the runs to start. The workloads come in scheduling order; see
@@ -83,6 +87,7 @@
 	queues  model.Queues
 	options Options
 	pools   map[model.PoolName]*pool
+	shares  *share.Ledger
 	// runCounts has the number of runs of each step on a worker, including those
 	// started by this plan. countRuns adds a worker when it is first needed. Only steps
 	// with countsRuns are kept up to date.
@@ -94,7 +99,7 @@
 func newPlanner(s model.State, workers []Worker, options Options) *planner {
 	return &planner{
 		state: s, queues: s.Catalog.QueuesByName(), options: options, pools: groupByPool(workers),
-		runCounts: map[model.WorkerID]map[stepRef]int{},
+		shares: share.NewLedger(s, options.Unassigned), runCounts: map[model.WorkerID]map[stepRef]int{},
 	}
 }
 
@@ -129,7 +134,7 @@
 		if full || task.Done || !p.needsRun(spec, ref, task) {
 			continue
 		}
-		if !p.pools[c.pool].mayFit(spec.Reserved()) {
+		if !p.pools[c.pool].mayFit(spec.Reserved()) || !c.account.MayStart(spec.Need, 1) {
 			return
 		}
 		w := p.chooseWorker(c, spec, ref, task.Active)
@@ -137,7 +142,7 @@
 			full = !p.options.avoidsAny(ref)
 			continue
 		}
-		p.start(w, spec, ref, task.LastRun+1)
+		p.start(w, c, spec, ref, task.LastRun+1)
 	}
 }
 
@@ -277,11 +282,12 @@
 // countsRuns reports whether the choice of a worker depends on the runs of the step there.
 func countsRuns(spec model.Step) bool { return spec.Lasting || spec.MaxPerWorker > 0 }
 
-func (p *planner) start(w *Worker, spec model.Step, ref model.TaskRef, number int) {
+func (p *planner) start(w *Worker, c *candidate, spec model.Step, ref model.TaskRef, number int) {
 	if countsRuns(spec) {
 		p.countRuns(w, stepOf(ref))
 		p.runCounts[w.ID][stepOf(ref)]++
 	}
+	c.account.Start(spec.Need)
 	w.Free = w.Free.Sub(spec.Reserved())
 	w.FillerMilliCPU -= spec.Need.MilliCPU
 	p.starts = append(p.starts, model.RunStart{Run: model.RunRef{Task: ref, Number: number}, Worker: w.ID})
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		spec, ok := firstWaiting(c.workload, options.Now)
-		if !ok {
+		if !ok || !c.account.MayStart(spec.Need, 1) {
 			continue
 		}
 		served[c.pool] = true
--- /dev/null
+++ b/core/command/share/ledger.go
@@ -0,0 +1,90 @@
+package share
+
+import "lacewingturn.example/core/model"
+
+// Ledger holds what each client account has running in all pools together. A nil ledger
+// has no accounts.
+type Ledger struct {
+	accounts map[model.AccountName]*Account
+}
+
+// Account is the entry of one client account. A nil account has no limits, like work that
+// belongs to no account of the catalog.
+type Account struct {
+	model.ClientAccount
+	// Running is the sum of the needs of all runs that the account has or may have. Fillers
+	// count by their whole need, although they reserve no processors.
+	Running model.Resources
+}
+
+// NewLedger returns the ledger of the accounts in the catalog; nil if it has none. Running
+// includes the active runs of the state and what unassigned holds for each account: the
+// needs of runs that the state does not list as active and that may still be running, for
+// example because they are being stopped.
+func NewLedger(s model.State, unassigned map[model.AccountName]model.Resources) *Ledger {
+	if s.Catalog == nil || len(s.Catalog.Accounts) == 0 {
+		return nil
+	}
+	l := &Ledger{accounts: make(map[model.AccountName]*Account, len(s.Catalog.Accounts))}
+	for _, a := range s.Catalog.Accounts {
+		l.accounts[a.Name] = &Account{ClientAccount: a, Running: unassigned[a.Name]}
+	}
+	for _, w := range s.Workloads.All() {
+		if a := l.Account(w.Account); a != nil {
+			a.Running = a.Running.Add(ActiveNeed(&w))
+		}
+	}
+	return l
+}
+
+// Account returns the entry of the account; nil if the catalog does not have it.
+func (l *Ledger) Account(name model.AccountName) *Account {
+	if l == nil || name == "" {
+		return nil
+	}
+	return l.accounts[name]
+}
+
+// ActiveNeed returns the sum of the needs of the workload's active runs, copies included.
+func ActiveNeed(w *model.Workload) model.Resources {
+	var sum model.Resources
+	for i := range w.Rounds {
+		for j := range w.Rounds[i].Steps {
+			step := &w.Rounds[i].Steps[j]
+			if step.Complete() {
+				continue
+			}
+			active := 0
+			for k := range step.Tasks {
+				active += len(step.Tasks[k].Active)
+			}
+			sum = sum.Add(w.Steps[j].Need.Times(active))
+		}
+	}
+	return sum
+}
+
+// MayStart reports whether the account may start so many runs with the need at once.
+func (a *Account) MayStart(need model.Resources, runs int) bool {
+	return a == nil || fitsCopies(a.Cap, a.Running, need, runs)
+}
+
+// MayEverStart reports whether the account could start so many runs with the need at once
+// if it had nothing else running.
+func (a *Account) MayEverStart(need model.Resources, runs int) bool {
+	return a == nil || fitsCopies(a.Cap, model.Resources{}, need, runs)
+}
+
+// Start adds a run with the need.
+func (a *Account) Start(need model.Resources) {
+	if a != nil {
+		a.Running = a.Running.Add(need)
+	}
+}
+
+// Undo takes back the start of a run with the need.
+func (a *Account) Undo(need model.Resources) {
+	if a != nil {
+		a.Running = a.Running.Sub(need)
+	}
+}
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
@@ -139,12 +140,27 @@
 		}
 	}
 	s.Workloads = s.Workloads.Delete(w.ID)
-	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason})
+	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{
+		ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason, Account: w.Account, Held: heldBy(&w),
+	})
 	if s.Finished.Len() > finishedPruneThreshold {
 		dropExpired(s)
 	}
 }
 
+// heldBy returns what the workload has running; nil if that is nothing or the workload has no
+// account.
+func heldBy(w *model.Workload) *model.Resources {
+	if w.Account == "" {
+		return nil
+	}
+	held := share.ActiveNeed(w)
+	if held == (model.Resources{}) {
+		return nil
+	}
+	return &held
+}
+
 // finishedPruneThreshold is the number of outcomes above which those older than Retention are dropped.
 const finishedPruneThreshold = 20_000
 
--- a/core/model/ids.go
+++ b/core/model/ids.go
@@ -77,6 +77,11 @@
 	return Resources{int64(float64(r.MilliCPU) * f), int64(float64(r.MemoryMB) * f), int64(float64(r.Accelerators) * f)}
 }
 
+// Times returns r multiplied by n.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
+}
+
 // Max returns the larger of r and o in each component.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -199,6 +199,10 @@
 	Reason string
 	// Account is the account of the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
+	// Held is the sum of the needs of the runs that were active when the workload ended; nil
+	// if there were none or it has no account. A new leader counts it against the account
+	// while these runs may still exist on workers that have not reported to it.
+	Held *Resources `cbor:",omitempty"`
 }
 
 // isIn reports whether the queue, which has the name of the workload's queue, is that
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -239,6 +239,7 @@
 		},
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
 		RemoteDataFactor: m.settings.RemoteDataFactor,
+		Unassigned:       m.unassignedNeeds(now, s),
 	}
 }
 
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -45,6 +45,9 @@
 	// leaderSince is when this replica became leader. Leases granted by earlier
 	// leaders are assumed to start then.
 	leaderSince time.Time
+	// endedSince is the earliest end of a workload whose runs workers may still have, with a
+	// lease of an earlier leader, when the term begins. It is a time of the replicated clock.
+	endedSince model.Timestamp
 	workers     map[model.WorkerID]*worker
 	// byName, byInstance and byAddress hold the incarnation that holds each name, instance
 	// and address; see claim.
@@ -189,6 +192,7 @@
 func (m *Machine) startLeading(v *replica.View) {
 	m.refuseAll(errNotLeader)
 	m.term, m.leaderSince = v.Term, v.LeaderSince
+	m.endedSince = min(v.State.Clock, model.TimestampOf(v.LeaderSince)).Add(-leaseEnd(time.Time{}, m.lease()).Sub(time.Time{}))
 	event.SchedulingBegun.Log(m.settings.Logger, zap.Uint64("term", uint64(v.Term)), zap.Uint64("state", uint64(v.State.Index)), zap.Duration("lease", m.lease()))
 	m.workers, m.endedAt = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -19,9 +19,9 @@
 	// leaseUntil is when all runs on the worker have certainly ended if it does not
 	// report again.
 	leaseUntil time.Time
-	// sizes holds the resources of each run that was assigned to the worker, until
-	// neither the state nor the worker lists the run.
-	sizes map[model.RunRef]model.Resources
+	// sizes holds the size of each run that was assigned to the worker, until neither the
+	// state nor the worker lists the run.
+	sizes map[model.RunRef]runSize
 	// progress holds the progress of each run and when it last advanced. A run that is not
 	// listed any more, and not as ended either, stays for the length of a lease.
 	progress map[model.RunRef]progress
@@ -179,7 +179,7 @@
 // computeFree subtracts the runs from the capacity, and returns the runs that are not
 // assigned. Nothing is free if the size of a listed run is unknown.
 func (w *worker) computeFree(s model.State, assigned []model.RunRef) (free model.Resources, unassigned []model.RunRef) {
-	sizes := map[model.RunRef]model.Resources{}
+	sizes := map[model.RunRef]runSize{}
 	for _, run := range assigned {
 		sizes[run] = sizeOf(s, run.Task)
 	}
@@ -205,17 +205,25 @@
 	w.sizes = sizes
 	free = w.Capacity
 	for _, size := range sizes {
-		free = free.Sub(size)
+		free = free.Sub(size.reserved)
 	}
 	return free, unassigned
 }
 
-func sizeOf(s model.State, task model.TaskRef) model.Resources {
+// runSize is what a run takes of its worker and of the cap of its account.
+type runSize struct {
+	reserved model.Resources
+	need     model.Resources
+	account  model.AccountName
+}
+
+func sizeOf(s model.State, task model.TaskRef) runSize {
 	w, ok := s.Workloads.Get(task.Workload)
 	if !ok || !w.Has(task) {
-		return model.Resources{}
+		return runSize{}
 	}
-	return w.Steps[task.Step].Reserved()
+	step := w.Steps[task.Step]
+	return runSize{reserved: step.Reserved(), need: step.Need, account: w.Account}
 }
 
 // offer returns the worker as input of the planner; false if it takes no work.
