--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -38,6 +38,7 @@
 	Finished   []model.FinishedWorkload
 	Upkeeps    []model.Upkeep
 	Orders     []model.InstanceOrder
+	Rates      []model.AccountRate `cbor:",omitempty"`
 }
 
 // EncodeState returns the wire form of s. Equal states have equal encodings.
@@ -49,7 +50,7 @@
 		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(), Changes: s.WorkerChanges.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
 		Catalog: s.Catalog, Workloads: s.Workloads.Values(), Finished: s.Finished.Values(), Upkeeps: s.Upkeeps.Values(),
-		Orders: s.Orders.Values(),
+		Orders: s.Orders.Values(), Rates: s.AccountRates.Values(),
 	})
 }
 
@@ -83,6 +84,7 @@
 		Finished:      table.FromValues(m.Finished, func(v model.FinishedWorkload) model.WorkloadID { return v.ID }),
 		Upkeeps:       table.FromValues(m.Upkeeps, func(v model.Upkeep) model.UpkeepNumber { return v.Number }),
 		Orders:        table.FromValues(m.Orders, func(v model.InstanceOrder) model.InstanceID { return v.Instance }),
+		AccountRates:  table.FromValues(m.Rates, func(v model.AccountRate) model.AccountName { return v.Account }),
 	}), nil
 }
 
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -25,14 +25,18 @@
 	deadline model.Timestamp
 	left     time.Duration
 	late     bool
+	// beyondRate is set if its account submitted the workload beyond its rate.
+	beyondRate bool
+	// turn is nil if all of the workload is placed at once.
+	turn *turn
 	// localOnly is set while the current step waits for workers near its data.
 	localOnly bool
 }
 
 // candidates returns the workloads that wait for a run in pools that have a worker with
 // free capacity, in scheduling order: by priority with the lowest number first, then
-// lasting workloads first, then workloads that can still meet their deadline before late
-// ones, then by earliest deadline.
+// lasting workloads first, then those within the rates of their accounts, then workloads
+// that can still meet their deadline before late ones, then by earliest deadline.
 func (p *planner) candidates() []*candidate {
 	return p.candidatesOf(func(name model.PoolName) bool { return p.pools[name].hasCapacity() })
 }
@@ -76,7 +80,7 @@
 }
 
 func (p *planner) candidate(w model.Workload, q *model.Queue) *candidate {
-	c := &candidate{workload: w, pool: q.Pool, account: p.shares.Account(w.Account), priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, left: query.RemainingCriticalPath(w)}
+	c := &candidate{workload: w, pool: q.Pool, account: p.shares.Account(w.Account), priority: q.Priority, advised: q.Advised, since: w.AcceptedAt, beyondRate: w.BeyondRate, left: query.RemainingCriticalPath(w)}
 	for i := range w.Steps {
 		c.lasting = c.lasting || w.Steps[i].Lasting
 	}
@@ -86,6 +90,11 @@
 }
 
 func compareCandidates(a, b *candidate) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), compare.TrueFirst(a.lasting, b.lasting), compare.TrueFirst(b.late, a.late),
+	return cmp.Or(compareClasses(a, b), compare.TrueFirst(b.late, a.late),
 		cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.workload.ID, b.workload.ID))
 }
+
+// compareClasses orders the classes of candidates. Accounts share the workers within a class.
+func compareClasses(a, b *candidate) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), compare.TrueFirst(a.lasting, b.lasting), compare.TrueFirst(b.beyondRate, a.beyondRate))
+}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -65,11 +65,7 @@
 // candidates. Plan does not modify workers.
 func Plan(s model.State, workers []Worker, options Options) []model.RunStart {
 	p := newPlanner(s, slices.Clone(workers), options)
-	for _, c := range p.candidates() {
-		if p.pools[c.pool].hasCapacity() {
-			p.place(c)
-		}
-	}
+	p.placeAll(p.candidates())
 	return p.starts
 }
 
@@ -99,7 +95,7 @@
 func newPlanner(s model.State, workers []Worker, options Options) *planner {
 	return &planner{
 		state: s, queues: s.Catalog.QueuesByName(), options: options, pools: groupByPool(workers),
-		shares: share.NewLedger(s, options.Unassigned), runCounts: map[model.WorkerID]map[stepRef]int{},
+		shares: share.NewLedger(s, totalFree(workers), options.Unassigned), runCounts: map[model.WorkerID]map[stepRef]int{},
 	}
 }
 
@@ -111,9 +107,12 @@
 			break
 		}
 		for j, step := range round.Steps {
-			if step.Complete() || !c.workload.StepReady(i, j) {
+			if step.Complete() || !c.workload.StepReady(i, j) || c.turn.placed(i, j) {
 				continue
 			}
+			if c.turn.pauses(i, j, 0) {
+				return
+			}
 			spec := c.workload.Steps[j]
 			c.localOnly = !spec.Gang && spec.NearRack != "" && p.hasRack(c.pool, spec.NearRack) && p.canWait(c, i, spec)
 			if spec.Gang {
@@ -129,7 +128,9 @@
 func (p *planner) placeTasks(c *candidate, round, step int) {
 	spec := c.workload.Steps[step]
 	full := false // no worker can take another task of the step
-	for k, task := range c.workload.Rounds[round].Steps[step].Tasks {
+	tasks := c.workload.Rounds[round].Steps[step].Tasks
+	for k := c.turn.firstTask(round, step); k < len(tasks); k++ {
+		task := tasks[k]
 		ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step, Index: k}
 		if full || task.Done || !p.needsRun(spec, ref, task) {
 			continue
@@ -137,6 +138,9 @@
 		if !p.pools[c.pool].mayFit(spec.Reserved()) || !c.account.MayStart(spec.Need, 1) {
 			return
 		}
+		if c.turn.pauses(round, step, k) {
+			return
+		}
 		w := p.chooseWorker(c, spec, ref, task.Active)
 		if w == nil {
 			full = !p.options.avoidsAny(ref)
@@ -288,6 +292,7 @@
 		p.runCounts[w.ID][stepOf(ref)]++
 	}
 	c.account.Start(spec.Need)
+	c.turn.started()
 	w.Free = w.Free.Sub(spec.Reserved())
 	w.FillerMilliCPU -= spec.Need.MilliCPU
 	p.starts = append(p.starts, model.RunStart{Run: model.RunRef{Task: ref, Number: number}, Worker: w.ID})
--- a/core/command/share/ledger.go
+++ b/core/command/share/ledger.go
@@ -6,10 +6,14 @@
 // has no accounts.
 type Ledger struct {
 	accounts map[model.AccountName]*Account
+	// other is the work that belongs to no account of the catalog. It has no cap and the
+	// smallest weight of any account.
+	other *Account
+	// capacity is the total of what is running and what is free.
+	capacity model.Resources
 }
 
-// Account is the entry of one client account. A nil account has no limits, like work that
-// belongs to no account of the catalog.
+// Account is the entry of one client account. A nil account has no limits.
 type Account struct {
 	model.ClientAccount
 	// Running is the sum of the needs of all runs that the account has or may have. Fillers
@@ -17,32 +21,48 @@
 	Running model.Resources
 }
 
-// NewLedger returns the ledger of the accounts in the catalog; nil if it has none. Running
-// includes the active runs of the state and what unassigned holds for each account: the
+// NewLedger returns the ledger of the accounts in the catalog; nil if it has none. Free is the
+// free capacity of the workers. Running includes the active runs of the state and what unassigned holds for each account: the
 // needs of runs that the state does not list as active and that may still be running, for
 // example because they are being stopped.
-func NewLedger(s model.State, unassigned map[model.AccountName]model.Resources) *Ledger {
+func NewLedger(s model.State, free model.Resources, unassigned map[model.AccountName]model.Resources) *Ledger {
 	if s.Catalog == nil || len(s.Catalog.Accounts) == 0 {
 		return nil
 	}
-	l := &Ledger{accounts: make(map[model.AccountName]*Account, len(s.Catalog.Accounts))}
+	l := &Ledger{accounts: make(map[model.AccountName]*Account, len(s.Catalog.Accounts)), other: &Account{}, capacity: free}
 	for _, a := range s.Catalog.Accounts {
 		l.accounts[a.Name] = &Account{ClientAccount: a, Running: unassigned[a.Name]}
+		if l.other.Weight == 0 || a.Weight < l.other.Weight {
+			l.other.Weight = a.Weight
+		}
 	}
 	for _, w := range s.Workloads.All() {
-		if a := l.Account(w.Account); a != nil {
-			a.Running = a.Running.Add(ActiveNeed(&w))
-		}
+		a := l.Account(w.Account)
+		a.Running = a.Running.Add(ActiveNeed(&w))
+	}
+	l.capacity = l.capacity.Add(l.other.Running)
+	for _, a := range l.accounts {
+		l.capacity = l.capacity.Add(a.Running)
 	}
 	return l
 }
 
-// Account returns the entry of the account; nil if the catalog does not have it.
+// Account returns the entry of the account; the one of all other work if the catalog does not
+// have the account.
 func (l *Ledger) Account(name model.AccountName) *Account {
-	if l == nil || name == "" {
+	if l == nil {
 		return nil
 	}
-	return l.accounts[name]
+	if a := l.accounts[name]; a != nil {
+		return a
+	}
+	return l.other
+}
+
+// WeightedShare returns the dominant share of what the account has running, divided by its
+// weight.
+func (l *Ledger) WeightedShare(a *Account) float64 {
+	return DominantShare(l.capacity, a.Running) / a.Weight
 }
 
 // ActiveNeed returns the sum of the needs of the workload's active runs, copies included.
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -64,6 +64,7 @@
 			w.Rounds[i].Steps[j].Tasks = make([]model.Task, step.Count)
 		}
 	}
+	w.BeyondRate = share.ChargeRate(s, w.Account)
 	s.Workloads = s.Workloads.Set(id, w)
 	return result.Result{Code: result.Accepted, Value: string(id)}
 }
--- a/core/model/account.go
+++ b/core/model/account.go
@@ -23,6 +23,14 @@
 	Cap Resources
 }
 
+// AccountRate is the state of the rate limit of an account.
+type AccountRate struct {
+	Account AccountName
+	// Next is when the account's rate covers one more workload if it submits none until
+	// then, in nanoseconds since the Unix epoch.
+	Next int64
+}
+
 // KeyDigest identifies a key of a client account. The keys themselves are kept only in the
 // catalog's document.
 type KeyDigest [16]byte
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -24,6 +24,8 @@
 	Address *QueueAddress `cbor:",omitempty"`
 	// Account is the client account whose key submitted the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
+	// BeyondRate is set if the account submitted the workload beyond its rate.
+	BeyondRate bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -48,7 +48,7 @@
 	// endedSince is the earliest end of a workload whose runs workers may still have, with a
 	// lease of an earlier leader, when the term begins. It is a time of the replicated clock.
 	endedSince model.Timestamp
-	workers     map[model.WorkerID]*worker
+	workers    map[model.WorkerID]*worker
 	// byName, byInstance and byAddress hold the incarnation that holds each name, instance
 	// and address; see claim.
 	byName     map[string]*worker
