Client accounts of a configuration are decoded and checked

Cause: the adapter dropped the accounts of a configuration and the queues that need no key, so that every call was served.

Change: the accounts with their keys, weights and caps become part of the catalog, and the presence of the field makes keys required, also if the list is empty. A shared or empty key, an odd name, weight or cap is an error that names the account and contains no key. The command checks the names, the order of the keys and their accounts again.

--- a/core/command/catalog/catalog.go
+++ b/core/command/catalog/catalog.go
@@ -49,5 +49,5 @@
 			return result.New(result.InvalidInput, "queue %q names the unknown pool %q", q.Name, q.Pool)
 		}
 	}
-	return result.Result{Code: result.OK}
+	return checkAccounts(c)
 }
