Calls about workloads are judged by their keys on the leader

Cause: a call ran whatever key it carried, also without one or with a withdrawn one.

Change: a call carries the digest of its key. Submissions and cancellations are judged where they are applied, in the order of the log, by the catalog in force there; reads on a replica that certainly leads. An instance without state judges nothing, so that no view of keys can be out of date. A public queue needs no key; a known key there names the account that the workload counts for, and every caller may read and cancel such a workload. A withdrawn key ends no accepted workload.

New stored fields are left out while they are empty.

--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -34,14 +34,18 @@
 
 // submit accepts a workload. Submitting a known workload again has no effect.
 func submit(s *model.State, c model.SubmitWorkload, rules model.Rules) result.Result {
-	queue, id, r := resolve(s, c.Host, c.Path)
+	t, r := resolve(s, c.Host, c.Path, c.Key)
 	if !r.Code.OK() {
 		return r
 	}
+	queue, id := t.queue, t.id
 	if !validID(id) {
 		return result.New(result.InvalidInput, "%q is not an ID of 16 hexadecimal digits", id)
 	}
-	if s.Workloads.Has(id) || s.Finished.Has(id) {
+	if owner, known := ownerOf(s, id); known {
+		if !s.Catalog.MayAccess(t.account, owner) {
+			return wrongAccount(id)
+		}
 		return result.Result{Code: result.Unchanged, Value: string(id)}
 	}
 	if s.Workloads.Len() >= MaxActive {
@@ -52,6 +56,7 @@
 	}
 	w := c.Workload
 	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
+	w.Account, w.Public = t.account, queue.Public
 	if rules != model.FirstRules {
 		address := queue.Address()
 		w.Address = &address
@@ -67,18 +72,6 @@
 	return result.Result{Code: result.Accepted, Value: string(id)}
 }
 
-// resolve returns the queue and the workload ID for a host and path.
-func resolve(s *model.State, host, path string) (model.Queue, model.WorkloadID, result.Result) {
-	if s.Catalog == nil {
-		return model.Queue{}, "", result.New(result.NoCatalog, "no catalog of queues is published yet")
-	}
-	queue, rest, ok := s.Catalog.Resolve(host, path)
-	if !ok {
-		return model.Queue{}, "", result.New(result.NotFound, "no queue at %s%s", host, path)
-	}
-	return queue, model.WorkloadID(rest), result.Result{Code: result.OK}
-}
-
 func validID(id model.WorkloadID) bool {
 	if len(id) != 16 {
 		return false
@@ -116,10 +109,14 @@
 
 // cancel ends a workload. Its workers stop its runs because these are no longer assigned.
 func cancel(s *model.State, c model.CancelWorkload) result.Result {
-	_, id, r := resolve(s, c.Host, c.Path)
+	t, r := resolve(s, c.Host, c.Path, c.Key)
 	if !r.Code.OK() {
 		return r
 	}
+	id := t.id
+	if owner, known := ownerOf(s, id); known && !s.Catalog.MayAccess(t.account, owner) {
+		return wrongAccount(id)
+	}
 	if w, active := s.Workloads.Get(id); active {
 		finish(s, w, model.WorkloadCancelled, "")
 		return result.Result{Code: result.OK}
@@ -139,7 +136,9 @@
 		}
 	}
 	s.Workloads = s.Workloads.Delete(w.ID)
-	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason})
+	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{
+		ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason, Account: w.Account, Public: w.Public,
+	})
 	if s.Finished.Len() > finishedPruneThreshold {
 		dropExpired(s)
 	}
--- a/core/model/account.go
+++ b/core/model/account.go
@@ -55,6 +55,30 @@
 	return c.Keys[i].Account, true
 }
 
+// Identify returns the account of a caller of the queue who presents the key. It reports
+// false if the caller needs the key of an account and has none. A caller of a public queue
+// who has no such key is anonymous, as are all callers where no keys are required.
+func (c *Catalog) Identify(q *Queue, key *KeyDigest) (AccountName, bool) {
+	if c == nil || !c.RequireKeys {
+		return "", true
+	}
+	account, known := c.AccountOf(key)
+	return account, known || q.Public
+}
+
+// Owner says who may read and cancel a workload.
+type Owner struct {
+	Account AccountName // empty for a workload of an anonymous caller
+	Public  bool        // the workload was accepted at a public queue
+}
+
+// MayAccess reports whether a caller of the account may read and cancel a workload of the
+// owner. An account name is only compared where keys are required: without them nobody can
+// prove to be the owner.
+func (c *Catalog) MayAccess(account AccountName, o Owner) bool {
+	return c == nil || !c.RequireKeys || o.Public || o.Account == "" || o.Account == account
+}
+
 // Account returns the client account with the name; false if the catalog is nil or has
 // no such account.
 func (c *Catalog) Account(name AccountName) (ClientAccount, bool) {
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -24,6 +24,9 @@
 	Address *QueueAddress `cbor:",omitempty"`
 	// Account is the client account whose key submitted the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
+	// Public is true if the workload was accepted at a public queue, so that every caller may
+	// read and cancel it.
+	Public bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -199,8 +202,16 @@
 	Reason string
 	// Account is the account of the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
+	// Public is that of the workload.
+	Public bool `cbor:",omitempty"`
 }
 
+// Owner returns who may read and cancel the workload.
+func (w *Workload) Owner() Owner { return Owner{w.Account, w.Public} }
+
+// Owner returns who may read and cancel the workload.
+func (f *FinishedWorkload) Owner() Owner { return Owner{f.Account, f.Public} }
+
 // isIn reports whether the queue, which has the name of the workload's queue, is that
 // queue and not another one that has got its name.
 func (w *Workload) isIn(q *Queue) bool {
--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -1,32 +1,55 @@
 package query
 
-import "lacewingturn.example/core/model"
+import (
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
 
-// WorkloadAt returns the phase of the workload at the given host and path. Known is
-// false if there is no such workload, queue is false if the address belongs to no
-// queue.
-func WorkloadAt(s model.State, host, path string) (phase model.WorkloadPhase, known, queue bool) {
-	_, rest, ok := s.Catalog.Resolve(host, path)
+// WorkloadAt returns the phase of the workload at the given host and path to a caller with
+// the key. The code is NotFound if the address belongs to no queue, UnknownKey if the queue
+// needs another key, Expired if there is no such workload, WrongAccount if it belongs to
+// another account, and else OK.
+func WorkloadAt(s model.State, host, path string, key *model.KeyDigest) (model.WorkloadPhase, result.Code) {
+	q, rest, ok := s.Catalog.Resolve(host, path)
+	if !ok {
+		return 0, result.NotFound
+	}
+	account, ok := s.Catalog.Identify(&q, key)
 	if !ok {
-		return 0, false, false
+		return 0, result.UnknownKey
+	}
+	phase, owner, ok := phaseOf(s, model.WorkloadID(rest))
+	switch {
+	case !ok:
+		return 0, result.Expired
+	case !s.Catalog.MayAccess(account, owner):
+		return 0, result.WrongAccount
 	}
-	id := model.WorkloadID(rest)
+	return phase, result.OK
+}
+
+// phaseOf returns the phase and the owner of a workload; false if it is not known.
+func phaseOf(s model.State, id model.WorkloadID) (model.WorkloadPhase, model.Owner, bool) {
 	if f, ok := s.Finished.Get(id); ok {
-		return f.Phase, true, true
+		return f.Phase, f.Owner(), true
 	}
 	w, ok := s.Workloads.Get(id)
 	if !ok {
-		return 0, false, true
+		return 0, model.Owner{}, false
 	}
-	return workloadPhase(w), true, true
+	return workloadPhase(w), w.Owner(), true
 }
 
-// PendingAt returns the number of workloads that have not started in the queue at
-// the given host and path. It reports false if the address is not that of a queue.
-func PendingAt(s model.State, host, path string) (int, bool) {
+// PendingAt returns the number of workloads that have not started in the queue at the given
+// host and path, to a caller with the key. The code is NotFound if the address is not that
+// of a queue, UnknownKey if the queue needs another key, and else OK.
+func PendingAt(s model.State, host, path string, key *model.KeyDigest) (int, result.Code) {
 	q, rest, ok := s.Catalog.Resolve(host, path)
 	if !ok || rest != "" {
-		return 0, false
+		return 0, result.NotFound
+	}
+	if _, ok := s.Catalog.Identify(&q, key); !ok {
+		return 0, result.UnknownKey
 	}
 	n := 0
 	queue := model.Queues{q.Name: &q}
@@ -35,5 +58,5 @@
 			n++
 		}
 	}
-	return n, true
+	return n, result.OK
 }
--- a/core/query/workload_test.go
+++ b/core/query/workload_test.go
@@ -1,6 +1,7 @@
 package query_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
 )
 
 // workloadState returns a state with a catalog of one queue and one workload.
@@ -36,21 +38,60 @@
 // of pending workloads that includes started ones.
 func TestWorkloadQueries(t *testing.T) {
 	s := workloadState(t, model.Step{Count: 1})
-	phase, known, found := query.WorkloadAt(s, "h", "/q/00000000000000a1")
-	assert.Assert(t, known && found)
+	phase, code := query.WorkloadAt(s, "h", "/q/00000000000000a1", nil)
+	assert.Equal(t, code, result.OK)
 	assert.Equal(t, phase, model.WorkloadQueued)
-	n, ok := query.PendingAt(s, "h", "/q/")
-	assert.Assert(t, ok)
+	n, code := query.PendingAt(s, "h", "/q/", nil)
+	assert.Equal(t, code, result.OK)
 	assert.Equal(t, n, 1)
 	s = started(s, 0, 0)
-	phase, _, _ = query.WorkloadAt(s, "h", "/q/00000000000000a1")
+	phase, _ = query.WorkloadAt(s, "h", "/q/00000000000000a1", nil)
 	assert.Equal(t, phase, model.WorkloadActive)
-	n, _ = query.PendingAt(s, "h", "/q/")
+	n, _ = query.PendingAt(s, "h", "/q/", nil)
 	assert.Equal(t, n, 0)
-	_, known, found = query.WorkloadAt(s, "h", "/q/00000000000000ff")
-	assert.Assert(t, !known && found)
-	_, ok = query.PendingAt(s, "h", "/other/")
-	assert.Assert(t, !ok)
+	_, code = query.WorkloadAt(s, "h", "/q/00000000000000ff", nil)
+	assert.Equal(t, code, result.Expired)
+	_, code = query.PendingAt(s, "h", "/other/", nil)
+	assert.Equal(t, code, result.NotFound)
+}
+
+// Guards against a workload or a queue that is shown to a caller without a key, with an
+// unknown one or with that of another account, active or ended; and against a public queue
+// that asks for keys.
+func TestQueriesAreJudgedByTheKey(t *testing.T) {
+	own, other, unknown := model.DigestKey("own"), model.DigestKey("other"), model.DigestKey("unknown")
+	s := workloadState(t, model.Step{Count: 1})
+	w, _ := s.Workloads.Get("00000000000000a1")
+	w.Account = "a"
+	s.Workloads = s.Workloads.Set(w.ID, w)
+	s.Finished = s.Finished.Set("00000000000000a2", model.FinishedWorkload{ID: "00000000000000a2", Account: "a"})
+	s.Finished = s.Finished.Set("00000000000000a3", model.FinishedWorkload{ID: "00000000000000a3", Account: "a", Public: true})
+	c := *s.Catalog
+	c.RequireKeys, c.Accounts = true, []model.ClientAccount{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
+	c.Keys = []model.AccountKey{{Digest: own, Account: "a"}, {Digest: other, Account: "b"}}
+	slices.SortFunc(c.Keys, func(x, y model.AccountKey) int { return x.Digest.Compare(y.Digest) })
+	c.Queues = append(slices.Clone(c.Queues), model.Queue{Name: "open", Host: "h", Prefix: "/open/", Pool: "p", Public: true})
+	s.Catalog = &c
+	read := func(path string, key *model.KeyDigest) result.Code {
+		_, code := query.WorkloadAt(s, "h", path, key)
+		return code
+	}
+	for _, path := range []string{"/q/00000000000000a1", "/q/00000000000000a2"} {
+		assert.Equal(t, read(path, &own), result.OK)
+		assert.Equal(t, read(path, &other), result.WrongAccount)
+		assert.Equal(t, read(path, &unknown), result.UnknownKey)
+		assert.Equal(t, read(path, nil), result.UnknownKey)
+		assert.Equal(t, read("/open"+path[2:], nil), result.WrongAccount, "by way of a public queue")
+	}
+	assert.Equal(t, read("/open/00000000000000a3", nil), result.OK)
+	assert.Equal(t, read("/q/00000000000000ff", &other), result.Expired)
+	assert.Equal(t, read("/none/00000000000000a1", nil), result.NotFound)
+	for key, code := range map[*model.KeyDigest]result.Code{&own: result.OK, &unknown: result.UnknownKey, nil: result.UnknownKey} {
+		_, got := query.PendingAt(s, "h", "/q/", key)
+		assert.Equal(t, got, code)
+		_, got = query.PendingAt(s, "h", "/open/", key)
+		assert.Equal(t, got, result.OK)
+	}
 }
 
 // Guards against an oversized pool: demand must not include steps whose
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -97,7 +97,7 @@
 	follower := serve(t, &fakeReplica{leader: address, replicas: []string{address}})
 	leader.replicas = []string{address}
 	c := New([]string{follower}, NewHTTPClient())
-	found, err := c.Find(t.Context(), "h", "/q/1")
+	found, err := c.Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, found, WorkloadStatus{QueueKnown: true, WorkloadKnown: true, Phase: model.WorkloadCompleted})
 	assert.DeepEqual(t, *c.members.Load(), []string{address})
--- a/replica/client/directory_test.go
+++ b/replica/client/directory_test.go
@@ -39,7 +39,7 @@
 	seed := serveDirectory(t, d)
 
 	reader := New([]string{seed}, NewHTTPClient())
-	_, err = reader.Find(t.Context(), "h", "/q/1")
+	_, err = reader.Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, *reader.members.Load(), leader.replicas)
 	results, err := New([]string{seed}, NewHTTPClient()).Propose(t.Context(), submission)
@@ -59,7 +59,7 @@
 	assert.Equal(t, connect.CodeOf(err), connect.CodeUnimplemented)
 	_, err = rpc.Join(t.Context(), connect.NewRequest(&replicav1.JoinRequest{Replica: &replicav1.ReplicaInfo{Address: leader.address}}))
 	assert.NilError(t, err)
-	found, err := New([]string{seed}, NewHTTPClient()).Find(t.Context(), "h", "/q/1")
+	found, err := New([]string{seed}, NewHTTPClient()).Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, found.Phase, model.WorkloadCompleted)
 }
@@ -69,10 +69,10 @@
 	leader := &fakeReplica{}
 	leader.replicas = []string{serve(t, leader)}
 	c := New(leader.replicas, NewHTTPClient())
-	_, err := c.Find(t.Context(), "h", "/q/1")
+	_, err := c.Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 	c.SetSeeds([]string{"127.0.0.1:1"})
 	c.leader.Store(nil)
-	_, err = c.Find(t.Context(), "h", "/q/1")
+	_, err = c.Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 }
--- a/replica/client/forward_test.go
+++ b/replica/client/forward_test.go
@@ -141,7 +141,7 @@
 	propose(t.Context())
 	assert.Assert(t, c.NoRecentLeader())
 	c.SetSeeds([]string{serve(t, &fakeReplica{})})
-	_, err := c.Find(t.Context(), "h", "/q/1")
+	_, err := c.Find(t.Context(), "h", "/q/1", nil)
 	assert.NilError(t, err)
 	assert.Assert(t, !c.NoRecentLeader())
 }
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -21,12 +21,29 @@
 
 var errNoCatalog = result.New(result.NoCatalog, "no catalog of queues is published yet")
 
-// Find returns the leader's record of the workload at the host and path. With an
-// empty host it only checks that a leader responds. The error is a result.Result:
-// NoCatalog if no catalog is published, NoQuorum if no leader was found before ctx
-// ended.
-func (c *Client) Find(ctx context.Context, host, path string) (WorkloadStatus, error) {
-	req := &workloadv1.FindRequest{Host: host, Path: path}
+// errRefused returns the error for the refusal that a response states; nil if it is 0.
+func errRefused(code uint32) error {
+	if code == 0 {
+		return nil
+	}
+	return result.New(result.Code(code), "the key of the call does not allow it")
+}
+
+// keyBytes returns the form of a key in requests.
+func keyBytes(key *model.KeyDigest) []byte {
+	if key == nil {
+		return nil
+	}
+	return key[:]
+}
+
+// Find returns the leader's record of the workload at the host and path to a caller with
+// the key, which is nil if none. With an empty host it only checks that a leader responds.
+// The error is a result.Result: NoCatalog if no catalog is published, UnknownKey or
+// WrongAccount if the key does not allow the query, NoQuorum if no leader was found before
+// ctx ended.
+func (c *Client) Find(ctx context.Context, host, path string, key *model.KeyDigest) (WorkloadStatus, error) {
+	req := &workloadv1.FindRequest{Host: host, Path: path, Key: keyBytes(key)}
 	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
 	if err != nil {
 		return WorkloadStatus{}, err
@@ -34,12 +51,15 @@
 	if !resp.CatalogKnown && host != "" {
 		return WorkloadStatus{}, errNoCatalog
 	}
+	if err := errRefused(resp.Refusal); err != nil {
+		return WorkloadStatus{}, err
+	}
 	return WorkloadStatus{resp.QueueKnown, resp.WorkloadKnown, model.WorkloadPhase(resp.Phase)}, nil
 }
 
 // Leader returns the address of the leader. The error is that of Find.
 func (c *Client) Leader(ctx context.Context) (string, error) {
-	if _, err := c.Find(ctx, "", ""); err != nil {
+	if _, err := c.Find(ctx, "", "", nil); err != nil {
 		return "", err
 	}
 	return *c.leader.Load(), nil
@@ -48,8 +68,8 @@
 // CountPending returns the number of workloads in the queue at the host and path
 // that have not started, and false if there is no such queue. The error is that of
 // Find.
-func (c *Client) CountPending(ctx context.Context, host, path string) (int, bool, error) {
-	req := &workloadv1.CountPendingRequest{Host: host, Path: path}
+func (c *Client) CountPending(ctx context.Context, host, path string, key *model.KeyDigest) (int, bool, error) {
+	req := &workloadv1.CountPendingRequest{Host: host, Path: path, Key: keyBytes(key)}
 	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
 	if err != nil {
 		return 0, false, err
@@ -57,6 +77,9 @@
 	if !resp.CatalogKnown {
 		return 0, false, errNoCatalog
 	}
+	if err := errRefused(resp.Refusal); err != nil {
+		return 0, false, err
+	}
 	return int(resp.Pending), resp.QueueKnown, nil
 }
 
--- a/replica/schedule/query/handler.go
+++ b/replica/schedule/query/handler.go
@@ -13,6 +13,7 @@
 	"lacewingturn.example/api/gen/lacewingturn/workload/v1/workloadv1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/query"
+	"lacewingturn.example/core/result"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/replica"
 )
@@ -89,8 +90,9 @@
 	resp := &workloadv1.FindResponse{Leadership: lead}
 	if !lead.NotLeader {
 		resp.CatalogKnown = s.Catalog != nil
-		phase, known, queue := query.WorkloadAt(s, req.Msg.Host, req.Msg.Path)
-		resp.Phase, resp.WorkloadKnown, resp.QueueKnown = uint32(phase), known, queue
+		phase, code := query.WorkloadAt(s, req.Msg.Host, req.Msg.Path, keyDigest(req.Msg.Key))
+		resp.Phase, resp.WorkloadKnown, resp.QueueKnown = uint32(phase), code.OK(), code != result.NotFound
+		resp.Refusal = refusal(code)
 	}
 	return connect.NewResponse(resp), nil
 }
@@ -103,12 +105,31 @@
 	resp := &workloadv1.CountPendingResponse{Leadership: lead}
 	if !lead.NotLeader {
 		resp.CatalogKnown = s.Catalog != nil
-		n, queue := query.PendingAt(s, req.Msg.Host, req.Msg.Path)
-		resp.Pending, resp.QueueKnown = uint32(n), queue
+		n, code := query.PendingAt(s, req.Msg.Host, req.Msg.Path, keyDigest(req.Msg.Key))
+		resp.Pending, resp.QueueKnown, resp.Refusal = uint32(n), code != result.NotFound, refusal(code)
 	}
 	return connect.NewResponse(resp), nil
 }
 
+// keyDigest returns the digest that a request carries; nil if it carries none or one of
+// another length, which belongs to no account.
+func keyDigest(data []byte) *model.KeyDigest {
+	if len(data) != len(model.KeyDigest{}) {
+		return nil
+	}
+	key := model.KeyDigest(data)
+	return &key
+}
+
+// refusal returns the code if it says that the caller's key does not allow the query, and
+// else 0.
+func refusal(code result.Code) uint32 {
+	if code == result.UnknownKey || code == result.WrongAccount {
+		return uint32(code)
+	}
+	return 0
+}
+
 // read returns the state and the leadership that the response states. The state may be
 // stale if this replica does not lead.
 func (r *Reader) read() (model.State, *workloadv1.Leadership) {
