The check of a key compares digests as numbers

Cause: at 35 accounts with 10,000 keys the check took 384 to 650 ns, without allocations, beside the load of other work.

Change: the look-up has no function that copies both keys in each of its 14 steps, and digests are compared as two numbers.

--- a/core/command/catalog/accounts.go
+++ b/core/command/catalog/accounts.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		before := c.Keys[i-1]
-		switch order := before.Digest.Compare(k.Digest); {
+		switch order := before.Digest.Compare(&k.Digest); {
 		case order == 0:
 			return result.New(result.InvalidInput, "accounts %q and %q share a key", before.Account, k.Account)
 		case order > 0:
--- a/core/model/account.go
+++ b/core/model/account.go
@@ -1,8 +1,9 @@
 package model
 
 import (
-	"bytes"
+	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 )
 
@@ -34,7 +35,12 @@
 }
 
 // Compare orders digests; it returns a number below, equal to or above 0.
-func (d KeyDigest) Compare(o KeyDigest) int { return bytes.Compare(d[:], o[:]) }
+func (d *KeyDigest) Compare(o *KeyDigest) int {
+	if high := cmp.Compare(binary.BigEndian.Uint64(d[:8]), binary.BigEndian.Uint64(o[:8])); high != 0 {
+		return high
+	}
+	return cmp.Compare(binary.BigEndian.Uint64(d[8:]), binary.BigEndian.Uint64(o[8:]))
+}
 
 // AccountKey assigns a key to a client account.
 type AccountKey struct {
@@ -48,11 +54,20 @@
 	if c == nil || key == nil {
 		return "", false
 	}
-	i, ok := slices.BinarySearchFunc(c.Keys, *key, func(k AccountKey, d KeyDigest) int { return k.Digest.Compare(d) })
-	if !ok {
+	// A search function would copy both keys in each step, at every call of a caller.
+	low, high := 0, len(c.Keys)
+	for low < high {
+		middle := (low + high) / 2
+		if c.Keys[middle].Digest.Compare(key) < 0 {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == len(c.Keys) || c.Keys[low].Digest != *key {
 		return "", false
 	}
-	return c.Keys[i].Account, true
+	return c.Keys[low].Account, true
 }
 
 // Identify returns the account of a caller of the queue who presents the key. It reports
--- a/core/model/account_test.go
+++ b/core/model/account_test.go
@@ -17,7 +17,7 @@
 	for i := range keys {
 		c.Keys = append(c.Keys, AccountKey{DigestKey(keyNumber(i)), c.Accounts[i%n].Name})
 	}
-	slices.SortFunc(c.Keys, func(a, b AccountKey) int { return a.Digest.Compare(b.Digest) })
+	slices.SortFunc(c.Keys, func(a, b AccountKey) int { return a.Digest.Compare(&b.Digest) })
 	return c
 }
 
--- a/core/query/workload_test.go
+++ b/core/query/workload_test.go
@@ -69,7 +69,7 @@
 	c := *s.Catalog
 	c.RequireKeys, c.Accounts = true, []model.ClientAccount{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
 	c.Keys = []model.AccountKey{{Digest: own, Account: "a"}, {Digest: other, Account: "b"}}
-	slices.SortFunc(c.Keys, func(x, y model.AccountKey) int { return x.Digest.Compare(y.Digest) })
+	slices.SortFunc(c.Keys, func(x, y model.AccountKey) int { return x.Digest.Compare(&y.Digest) })
 	c.Queues = append(slices.Clone(c.Queues), model.Queue{Name: "open", Host: "h", Prefix: "/open/", Pool: "p", Public: true})
 	s.Catalog = &c
 	read := func(path string, key *model.KeyDigest) result.Code {
