--- a/api/codec/workload_test.go
+++ b/api/codec/workload_test.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -51,6 +52,51 @@
 	assert.Equal(t, got.Assignments.Len(), s.Assignments.Len())
 }
 
+// Guards against accounts, keys or the account of a workload that are lost in a snapshot, so
+// that a caller is refused or another account pays after a restart, and against fields that
+// change the stored form of a site without accounts.
+func TestAccountsSurviveASnapshot(t *testing.T) {
+	s := workloadState(2)
+	without, err := EncodeState(s)
+	assert.NilError(t, err)
+	for _, field := range []string{"RequireKeys", "Accounts", "Keys", "Account", "Public"} {
+		assert.Assert(t, !bytes.Contains(without, []byte(field)), field)
+	}
+	c := *s.Catalog
+	c.Version++
+	key := model.DigestKey("k")
+	c.RequireKeys, c.Accounts = true, []model.ClientAccount{{Name: "a", Weight: 2.5, Rate: 2.5, Cap: model.Resources{MilliCPU: 7}}}
+	c.Keys, c.Queues[0].Public = []model.AccountKey{{Digest: key, Account: "a"}}, true
+	var env model.Envelope
+	for _, command := range []model.Command{
+		model.PublishCatalog{Catalog: c},
+		model.SubmitWorkload{Host: "h", Path: "/00000000000000a1", Workload: model.Workload{Steps: []model.Step{{Count: 1}}}, Key: &key},
+		model.SubmitWorkload{Host: "h", Path: "/00000000000000a2", Workload: model.Workload{Steps: []model.Step{{Count: 1}}}, Key: &key},
+		model.CancelWorkload{Host: "h", Path: "/00000000000000a2", Key: &key},
+	} {
+		_, env, err = EncodeForLog(model.Envelope{Command: command})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, env.Command, command)
+		s = applied(t, s, env)
+	}
+	data, err := EncodeState(s)
+	assert.NilError(t, err)
+	got, err := DecodeState(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Catalog, s.Catalog)
+	assert.DeepEqual(t, got.Workloads.Values(), s.Workloads.Values())
+	w, _ := got.Workloads.Get("00000000000000a1")
+	assert.Equal(t, w.Owner(), model.Owner{Account: "a", Public: true})
+	f, _ := got.Finished.Get("00000000000000a2")
+	assert.Equal(t, f.Owner(), model.Owner{Account: "a", Public: true})
+}
+
+func applied(t *testing.T, s model.State, env model.Envelope) model.State {
+	next, r := command.Apply(s, s.Index+1, 1, env)
+	assert.Assert(t, r.Code.OK(), r.Detail)
+	return next
+}
+
 // BenchmarkRecoverWorkloads measures the decoding of a snapshot with 1000 workloads,
 // which a replica does when it starts.
 func BenchmarkRecoverWorkloads(b *testing.B) {
