--- a/core/model/account.go
+++ b/core/model/account.go
@@ -1,8 +1,9 @@
 package model
 
 import (
-	"bytes"
+	"cmp"
 	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 )
 
@@ -42,7 +43,12 @@
 }
 
 // Compare orders digests; it returns a number below, equal to or above 0.
-func (d KeyDigest) Compare(o KeyDigest) int { return bytes.Compare(d[:], o[:]) }
+func (d *KeyDigest) Compare(o *KeyDigest) int {
+	if high := cmp.Compare(binary.BigEndian.Uint64(d[:8]), binary.BigEndian.Uint64(o[:8])); high != 0 {
+		return high
+	}
+	return cmp.Compare(binary.BigEndian.Uint64(d[8:]), binary.BigEndian.Uint64(o[8:]))
+}
 
 // AccountKey assigns a key to a client account.
 type AccountKey struct {
@@ -56,11 +62,44 @@
 	if c == nil || key == nil {
 		return "", false
 	}
-	i, ok := slices.BinarySearchFunc(c.Keys, *key, func(k AccountKey, d KeyDigest) int { return k.Digest.Compare(d) })
-	if !ok {
+	// A search function would copy both keys in each step, at every call of a caller.
+	low, high := 0, len(c.Keys)
+	for low < high {
+		middle := (low + high) / 2
+		if c.Keys[middle].Digest.Compare(key) < 0 {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == len(c.Keys) || c.Keys[low].Digest != *key {
 		return "", false
 	}
-	return c.Keys[i].Account, true
+	return c.Keys[low].Account, true
+}
+
+// Identify returns the account of a caller of the queue who presents the key. It reports
+// false if the caller needs the key of an account and has none. A caller of a public queue
+// who has no such key is anonymous, as are all callers where no keys are required.
+func (c *Catalog) Identify(q *Queue, key *KeyDigest) (AccountName, bool) {
+	if c == nil || !c.RequireKeys {
+		return "", true
+	}
+	account, known := c.AccountOf(key)
+	return account, known || q.Public
+}
+
+// Owner says who may read and cancel a workload.
+type Owner struct {
+	Account AccountName // empty for a workload of an anonymous caller
+	Public  bool        // the workload was accepted at a public queue
+}
+
+// MayAccess reports whether a caller of the account may read and cancel a workload of the
+// owner. An account name is only compared where keys are required: without them nobody can
+// prove to be the owner.
+func (c *Catalog) MayAccess(account AccountName, o Owner) bool {
+	return c == nil || !c.RequireKeys || o.Public || o.Account == "" || o.Account == account
 }
 
 // Account returns the client account with the name; false if the catalog is nil or has
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -26,6 +26,9 @@
 	Account AccountName `cbor:",omitempty"`
 	// BeyondRate is set if the account submitted the workload beyond its rate.
 	BeyondRate bool `cbor:",omitempty"`
+	// Public is true if the workload was accepted at a public queue, so that every caller may
+	// read and cancel it.
+	Public bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -205,8 +208,16 @@
 	// if there were none or it has no account. A new leader counts it against the account
 	// while these runs may still exist on workers that have not reported to it.
 	Held *Resources `cbor:",omitempty"`
+	// Public is that of the workload.
+	Public bool `cbor:",omitempty"`
 }
 
+// Owner returns who may read and cancel the workload.
+func (w *Workload) Owner() Owner { return Owner{w.Account, w.Public} }
+
+// Owner returns who may read and cancel the workload.
+func (f *FinishedWorkload) Owner() Owner { return Owner{f.Account, f.Public} }
+
 // isIn reports whether the queue, which has the name of the workload's queue, is that
 // queue and not another one that has got its name.
 func (w *Workload) isIn(q *Queue) bool {
