Work that its account's cap can never run is refused; a view of accounts

Cause: a workload with a task or gang above its account's cap would wait for good, and nothing showed what an account has running and why its work waits. Change: share.CheckCap refuses it where it would be accepted; query.Accounts shows running, share, cap, waiting, held by the cap, beyond the rate, and the oldest wait.

--- a/core/command/place/fair_test.go
+++ b/core/command/place/fair_test.go
@@ -221,7 +221,13 @@
 			for j := range steps {
 				steps[j].Need.MemoryMB = int64(r.IntN(10))
 			}
+			// The caps are lower than when the workload was accepted.
+			capped := slices.Clone(x.s.Catalog.Accounts)
+			for k := range capped {
+				x.s.Catalog.Accounts[k].Cap = model.Resources{}
+			}
 			x.submitAs([]model.AccountName{"a", "b"}[r.IntN(2)], r.IntN(2), i+1, steps...)
+			x.s.Catalog.Accounts = capped
 			before := x.needs(stopping)
 			starts := x.plan(Options{Unassigned: stopping, NeedsCopy: func(model.RunRef) bool { return r.IntN(2) == 0 }}, worker("u", 9000), worker("v", 20_000))
 			x.commit(starts)
--- a/core/command/share/ledger.go
+++ b/core/command/share/ledger.go
@@ -62,9 +62,12 @@
 // WeightedShare returns the dominant share of what the account has running, divided by its
 // weight.
 func (l *Ledger) WeightedShare(a *Account) float64 {
-	return DominantShare(l.capacity, a.Running) / a.Weight
+	return l.Share(a) / a.Weight
 }
 
+// Share returns the dominant share of what the account has running.
+func (l *Ledger) Share(a *Account) float64 { return DominantShare(l.capacity, a.Running) }
+
 // ActiveNeed returns the sum of the needs of the workload's active runs, copies included.
 func ActiveNeed(w *model.Workload) model.Resources {
 	var sum model.Resources
@@ -89,12 +92,6 @@
 	return a == nil || fitsCopies(a.Cap, a.Running, need, runs)
 }
 
-// MayEverStart reports whether the account could start so many runs with the need at once
-// if it had nothing else running.
-func (a *Account) MayEverStart(need model.Resources, runs int) bool {
-	return a == nil || fitsCopies(a.Cap, model.Resources{}, need, runs)
-}
-
 // Start adds a run with the need.
 func (a *Account) Start(need model.Resources) {
 	if a != nil {
--- a/core/command/share/share_test.go
+++ b/core/command/share/share_test.go
@@ -60,3 +60,16 @@
 	assert.Equal(t, NewBacklogs(s).Delay("a", false), maxDelay)
 	assert.Equal(t, NewBacklogs(model.State{}).Delay("a", true), time.Duration(0))
 }
+
+// Guards against a workload that waits for good because its account's cap cannot run one of
+// its tasks or its gang, and against one that is refused although it can run in waves.
+func TestWorkAboveTheCapIsRefused(t *testing.T) {
+	c := withAccounts(model.ClientAccount{Name: "a", Weight: 1, Cap: model.Resources{MilliCPU: 4000, Accelerators: 1}}).Catalog
+	check := func(spec model.Step) bool { return CheckCap(c, "a", []model.Step{{Count: 1}, spec}).Code.OK() }
+	assert.Assert(t, check(model.Step{Count: 100, Need: model.Resources{MilliCPU: 4000, MemoryMB: 1 << 40, Accelerators: 1}}))
+	assert.Assert(t, !check(model.Step{Count: 1, Need: model.Resources{MilliCPU: 4001}}))
+	assert.Assert(t, !check(model.Step{Count: 1, Need: model.Resources{Accelerators: 2}}))
+	assert.Assert(t, check(model.Step{Count: 4, Gang: true, Need: model.Resources{MilliCPU: 1000}}))
+	assert.Assert(t, !check(model.Step{Count: 5, Gang: true, Need: model.Resources{MilliCPU: 1000}}))
+	assert.Assert(t, CheckCap(c, "other", []model.Step{{Count: 1, Need: model.Resources{MilliCPU: 1 << 60}}}).Code.OK())
+}
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -55,6 +55,9 @@
 	if r := check(c); !r.Code.OK() {
 		return r
 	}
+	if r := share.CheckCap(s.Catalog, t.account, c.Workload.Steps); !r.Code.OK() {
+		return r
+	}
 	w := c.Workload
 	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
 	w.Account, w.Public = t.account, queue.Public
--- /dev/null
+++ b/core/query/accounts.go
@@ -0,0 +1,97 @@
+package query
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/command/share"
+	"lacewingturn.example/core/model"
+)
+
+// AccountView shows what a client account has running and waiting.
+type AccountView struct {
+	Name   model.AccountName
+	Weight float64
+	Rate   float64 // workloads a second; 0 means no limit
+	Cap    model.Resources
+	// Running is the need of the active runs and of those that are being stopped.
+	Running model.Resources
+	// Share is the largest share of Running in what all accounts have running, for any kind
+	// of resource; FairShare is the account's part of all weights.
+	Share     float64
+	FairShare float64
+	// Waiting is the number of workloads with a task that waits for a run, HeldByCap those of
+	// them of which the cap holds back every such task.
+	Waiting   int
+	HeldByCap int
+	// BeyondRate is the number of waiting workloads that were submitted beyond the rate.
+	BeyondRate int
+	// OldestWait is the longest time since the acceptance of a workload of which nothing has
+	// started.
+	OldestWait time.Duration
+}
+
+// Accounts returns the views of all accounts in the catalog, by name. Unassigned is what runs
+// that the state does not list as active still hold.
+func Accounts(s model.State, now model.Timestamp, unassigned map[model.AccountName]model.Resources) []AccountView {
+	ledger := share.NewLedger(s, model.Resources{}, unassigned)
+	if ledger == nil {
+		return nil
+	}
+	views := map[model.AccountName]*AccountView{}
+	var weights float64
+	for _, a := range s.Catalog.Accounts {
+		weights += a.Weight
+		views[a.Name] = &AccountView{Name: a.Name, Weight: a.Weight, Rate: a.Rate, Cap: a.Cap, Running: ledger.Account(a.Name).Running}
+	}
+	for _, w := range s.Workloads.All() {
+		if v := views[w.Account]; v != nil {
+			v.addWorkload(&w, now, ledger.Account(w.Account))
+		}
+	}
+	out := make([]AccountView, 0, len(views))
+	for name, v := range views {
+		v.Share, v.FairShare = ledger.Share(ledger.Account(name)), v.Weight/weights
+		out = append(out, *v)
+	}
+	slices.SortFunc(out, func(a, b AccountView) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// addWorkload adds a workload to the view of its account.
+func (v *AccountView) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
+	waits, held := false, true
+	for i := range w.Rounds {
+		if w.Due(i) > now {
+			break
+		}
+		for j, spec := range w.Steps {
+			if !w.StepReady(i, j) || !hasWaitingTask(w.Rounds[i].Steps[j]) {
+				continue
+			}
+			runs := 1
+			if spec.Gang {
+				runs = spec.Count
+			}
+			waits, held = true, held && !account.MayStart(spec.Need, runs)
+		}
+	}
+	if !waits {
+		return
+	}
+	v.Waiting++
+	if held {
+		v.HeldByCap++
+	}
+	if w.BeyondRate {
+		v.BeyondRate++
+	}
+	if !w.Started() {
+		v.OldestWait = max(v.OldestWait, now.Sub(w.Due(0)))
+	}
+}
+
+func hasWaitingTask(step model.StepState) bool {
+	return slices.ContainsFunc(step.Tasks, func(t model.Task) bool { return !t.Done && len(t.Active) == 0 })
+}
