--- a/core/query/accounts.go
+++ b/core/query/account_shares.go
@@ -9,8 +9,8 @@
 	"lacewingturn.example/core/model"
 )
 
-// AccountView shows what a client account has running and waiting.
-type AccountView struct {
+// AccountShare shows what a client account has running and waiting.
+type AccountShare struct {
 	Name   model.AccountName
 	Weight float64
 	Rate   float64 // workloads a second; 0 means no limit
@@ -32,35 +32,35 @@
 	OldestWait time.Duration
 }
 
-// Accounts returns the views of all accounts in the catalog, by name. Unassigned is what runs
+// AccountShares returns the views of all accounts in the catalog, by name. Unassigned is what runs
 // that the state does not list as active still hold.
-func Accounts(s model.State, now model.Timestamp, unassigned map[model.AccountName]model.Resources) []AccountView {
+func AccountShares(s model.State, now model.Timestamp, unassigned map[model.AccountName]model.Resources) []AccountShare {
 	ledger := share.NewLedger(s, model.Resources{}, unassigned)
 	if ledger == nil {
 		return nil
 	}
-	views := map[model.AccountName]*AccountView{}
+	views := map[model.AccountName]*AccountShare{}
 	var weights float64
 	for _, a := range s.Catalog.Accounts {
 		weights += a.Weight
-		views[a.Name] = &AccountView{Name: a.Name, Weight: a.Weight, Rate: a.Rate, Cap: a.Cap, Running: ledger.Account(a.Name).Running}
+		views[a.Name] = &AccountShare{Name: a.Name, Weight: a.Weight, Rate: a.Rate, Cap: a.Cap, Running: ledger.Account(a.Name).Running}
 	}
 	for _, w := range s.Workloads.All() {
 		if v := views[w.Account]; v != nil {
 			v.addWorkload(&w, now, ledger.Account(w.Account))
 		}
 	}
-	out := make([]AccountView, 0, len(views))
+	out := make([]AccountShare, 0, len(views))
 	for name, v := range views {
 		v.Share, v.FairShare = ledger.Share(ledger.Account(name)), v.Weight/weights
 		out = append(out, *v)
 	}
-	slices.SortFunc(out, func(a, b AccountView) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b AccountShare) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
 // addWorkload adds a workload to the view of its account.
-func (v *AccountView) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
+func (v *AccountShare) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
 	waits, held := false, true
 	for i := range w.Rounds {
 		if w.Due(i) > now {
--- a/core/query/accounts_test.go
+++ b/core/query/account_shares_test.go
@@ -30,7 +30,7 @@
 	add("2", "a", false, 0)
 	add("3", "a", true, 0)
 	add("4", "b", false, 1)
-	views := Accounts(s, 5000, map[model.AccountName]model.Resources{"a": {MilliCPU: 500}})
+	views := AccountShares(s, 5000, map[model.AccountName]model.Resources{"a": {MilliCPU: 500}})
 	assert.Equal(t, len(views), 2)
 	a, b := views[0], views[1]
 	assert.Equal(t, a.Running, model.Resources{MilliCPU: 2500})
@@ -41,5 +41,5 @@
 	assert.Equal(t, [2]int{b.Waiting, b.HeldByCap}, [2]int{1, 0})
 	assert.Equal(t, b.OldestWait, time.Duration(0))
 	s.Catalog.Accounts = nil
-	assert.Equal(t, len(Accounts(s, 5000, nil)), 0)
+	assert.Equal(t, len(AccountShares(s, 5000, nil)), 0)
 }
