A run of an earlier leader's time is not given up before its lease has expired

Cause: a new leader does not know which runs a worker had listed to the leader before it. Heartbeats of another writer under the worker's own life that leave a run out made it count as not started after 2 s, or as ended at once if it was to be stopped, while it ran on.

Change: until the leases of earlier leaders have certainly expired, a run that was assigned when the leader took over is neither given up nor taken as ended because a report does not list it. Its start order is still repeated, so that one that was lost in the election costs no time.

--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -283,3 +283,33 @@
 		}
 	})
 }
+
+// Guards against a stopped run that counts as ended after an election, although it runs on,
+// because another writer's heartbeat of the worker's life does not list it.
+func TestStoppedRunOutlivesForeignReportsAfterAnElection(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		start := h.mustReport("a", 1, nil).Start
+		h.mustReport("a", 1, running(start...))
+		listed := time.Now()
+		h.replica.Lead(2)
+		h.mustReport("b", 1, nil)
+		h.onLoop(func() { h.machine.StopRun(start[0].Run) })
+		for time.Since(listed) < lease {
+			foreign := h.mustReport("a", 1, func(r *Report) { r.Sequence += 1 << 40 })
+			assert.DeepEqual(t, foreign.Stop, []model.RunRef{start[0].Run})
+			assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 0)
+			time.Sleep(idleInterval)
+		}
+	})
+}
+
+// Guards against a start order that was lost in an election and is not repeated at once.
+func TestLostStartOrderIsRepeatedAfterAnElection(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.submit(1, oneTask)
+		start := h.mustReport("a", 1, nil).Start
+		h.replica.Lead(2)
+		assert.DeepEqual(t, h.mustReport("a", 1, nil).Start, start)
+	})
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -13,6 +13,7 @@
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/core/table"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
@@ -45,7 +46,10 @@
 	// leaderSince is when this replica became leader. Leases granted by earlier
 	// leaders are assumed to start then.
 	leaderSince time.Time
-	workers     map[model.WorkerID]*worker
+	// inherited holds the runs that were assigned when this replica became leader, by worker.
+	// What their workers have listed to earlier leaders is not known here.
+	inherited table.Table[model.WorkerID, model.Assignment]
+	workers   map[model.WorkerID]*worker
 	// byName, byInstance and byAddress hold the incarnation that holds each name, instance
 	// and address; see claim.
 	byName     map[string]*worker
@@ -188,7 +192,7 @@
 // startLeading discards everything observed under earlier terms.
 func (m *Machine) startLeading(v *replica.View) {
 	m.refuseAll(errNotLeader)
-	m.term, m.leaderSince = v.Term, v.LeaderSince
+	m.term, m.leaderSince, m.inherited = v.Term, v.LeaderSince, v.State.Assignments
 	event.SchedulingBegun.Log(m.settings.Logger, zap.Uint64("term", uint64(v.Term)), zap.Uint64("state", uint64(v.State.Index)), zap.Duration("lease", m.lease()))
 	m.workers, m.endedAt = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -60,7 +60,7 @@
 			o.Stop = append(o.Stop, run)
 		case listed:
 		case p.worker.mayRun(now, run, m.lease()):
-		case p.worker.ignores(now, run):
+		case p.worker.ignores(now, run) && !m.mayBeInherited(now, p.report.Worker, run):
 			m.abandonStart(now, p.worker, run)
 			o.Stop = append(o.Stop, run)
 		default:
--- a/replica/schedule/unstarted.go
+++ b/replica/schedule/unstarted.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,6 +53,15 @@
 	return attempts.count >= maxStartOrders && now.Sub(attempts.first) >= startTimeout
 }
 
+// mayBeInherited reports whether the worker may have the run since before this replica became
+// leader, although no report to this replica has listed it. Another sender may have sent the
+// reports that do not list it, so that the run counts as started until a lease of an earlier
+// leader has certainly expired.
+func (m *Machine) mayBeInherited(now time.Time, id model.WorkerID, run model.RunRef) bool {
+	a, _ := m.inherited.Get(id)
+	return slices.Contains(a.Runs, run) && now.Before(leaseEnd(m.leaderSince, m.lease()))
+}
+
 // abandonStart stops a run that the worker was told to start and does not list. The stop
 // makes the worker reject a late start; the run counts as ended with the next report that
 // does not list it. The worker gets no work for ignoredBackoff, and after that only work
