Workers of a large fleet report less often, and the leader plans less often for them

Cause: all workers report to one leader every 0.2 to 0.5 s whatever the size of the fleet, and each report that changes something causes a planning pass that looks at every worker. With 3,000 workers the leader's processor is used up by both, and leases expire before their renewals are handled.

Change: core/command/pace decides both intervals from the size of the fleet. The age up to which a worker gets work, the age at which it counts as silent and the time after which a run counts as stalled follow the interval.

--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -10,6 +10,7 @@
 
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/command/maintain"
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -50,8 +51,9 @@
 	m.evacuate(now, after)
 	m.preempt(now, after)
 	m.requestAdvice(now, after)
-	if changed || now.Sub(m.plannedAt) >= planInterval {
-		m.plannedIndex, m.plannedAt = state.Index, now
+	due := changed || now.Sub(m.plannedAt) >= planInterval
+	if due && now.Sub(m.passedAt) >= pace.PassInterval(m.fleetSize()) {
+		m.plannedIndex, m.plannedAt, m.passedAt = state.Index, now, now
 		progress.Starts = place.Plan(after, m.offers(now, after), m.placeOptions(now, after))
 	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
@@ -153,7 +155,7 @@
 	due := instancesWithUpkeepDue(s)
 	var out []place.Worker
 	for _, w := range m.workers {
-		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > maxReportAge {
+		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > m.maxReportAge() {
 			continue
 		}
 		if offer, ok := w.offer(now, s); ok {
@@ -182,10 +184,6 @@
 	return due
 }
 
-// maxReportAge is how long after its last report a worker is given work. It is a
-// little longer than the time between two reports.
-const maxReportAge = busyInterval + 200*time.Millisecond
-
 // evacuate stops the runs of long-running tasks on draining workers, so that the tasks
 // serve on other workers before the draining ones shut down. A run waits while as many
 // other tasks of its step are away as may be, for example for upkeep: the worker goes on
--- a/replica/schedule/health.go
+++ b/replica/schedule/health.go
@@ -12,7 +12,8 @@
 
 const (
 	// stallTimeout is how long a run may make no progress before it is stopped and
-	// its task is started elsewhere.
+	// its task is started elsewhere. In a large fleet it is longer, as the time between
+	// two reports is.
 	stallTimeout = 2 * time.Second
 	// startupTimeout is how long a long-running task may take until it serves.
 	startupTimeout = 4 * time.Second
@@ -61,22 +62,23 @@
 
 // stalled reports whether a run of the step makes no progress. A long-running task that
 // serves never stalls; before it serves it does not stall within startupTimeout.
-func (p progress) stalled(now time.Time, step model.Step) bool {
+func (p progress) stalled(now time.Time, step model.Step, timeout time.Duration) bool {
 	if !step.Lasting {
-		return now.Sub(p.advancedAt) > stallTimeout
+		return now.Sub(p.advancedAt) > timeout
 	}
-	return p.percent < servingPercent && now.Sub(p.advancedAt) > stallTimeout && now.Sub(p.listedAt) > startupTimeout
+	return p.percent < servingPercent && now.Sub(p.advancedAt) > timeout && now.Sub(p.listedAt) > startupTimeout
 }
 
 // checkHealth stops stalled runs and marks slow workers as suspect.
 func (m *Machine) checkHealth(now time.Time, s model.State) {
+	timeout := stallTimeout + m.reportInterval(busyInterval) - busyInterval
 	for _, p := range m.pending {
 		for _, r := range p.report.Running {
 			workload, ok := s.Workloads.Get(r.Run.Task.Workload)
 			if !ok || m.stopping[r.Run] || !workload.Has(r.Run.Task) {
 				continue
 			}
-			if p.worker.progress[r.Run].stalled(now, workload.Steps[r.Run.Task.Step]) {
+			if p.worker.progress[r.Run].stalled(now, workload.Steps[r.Run.Task.Step], timeout) {
 				m.stopStalled(now, p.worker, r.Run)
 			}
 		}
--- a/replica/schedule/identity.go
+++ b/replica/schedule/identity.go
@@ -132,7 +132,7 @@
 // reporting reports whether the worker has not ended and is not silent for maxReportAge. A
 // heartbeat that was refused shows too that its sender goes on.
 func (m *Machine) reporting(now time.Time, w *worker) bool {
-	return !m.hasEnded(w.Worker) && now.Sub(compare.Later(w.reportedAt, w.heardAt)) <= maxReportAge
+	return !m.hasEnded(w.Worker) && now.Sub(compare.Later(w.reportedAt, w.heardAt)) <= m.maxReportAge()
 }
 
 // sameIdentity returns the holders of the name, the instance and the address of the report;
@@ -183,7 +183,7 @@
 	m.settings.Metrics.unused.WithLabelValues(reason.String()).Inc()
 	event.HeartbeatUnused.Log(m.settings.Logger, zap.String(telemetry.SamplingKey, r.Name), zap.String("worker", string(r.Worker)), zap.Stringer("reason", reason),
 		zap.String("pool", string(r.Pool)), zap.String("id", string(r.Instance)), zap.String("address", r.Address))
-	msg.reply <- answer{orders: Orders{FencingToken: m.term, AckCursor: lastPosition(r), NextReport: busyInterval}}
+	msg.reply <- answer{orders: Orders{FencingToken: m.term, AckCursor: lastPosition(r), NextReport: m.reportInterval(busyInterval)}}
 }
 
 // refuseExpired refuses a heartbeat whose sender's place another one has taken. Late
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -72,10 +72,11 @@
 	// ever extended, so an earlier check would find no lost run among those that were
 	// assigned at the last check; markEnded brings it forward.
 	nextExpiryCheck time.Time
-	// plannedIndex is the index of the state of the last planning pass, plannedAt
-	// its time.
+	// plannedIndex is the index of the state of the last planning pass, passedAt its time.
+	// plannedAt is passedAt, or zero if a report has shown more free capacity since.
 	plannedIndex model.Index
 	plannedAt    time.Time
+	passedAt     time.Time
 	prunedAt     time.Time // of the last pass of pruneEnded
 	// medianSpeeds holds the median speed of the workers of each pool, computed at
 	// mediansAt.
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -21,6 +21,9 @@
 
 const maxLease = 6 * time.Second
 
+// maxReportAge is that of a small fleet.
+const maxReportAge = busyInterval + reportSlack
+
 // harness runs a machine on a loop, with a fake replica and a catalog of one queue.
 type harness struct {
 	t        *testing.T
@@ -338,3 +341,20 @@
 	m.committing = &cycle{progress: model.RecordProgress{Starts: []model.RunStart{{Run: model.RunRef{Task: ref, Number: 1}, Worker: id}}}}
 	assert.Assert(t, !m.Observe(now)[0].Idle())
 }
+
+// Guards against a large fleet whose reports alone take up the leader's processor, and
+// against its workers getting no work between two of their reports.
+func TestWorkersOfALargeFleetReportLessOften(t *testing.T) {
+	const workers = 1300
+	runHarness(t, func(h *harness) {
+		var next time.Duration
+		for i := range workers {
+			next = h.mustReport(fmt.Sprint(i), 1, nil).NextReport
+		}
+		assert.Assert(t, next > busyInterval, "%d workers report every %s", workers, next)
+		time.Sleep(next)
+		h.onLoop(func() {
+			assert.Equal(t, len(h.machine.offers(time.Now(), h.replica.View().State)), workers)
+		})
+	})
+}
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -10,8 +10,9 @@
 // The exported methods in this file are for other machines on the same loop; they
 // must be called on its goroutine only.
 
-// reportTimeout is how long after its last report a worker counts as unavailable.
-const reportTimeout = 1500 * time.Millisecond
+// reportTimeout is how long after its last report a worker counts as unavailable: one
+// report of a worker may get no answer within its timeout of a second.
+func (m *Machine) reportTimeout() time.Duration { return m.reportInterval(busyInterval) + time.Second }
 
 // Observe lists the instances whose workers have reported to this leader, with the
 // runs on them. Starts that are being committed are included, so that an instance
@@ -27,7 +28,7 @@
 func (m *Machine) observed(now time.Time, id model.InstanceID, w *worker) model.WorkerObservation {
 	o := model.WorkerObservation{
 		ID: id, Worker: w.Worker, Pool: w.Pool, SinceLastReport: now.Sub(w.reportedAt), Capacity: w.Capacity, Leaving: w.Draining, NoUnassignedRuns: true,
-		Unavailable: m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > reportTimeout,
+		Unavailable: m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > m.reportTimeout(),
 	}
 	state := m.replica.View().State
 	a, _ := state.Assignments.Get(w.Worker)
@@ -70,7 +71,7 @@
 	for _, run := range task.Active {
 		w := m.workers[run.Worker]
 		name := model.RunRef{Task: ref, Number: run.Number}
-		if w == nil || m.stopping[name] || now.Sub(w.reportedAt) > reportTimeout {
+		if w == nil || m.stopping[name] || now.Sub(w.reportedAt) > m.reportTimeout() {
 			continue
 		}
 		if slices.ContainsFunc(w.Running, func(r Running) bool { return r.Run == name && r.Percent >= servingPercent }) {
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/command/throttle"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -16,11 +17,28 @@
 	// the leases of the previous release.
 	lease = 3500 * time.Millisecond
 	// idleInterval and busyInterval are the times between two reports of a worker
-	// with and without free capacity. The end of a run is reported at once.
+	// with and without free capacity, unless the fleet is large; see reportInterval. The
+	// end of a run is reported at once.
 	idleInterval = 200 * time.Millisecond
 	busyInterval = 500 * time.Millisecond
+	// reportSlack is how much later than expected a report may arrive until its worker
+	// counts as silent.
+	reportSlack = 200 * time.Millisecond
 )
 
+// reportInterval returns the time between two reports of a worker, which is base in a small
+// fleet.
+func (m *Machine) reportInterval(base time.Duration) time.Duration {
+	return pace.Interval(m.fleetSize(), base)
+}
+
+// fleetSize returns the number of workers that report, as far as this leader knows. After an
+// election those with assigned runs are known before they report.
+func (m *Machine) fleetSize() int { return max(len(m.workers), m.view.State.Assignments.Len()) }
+
+// maxReportAge is how long after its last report a worker is given work.
+func (m *Machine) maxReportAge() time.Duration { return m.reportInterval(busyInterval) + reportSlack }
+
 // lease returns the duration of the leases that every leader of the site grants.
 func (m *Machine) lease() time.Duration { return min(lease, m.settings.MaxLease) }
 
@@ -39,9 +57,9 @@
 // assigned to it, and extends its lease. An incarnation that has ended or was replaced
 // gets no lease.
 func (m *Machine) orders(now time.Time, p pendingReport) Orders {
-	o := Orders{Lease: m.lease(), FencingToken: m.term, AckCursor: lastPosition(p.report), NextReport: busyInterval}
+	o := Orders{Lease: m.lease(), FencingToken: m.term, AckCursor: lastPosition(p.report), NextReport: m.reportInterval(busyInterval)}
 	if m.hasEnded(p.report.Worker) || m.workers[p.report.Worker] != p.worker {
-		return Orders{FencingToken: m.term, AckCursor: o.AckCursor, NextReport: busyInterval}
+		return Orders{FencingToken: m.term, AckCursor: o.AckCursor, NextReport: m.reportInterval(busyInterval)}
 	}
 	state := m.view.State
 	a, _ := state.Assignments.Get(p.report.Worker)
@@ -70,7 +88,7 @@
 	p.worker.recordOrdered(now, o.Start)
 	o.Throttle = p.worker.throttleOrders(now, state)
 	if free := p.worker.free(state); free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
-		o.NextReport = idleInterval
+		o.NextReport = m.reportInterval(idleInterval)
 	}
 	p.worker.leaseUntil = compare.Later(p.worker.leaseUntil, leaseEnd(now, o.Lease))
 	return o
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -140,7 +140,7 @@
 			m.markEnded(w.Worker, now.Add(departGrace))
 			m.logWorker(event.WorkerLeft, w.Report)
 		}
-		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(maxReportAge))
+		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(m.maxReportAge()))
 	}
 	msg.reply <- answer{}
 }
