--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -204,6 +204,10 @@
 	Account AccountName `cbor:",omitempty"`
 	// Public is that of the workload.
 	Public bool `cbor:",omitempty"`
+	// Held is the sum of the needs of the runs that were active when the workload ended; nil
+	// if there were none or it has no account. A new leader counts it against the account
+	// while these runs may still exist on workers that have not reported to it.
+	Held *Resources `cbor:",omitempty"`
 }
 
 // Owner returns who may read and cancel the workload.
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -49,7 +49,10 @@
 	// inherited holds the runs that were assigned when this replica became leader, by worker.
 	// What their workers have listed to earlier leaders is not known here.
 	inherited table.Table[model.WorkerID, model.Assignment]
-	workers   map[model.WorkerID]*worker
+	// endedSince is the earliest end of a workload whose runs workers may still have, with a
+	// lease of an earlier leader, when the term begins. It is a time of the replicated clock.
+	endedSince model.Timestamp
+	workers    map[model.WorkerID]*worker
 	// byName, byInstance and byAddress hold the incarnation that holds each name, instance
 	// and address; see claim.
 	byName     map[string]*worker
@@ -194,6 +197,7 @@
 func (m *Machine) startLeading(v *replica.View) {
 	m.refuseAll(errNotLeader)
 	m.term, m.leaderSince, m.inherited = v.Term, v.LeaderSince, v.State.Assignments
+	m.endedSince = min(v.State.Clock, model.TimestampOf(v.LeaderSince)).Add(-leaseEnd(time.Time{}, m.lease()).Sub(time.Time{}))
 	event.SchedulingBegun.Log(m.settings.Logger, zap.Uint64("term", uint64(v.Term)), zap.Uint64("state", uint64(v.State.Index)), zap.Duration("lease", m.lease()))
 	m.workers, m.endedAt = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
