Calls that wait for a leader share one lookup

Calls of a client now wait for one lookup, which asks one replica after another whether it leads, and a command goes only to a replica that says that it leads. A replica that fails a call is no longer the known leader, so that later commands are not sent to it and their refusal as not run is true. A replica that is stopping is passed, as it appended nothing. A refusal after an attempt that may have been appended does not rule that attempt out.

TestUnansweredCommandMayBeAppended relied on a command that is sent to a seed of which nothing is known; it now makes the silent replica the known leader, so that the command is sent, and checks the same.

Under -race at load 48 of the shared machine TestFollowerCommitsOrderWhenTheLeaderIsGone failed once (2.0 s for a deadline of 0.9 s); without -race it passed in each of four runs.

--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
+	"sync"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -31,8 +32,11 @@
 	seeds          atomic.Pointer[[]string] // from the settings; tried while no member responds
 	members        atomic.Pointer[[]string] // addresses of the members that replicas have reported or announced
 	http           connect.HTTPClient
-	leader         atomic.Pointer[string] // address of the last known leader
+	leader         atomic.Pointer[string] // address of the last known leader; nil after it has failed a call
 	noRecentLeader atomic.Bool            // the last search for the leader found none
+
+	lookupMutex sync.Mutex
+	lookup      *lookup // that calls wait for; nil if there is none
 }
 
 // New returns a client that discovers the replicas through the seeds (host:port).
@@ -102,10 +106,12 @@
 	var results []result.Result
 	c.search(ctx, func(address string) reply {
 		a := c.attempt(ctx, address, req)
-		maybeAppended = maybeAppended || a.unknown
-		if a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil) {
+		settled := a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil)
+		// A replica that appends nothing says nothing about an earlier attempt.
+		if settled && !(maybeAppended && slices.ContainsFunc(a.results, notAppended)) {
 			results = a.results
 		}
+		maybeAppended = maybeAppended || a.unknown
 		a.final = results != nil || a.unknown && !repeatable
 		return a.reply
 	})
@@ -145,7 +151,7 @@
 		return proposeReply{reply: reply{silent: true}, unknown: connected.Load() && !refused(err)}
 	}
 	if resp.Msg.NotLeader {
-		return proposeReply{reply: reply{leader: resp.Msg.LeaderAddress}}
+		return proposeReply{}
 	}
 	a := proposeReply{results: make([]result.Result, len(req.Envelopes))}
 	for i := range a.results {
@@ -157,10 +163,22 @@
 		}
 		a.unknown = a.unknown || a.results[i].Code == result.Unknown
 	}
+	if slices.ContainsFunc(a.results, func(r result.Result) bool { return r.Code == result.Stopping }) {
+		return proposeReply{reply: reply{silent: true}} // appended nothing; another replica leads soon
+	}
 	c.leader.Store(&address)
 	return a
 }
 
+// notAppended reports whether a replica refused a command without appending it.
+func notAppended(r result.Result) bool {
+	switch r.Code {
+	case result.NotLeader, result.NoQuorum, result.Overloaded, result.Stopping:
+		return true
+	}
+	return false
+}
+
 // refused reports whether it is certain that the server rejected the request before
 // handling it.
 func refused(err error) bool {
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -1,10 +1,12 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +27,8 @@
 	replicav1connect.UnimplementedReplicaCommandServiceHandler
 	workloadv1connect.UnimplementedWorkloadQueryServiceHandler
 	silent   bool
+	calls    atomic.Int64
+	answer   result.Code // of Propose; Accepted if 0
 	address  string
 	leader   string // address; empty if this replica is the leader
 	replicas []string
@@ -33,6 +37,7 @@
 // wait blocks a call to a silent replica until its context ends. The deadline is
 // sent with the call and may expire here before it expires at the caller.
 func (s *fakeReplica) wait(ctx context.Context) error {
+	s.calls.Add(1)
 	if !s.silent {
 		return nil
 	}
@@ -47,7 +52,7 @@
 	if s.leader != "" {
 		return connect.NewResponse(&replicav1.ProposeResponse{NotLeader: true, LeaderAddress: s.leader}), nil
 	}
-	data, err := codec.EncodeResult(result.Result{Code: result.Accepted})
+	data, err := codec.EncodeResult(result.Result{Code: cmp.Or(s.answer, result.Accepted)})
 	return connect.NewResponse(&replicav1.ProposeResponse{Results: [][]byte{data}}), err
 }
 
@@ -123,10 +128,40 @@
 // Guards against a command that counts as certainly not committed although it was sent to a
 // replica that did not answer.
 func TestUnansweredCommandMayBeAppended(t *testing.T) {
-	c := New([]string{serve(t, &fakeReplica{silent: true})}, NewHTTPClient())
+	silent := serve(t, &fakeReplica{silent: true})
+	c := New([]string{silent}, NewHTTPClient())
+	c.leader.Store(&silent)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	results, err := c.Propose(ctx, submission)
 	assert.NilError(t, err)
 	assert.Equal(t, results[0].Code, result.Unknown)
 }
+
+// Guards against a refusal of a replica that appended nothing which rules out that the
+// command was appended by the replica that was tried before and did not answer.
+func TestRefusalOfAnotherReplicaLeavesTheCommandUnknown(t *testing.T) {
+	for _, refusal := range []result.Code{result.Overloaded, result.Stopping} {
+		silent, other := serve(t, &fakeReplica{silent: true}), serve(t, &fakeReplica{answer: refusal})
+		c := New([]string{silent, other}, NewHTTPClient())
+		c.leader.Store(&silent)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		results, err := c.Propose(ctx, submission)
+		cancel()
+		assert.NilError(t, err)
+		assert.Equal(t, results[0].Code, result.Unknown, refusal.String())
+	}
+}
+
+// Guards against a command that is refused because the replica that led is stopping,
+// although another one could commit it before the deadline.
+func TestCommandPassesStoppingReplica(t *testing.T) {
+	stopping, next := serve(t, &fakeReplica{answer: result.Stopping}), serve(t, &fakeReplica{})
+	c := New([]string{stopping, next}, NewHTTPClient())
+	c.leader.Store(&stopping)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	results, err := c.Propose(ctx, submission)
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.Accepted)
+}
--- a/replica/client/directory.go
+++ b/replica/client/directory.go
@@ -101,6 +101,13 @@
 	return ""
 }
 
+// forgetLeader removes the address as that of the last known leader.
+func (c *Client) forgetLeader(address string) {
+	if leader := c.leader.Load(); leader != nil && *leader == address {
+		c.leader.CompareAndSwap(leader, nil)
+	}
+}
+
 // addMember adds a replica that has announced itself to the known members.
 func (c *Client) addMember(address string) {
 	for {
--- a/replica/client/search.go
+++ b/replica/client/search.go
@@ -22,37 +22,33 @@
 
 // reply is the outcome of a call to one replica that only the leader can complete.
 type reply struct {
-	final  bool   // no other replica needs to be tried
-	silent bool   // the replica did not respond
-	leader string // address of the leader if the replica named it
+	final  bool // no other replica needs to be tried
+	silent bool // the replica did not respond
 }
 
-// search calls the replicas one after another until a reply is final or ctx ends.
-// When a replica names the leader, the leader is called next.
+// search calls the leader until a reply is final or ctx ends. It calls the last known
+// leader first. After a reply that is not final it waits for the lookup of the leader that
+// all calls share, so that the replicas are not asked by each waiting call while they elect
+// a leader, and no command is sent to a replica that may not lead.
 func (c *Client) search(ctx context.Context, call func(address string) reply) {
-	silent := map[string]bool{}
+	address := c.knownLeader()
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
-		for _, address := range c.candidates(silent) {
+		if address != "" {
 			r := call(address)
 			if r.final {
 				c.noRecentLeader.Store(r.silent)
 				return
 			}
-			if ctx.Err() != nil {
-				c.recordNoLeader(ctx)
-				return
-			}
-			silent[address] = r.silent
-			if r.leader != "" && r.leader != address && !silent[r.leader] {
-				c.leader.Store(&r.leader)
+			c.forgetLeader(address)
+			if !pause(ctx, backoff) {
 				break
 			}
 		}
-		if !pause(ctx, backoff) {
-			c.recordNoLeader(ctx)
-			return
+		if address = c.awaitLeader(ctx, address); address == "" {
+			break
 		}
 	}
+	c.recordNoLeader(ctx)
 }
 
 // recordNoLeader records that no leader was found if the deadline has expired. A
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -27,7 +27,7 @@
 // ended.
 func (c *Client) Find(ctx context.Context, host, path string) (WorkloadStatus, error) {
 	req := &workloadv1.FindRequest{Host: host, Path: path}
-	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
+	resp, _, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
 	if err != nil {
 		return WorkloadStatus{}, err
 	}
@@ -39,10 +39,8 @@
 
 // Leader returns the address of the leader. The error is that of Find.
 func (c *Client) Leader(ctx context.Context) (string, error) {
-	if _, err := c.Find(ctx, "", ""); err != nil {
-		return "", err
-	}
-	return *c.leader.Load(), nil
+	_, address, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, &workloadv1.FindRequest{})
+	return address, err
 }
 
 // CountPending returns the number of workloads in the queue at the host and path
@@ -50,7 +48,7 @@
 // Find.
 func (c *Client) CountPending(ctx context.Context, host, path string) (int, bool, error) {
 	req := &workloadv1.CountPendingRequest{Host: host, Path: path}
-	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
+	resp, _, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
 	if err != nil {
 		return 0, false, err
 	}
@@ -73,9 +71,11 @@
 // queryTimeout is the timeout of one attempt of a query.
 const queryTimeout = 400 * time.Millisecond
 
-// queryLeader tries the replicas until the leader responds or ctx ends.
-func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, error) {
+// queryLeader returns the response and the address of the leader. It tries the replicas
+// until the leader responds or ctx ends.
+func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, string, error) {
 	var found P
+	var leader string
 	c.search(ctx, func(address string) reply {
 		resp, err := attemptQuery(ctx, c, address, method, req)
 		if err != nil {
@@ -84,16 +84,16 @@
 		leadership := P(resp).GetLeadership()
 		c.setMembers(leadership.GetReplicas())
 		if leadership.GetNotLeader() {
-			return reply{leader: leadership.GetLeaderAddress()}
+			return reply{}
 		}
 		c.leader.Store(&address)
-		found = resp
+		found, leader = resp, address
 		return reply{final: true}
 	})
 	if found == nil {
-		return nil, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
+		return nil, "", result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
 	}
-	return found, nil
+	return found, leader, nil
 }
 
 func attemptQuery[Q, R any](ctx context.Context, c *Client, address string, method leaderQuery[Q, R], req *Q) (*R, error) {
