--- a/core/command/place/share_test.go
+++ b/core/command/place/share_test.go
@@ -18,7 +18,7 @@
 	c.Accounts = append(c.Accounts, a)
 	key := model.AccountKey{Digest: accountKey(a.Name), Account: a.Name}
 	i := 0
-	for i < len(c.Keys) && c.Keys[i].Digest.Compare(key.Digest) < 0 {
+	for i < len(c.Keys) && c.Keys[i].Digest.Compare(&key.Digest) < 0 {
 		i++
 	}
 	c.Keys = append(c.Keys[:i:i], append([]model.AccountKey{key}, c.Keys[i:]...)...)
