--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -104,8 +104,8 @@
 func (c *Client) proposeWithRetries(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
 	maybeAppended := false // the commands of an attempt may have been appended
 	var results []result.Result
-	c.search(ctx, func(address string) reply {
-		a := c.attempt(ctx, address, req)
+	c.search(ctx, func(leader candidate) reply {
+		a := c.attempt(ctx, leader, req)
 		settled := a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil)
 		// A replica that appends nothing says nothing about an earlier attempt.
 		if settled && !(maybeAppended && slices.ContainsFunc(a.results, notAppended)) {
@@ -137,15 +137,15 @@
 	unknown bool            // the commands may have been appended
 }
 
-// attempt proposes the commands once, to the replica at the address.
-func (c *Client) attempt(ctx context.Context, address string, req *replicav1.ProposeRequest) proposeReply {
-	ctx, cancel := context.WithTimeout(ctx, attemptTime(ctx))
+// attempt proposes the commands once, to the candidate.
+func (c *Client) attempt(ctx context.Context, leader candidate, req *replicav1.ProposeRequest) proposeReply {
+	ctx, cancel := context.WithTimeout(ctx, leader.callTime(ctx))
 	defer cancel()
 	// A call that never got a connection was not sent, also if its deadline expired while
 	// the connection was being opened: a replica without power does not refuse it.
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	commands := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address, connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
+	commands := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+leader.address, connect.WithSendGzip(), connect.WithCompressMinBytes(minCompressBytes))
 	resp, err := commands.Propose(ctx, connect.NewRequest(req))
 	if err != nil {
 		return proposeReply{reply: reply{silent: true}, unknown: connected.Load() && !refused(err)}
@@ -166,7 +166,7 @@
 	if slices.ContainsFunc(a.results, func(r result.Result) bool { return r.Code == result.Stopping }) {
 		return proposeReply{reply: reply{silent: true}} // appended nothing; another replica leads soon
 	}
-	c.leader.Store(&address)
+	c.leader.Store(&leader.address)
 	return a
 }
 
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -27,6 +27,7 @@
 	replicav1connect.UnimplementedReplicaCommandServiceHandler
 	workloadv1connect.UnimplementedWorkloadQueryServiceHandler
 	silent   bool
+	delay    time.Duration // of each result of Propose
 	calls    atomic.Int64
 	answer   result.Code // of Propose; Accepted if 0
 	address  string
@@ -52,6 +53,7 @@
 	if s.leader != "" {
 		return connect.NewResponse(&replicav1.ProposeResponse{NotLeader: true, LeaderAddress: s.leader}), nil
 	}
+	time.Sleep(s.delay)
 	data, err := codec.EncodeResult(result.Result{Code: cmp.Or(s.answer, result.Accepted)})
 	return connect.NewResponse(&replicav1.ProposeResponse{Results: [][]byte{data}}), err
 }
--- a/replica/client/lookup_test.go
+++ b/replica/client/lookup_test.go
@@ -77,3 +77,11 @@
 		assert.Equal(t, code, result.Accepted)
 	}
 }
+
+// Guards against a command whose answer is given up while there is time left: the leader
+// that has just been elected takes long for the many calls that have waited for it.
+func TestBusyNewLeaderIsAwaited(t *testing.T) {
+	busy := serve(t, &fakeReplica{delay: 600 * time.Millisecond})
+	codes := proposeAtOnce(t, New([]string{busy}, NewHTTPClient()), 1, time.Second)
+	assert.Equal(t, codes[0], result.Accepted)
+}
--- a/replica/client/search.go
+++ b/replica/client/search.go
@@ -26,25 +26,41 @@
 	silent bool // the replica did not respond
 }
 
+// candidate is a replica that probably leads.
+type candidate struct {
+	address   string
+	confirmed bool // it has said just now that it leads
+}
+
+// callTime returns the timeout of one call to the candidate. One that has not confirmed
+// that it leads leaves time for another one.
+func (l candidate) callTime(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok && l.confirmed {
+		return min(attemptTimeout, time.Until(deadline))
+	}
+	return attemptTime(ctx)
+}
+
 // search calls the leader until a reply is final or ctx ends. It calls the last known
 // leader first. After a reply that is not final it waits for the lookup of the leader that
 // all calls share, so that the replicas are not asked by each waiting call while they elect
 // a leader, and no command is sent to a replica that may not lead.
-func (c *Client) search(ctx context.Context, call func(address string) reply) {
-	address := c.knownLeader()
+func (c *Client) search(ctx context.Context, call func(candidate) reply) {
+	leader := candidate{address: c.knownLeader()}
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
-		if address != "" {
-			r := call(address)
+		if leader.address != "" {
+			r := call(leader)
 			if r.final {
 				c.noRecentLeader.Store(r.silent)
 				return
 			}
-			c.forgetLeader(address)
+			c.forgetLeader(leader.address)
 			if !pause(ctx, backoff) {
 				break
 			}
 		}
-		if address = c.awaitLeader(ctx, address); address == "" {
+		leader = candidate{address: c.awaitLeader(ctx, leader.address), confirmed: true}
+		if leader.address == "" {
 			break
 		}
 	}
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -76,8 +76,8 @@
 func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, string, error) {
 	var found P
 	var leader string
-	c.search(ctx, func(address string) reply {
-		resp, err := attemptQuery(ctx, c, address, method, req)
+	c.search(ctx, func(l candidate) reply {
+		resp, err := attemptQuery(ctx, c, l.address, method, req)
 		if err != nil {
 			return reply{silent: true}
 		}
@@ -86,8 +86,8 @@
 		if leadership.GetNotLeader() {
 			return reply{}
 		}
-		c.leader.Store(&address)
-		found, leader = resp, address
+		c.leader.Store(&l.address)
+		found, leader = resp, l.address
 		return reply{final: true}
 	})
 	if found == nil {
