--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -27,6 +27,8 @@
 	// Public is true if the workload was accepted at a public queue, so that every caller may
 	// read and cancel it.
 	Public bool `cbor:",omitempty"`
+	// BeyondRate is set if the account submitted the workload beyond its rate.
+	BeyondRate bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
