The leader tells the planner how long runs still take, and keeps its waits

Cause: the planner knew only the estimates of steps, which are rough, and had no record of the waits that it had begun.

Change: the leader passes the run time of a step and the rest of a run as the progress of its runs suggests, and instances that left and are expected back.

--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -46,12 +46,12 @@
 
 // timeLeft returns how much longer an active run on a worker of the rack is expected to
 // take; near.Never if that is unknown.
-func (p *planner) timeLeft(w model.Workload, run model.RunRef, rack string) time.Duration {
+func (p *planner) timeLeft(w model.Workload, run model.RunRef, on model.WorkerID, rack string) time.Duration {
 	if w.Steps[run.Task.Step].Lasting {
 		return near.Never
 	}
 	if p.options.TimeLeft != nil {
-		if left, ok := p.options.TimeLeft(run); ok {
+		if left, ok := p.options.TimeLeft(run, on); ok {
 			return left
 		}
 	}
@@ -103,7 +103,7 @@
 	}
 	a, _ := p.state.Assignments.Get(w.ID)
 	for _, run := range a.Runs {
-		add(run, func(workload model.Workload) time.Duration { return p.timeLeft(workload, run, w.Rack) })
+		add(run, func(workload model.Workload) time.Duration { return p.timeLeft(workload, run, w.ID, w.Rack) })
 	}
 	for _, start := range p.starts {
 		if start.Worker == w.ID {
--- a/core/command/place/locality_test.go
+++ b/core/command/place/locality_test.go
@@ -52,7 +52,7 @@
 	full := worker("a", 0)
 	assert.Equal(t, len(x.plan(options, full, worker("b", 8000))), 0, "0.5 s of waiting save 1 s")
 	x.s.Catalog.Queues[0].Target = 1000 * time.Millisecond
-	options.TimeLeft = func(model.RunRef) (time.Duration, bool) { return 1050 * time.Millisecond, true }
+	options.TimeLeft = func(model.RunRef, model.WorkerID) (time.Duration, bool) { return 1050 * time.Millisecond, true }
 	options.RunTime = func(_ model.TaskRef, estimate time.Duration) time.Duration { return estimate }
 	x.submit(1, 3, step(9, 1000)) // the pool is contended, which alone would make the wait pay
 	assert.Equal(t, len(x.plan(options, full, worker("b", 1000))), 1)
@@ -68,7 +68,7 @@
 	local.NearRack = "r-a"
 	x.submit(0, 2, local)
 	left := 500 * time.Millisecond
-	options := Options{RemoteDataFactor: 2, Near: near.History{Waits: near.Waits{}}, TimeLeft: func(model.RunRef) (time.Duration, bool) { return left, true }}
+	options := Options{RemoteDataFactor: 2, Near: near.History{Waits: near.Waits{}}, TimeLeft: func(model.RunRef, model.WorkerID) (time.Duration, bool) { return left, true }}
 	full, free := worker("a", 0), worker("b", 8000)
 	assert.Equal(t, len(x.plan(options, full, free)), 0)
 	left = 1200 * time.Millisecond
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -185,7 +185,7 @@
 		for _, run := range task.Active {
 			sibling := model.RunRef{Task: model.TaskRef{Workload: ref.Workload, Round: ref.Round, Step: ref.Step, Index: k}, Number: run.Number}
 			isNear := slices.ContainsFunc(r.workers, func(w *Worker) bool { return w.ID == run.Worker })
-			runsFar = runsFar || !isNear && p.timeLeft(c.workload, sibling, "") > choice.Run
+			runsFar = runsFar || !isNear && p.timeLeft(c.workload, sibling, run.Worker, "") > choice.Run
 		}
 	}
 	alone := runsFar || !r.forecast.FitsAll(spec.Reserved(), waiting, choice.Run, choice.Limit(), p.room(c, r, spec, ref))
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -68,7 +68,7 @@
 	// TimeLeft returns how much longer an active run is expected to take; false if that is
 	// not known from its progress. If it is nil or false, the start of the run and its
 	// expected run time count.
-	TimeLeft func(model.RunRef) (time.Duration, bool)
+	TimeLeft func(model.RunRef, model.WorkerID) (time.Duration, bool)
 	// Arrivals lists workers that are expected to take work soon.
 	Arrivals []Arrival
 }
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -52,7 +52,7 @@
 	m.requestAdvice(now, after)
 	if changed || now.Sub(m.plannedAt) >= planInterval {
 		m.plannedIndex, m.plannedAt = state.Index, now
-		progress.Starts = place.Plan(after, m.offers(now, after), m.placeOptions(now, after))
+		progress.Starts = m.plan(now, after)
 	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.pending)
@@ -239,6 +239,10 @@
 		},
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
 		RemoteDataFactor: m.settings.RemoteDataFactor,
+		Near:             m.near,
+		RunTime:          func(t model.TaskRef, estimate time.Duration) time.Duration { return m.runTime(now, s, t, estimate) },
+		TimeLeft:         func(run model.RunRef, w model.WorkerID) (time.Duration, bool) { return m.timeLeft(now, run, w) },
+		Arrivals:         m.arrivals(now),
 	}
 }
 
--- a/replica/schedule/health.go
+++ b/replica/schedule/health.go
@@ -36,6 +36,8 @@
 	percent    int
 	advancedAt time.Time
 	listedAt   time.Time // when the run was first reported
+	// listedPercent is the progress at that time; a run may resume from a checkpoint.
+	listedPercent int
 	// lastListedAt is when the run was last reported.
 	lastListedAt time.Time
 }
@@ -45,14 +47,14 @@
 // if there is no measurement.
 func (p progress) track(now time.Time, percent int, estimate time.Duration) (progress, float64, bool) {
 	if p.listedAt.IsZero() {
-		return progress{percent: percent, advancedAt: now, listedAt: now}, 0, false
+		return progress{percent: percent, advancedAt: now, listedAt: now, listedPercent: percent}, 0, false
 	}
 	delta := percent - p.percent
 	if delta == 0 {
 		return p, 0, false
 	}
 	elapsed := now.Sub(p.advancedAt)
-	next := progress{percent: percent, advancedAt: now, listedAt: p.listedAt}
+	next := progress{percent: percent, advancedAt: now, listedAt: p.listedAt, listedPercent: p.listedPercent}
 	if delta < 0 || elapsed <= 0 || estimate <= 0 {
 		return next, 0, false
 	}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/near"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
@@ -77,6 +78,11 @@
 	// mediansAt.
 	medianSpeeds map[model.PoolName]float64
 	mediansAt    time.Time
+	// near is what the last planning pass decided about waits for near places.
+	near near.History
+	// awayTime is the moving average of the time from the last report of an incarnation
+	// until the next one of its instance reports; 0 if it is not known yet.
+	awayTime time.Duration
 
 	pending    []pendingReport
 	committing *cycle // the cycle that is being committed; nil if none is
@@ -195,6 +201,7 @@
 	m.refusals = refusals{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 	m.tickets = newTickets()
+	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
 	m.nextExpiryCheck, m.plannedAt, m.mediansAt = time.Time{}, time.Time{}, time.Time{}
 }
 
--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -27,6 +27,10 @@
 	workers         prometheus.Gauge
 	activeWorkloads prometheus.Gauge
 	pendingReports  prometheus.Gauge
+	nearWaits       prometheus.Counter
+	nearWaited      prometheus.Histogram
+	nearSaved       prometheus.Counter
+	nearTasks       *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the metrics. It panics if they are already
@@ -50,8 +54,12 @@
 		workers:         prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workers", Help: "Incarnations of workers that the leader knows."}),
 		activeWorkloads: prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_workloads_active", Help: "Workloads not in a final phase."}),
 		pendingReports:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "lacewingturn_reports_waiting", Help: "Heartbeats that wait for a planning turn."}),
+		nearWaits:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_near_waits_total", Help: "Steps that began to wait for places near their data or in one rack."}),
+		nearWaited:      telemetry.NewDurationHistogram("lacewingturn_near_wait_seconds", "Time that steps waited for places near their data or in one rack."),
+		nearSaved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_near_saved_seconds_total", Help: "Run time that tasks saved because they waited for a near place."}),
+		nearTasks:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_near_wait_tasks_total", Help: "Tasks that started after a wait for a near place, by where they started."}, []string{"place"}),
 	}
-	r.MustRegister(m.reports, m.unused, m.readmitted, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
+	r.MustRegister(m.nearWaits, m.nearWaited, m.nearSaved, m.nearTasks, m.reports, m.unused, m.readmitted, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
 	return m
 }
 
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -70,6 +70,7 @@
 	delete(m.refusals, r.Worker)
 	w := m.workers[r.Worker]
 	if w == nil {
+		m.observeReturn(now, r.Instance)
 		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease()), throttle: throttle.NewWorker(), sentThrottle: map[model.RunRef]int{}}
 		m.workers[r.Worker] = w
 		m.logWorker(event.WorkerAppeared, r)
