--- a/core/command/place/share_test.go
+++ b/core/command/place/share_test.go
@@ -15,6 +15,7 @@
 // addAccount adds an account with a key to the catalog.
 func (x *site) addAccount(a model.ClientAccount) {
 	c := x.s.Catalog
+	c.RequireKeys = true
 	c.Accounts = append(c.Accounts, a)
 	key := model.AccountKey{Digest: accountKey(a.Name), Account: a.Name}
 	i := 0
@@ -28,7 +29,7 @@
 	name := fmt.Sprintf("%016x", id)
 	key := accountKey(a)
 	next, r := command.Apply(x.s, x.s.Index+1, 1, model.Envelope{Time: x.s.Clock, Command: model.SubmitWorkload{
-		Host: "h", Path: fmt.Sprintf("/q%d/%s", priority, name), Key: &key, Workload: model.Workload{Account: a, Steps: steps},
+		Host: "h", Path: fmt.Sprintf("/q%d/%s", priority, name), Key: &key, Workload: model.Workload{Steps: steps},
 	}})
 	assert.Assert(x.t, r.Code.OK(), r)
 	x.s = next
@@ -37,10 +38,11 @@
 
 func milliCPU(n int64) model.Resources { return model.Resources{MilliCPU: n} }
 
-// newCappedSite returns a site with the account "a" and its cap.
+// newCappedSite returns a site with the account "a" and its cap, and "b" without one.
 func newCappedSite(t *testing.T, limit model.Resources) *site {
 	x := newSite(t)
 	x.addAccount(model.ClientAccount{Name: "a", Weight: 1, Cap: limit})
+	x.addAccount(model.ClientAccount{Name: "b", Weight: 1})
 	return x
 }
 
@@ -77,11 +79,11 @@
 	x.s.Catalog.Queues[1].Pool = "other"
 	x.submitAs("a", 0, 1, step(2, 1000))
 	x.submitAs("a", 1, 2, step(2, 1000))
-	x.submit(1, 3, step(2, 1000))
+	x.submitAs("b", 1, 3, step(2, 1000))
 	other := worker("o", 8000)
 	other.Pool = "other"
 	starts := x.plan(Options{}, worker("w", 8000), other)
-	assert.Equal(t, len(starts), 5, "three of the account and two of nobody")
+	assert.Equal(t, len(starts), 5, "three of the capped account and two of the other")
 }
 
 // Guards against a gang of which only a part starts because the rest is above the cap.
@@ -153,7 +155,7 @@
 // Guards against runs that are preempted for a task which its account's cap holds back.
 func TestNothingIsPreemptedForWorkAboveItsCap(t *testing.T) {
 	x := newCappedSite(t, milliCPU(1000))
-	x.submit(1, 1, step(2, 1000))
+	x.submitAs("b", 1, 1, step(2, 1000))
 	x.submitAs("a", 0, 2, step(1, 1000))
 	workers := func() []Worker { return []Worker{worker("w", 3000)} }
 	x.commit(x.plan(Options{}, workers()...))
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -54,7 +54,7 @@
 	due := changed || now.Sub(m.plannedAt) >= planInterval
 	if due && now.Sub(m.passedAt) >= pace.PassInterval(m.fleetSize()) {
 		m.plannedIndex, m.plannedAt, m.passedAt = state.Index, now, now
-		progress.Starts = place.Plan(after, m.offers(now, after), m.placeOptions(now, after))
+		progress.Starts = m.plan(now, after)
 	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.pending)
@@ -238,6 +238,10 @@
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
 		RemoteDataFactor: m.settings.RemoteDataFactor,
 		Unassigned:       m.unassignedNeeds(now, s),
+		Near:             m.near,
+		RunTime:          func(t model.TaskRef, estimate time.Duration) time.Duration { return m.runTime(now, s, t, estimate) },
+		TimeLeft:         func(run model.RunRef, w model.WorkerID) (time.Duration, bool) { return m.timeLeft(now, run, w) },
+		Arrivals:         m.arrivals(now),
 	}
 }
 
--- a/replica/schedule/unassigned_test.go
+++ b/replica/schedule/unassigned_test.go
@@ -16,6 +16,7 @@
 func (h *harness) addAccount() {
 	c := *h.replica.View().State.Catalog
 	c.Version++
+	c.RequireKeys = true
 	c.Accounts = []model.ClientAccount{{Name: "a", Weight: 1, Cap: model.Resources{MilliCPU: 1500}}}
 	c.Keys = []model.AccountKey{{Digest: model.DigestKey(accountKey), Account: "a"}}
 	h.propose(model.PublishCatalog{Catalog: c})
@@ -24,7 +25,7 @@
 // submitAs submits a workload of the account "a".
 func (h *harness) submitAs(path string, steps ...model.Step) model.WorkloadID {
 	key := model.DigestKey(accountKey)
-	h.propose(model.SubmitWorkload{Host: "h", Path: path, Key: &key, Workload: model.Workload{Account: "a", Payload: "text", Steps: steps}})
+	h.propose(model.SubmitWorkload{Host: "h", Path: path, Key: &key, Workload: model.Workload{Payload: "text", Steps: steps}})
 	return model.WorkloadID(path[1:])
 }
 
