--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -29,8 +29,6 @@
 	beyondRate bool
 	// turn is nil if all of the workload is placed at once.
 	turn *turn
-	// localOnly is set while the current step waits for workers near its data.
-	localOnly bool
 }
 
 // candidates returns the workloads that wait for a run in pools that have a worker with
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -24,11 +24,11 @@
 	Address *QueueAddress `cbor:",omitempty"`
 	// Account is the client account whose key submitted the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
-	// BeyondRate is set if the account submitted the workload beyond its rate.
-	BeyondRate bool `cbor:",omitempty"`
 	// Public is true if the workload was accepted at a public queue, so that every caller may
 	// read and cancel it.
 	Public bool `cbor:",omitempty"`
+	// BeyondRate is set if the account submitted the workload beyond its rate.
+	BeyondRate bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
 	Steps   []Step
@@ -204,12 +204,12 @@
 	Reason string
 	// Account is the account of the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
+	// Public is that of the workload.
+	Public bool `cbor:",omitempty"`
 	// Held is the sum of the needs of the runs that were active when the workload ended; nil
 	// if there were none or it has no account. A new leader counts it against the account
 	// while these runs may still exist on workers that have not reported to it.
 	Held *Resources `cbor:",omitempty"`
-	// Public is that of the workload.
-	Public bool `cbor:",omitempty"`
 }
 
 // Owner returns who may read and cancel the workload.
--- a/replica/client/search.go
+++ b/replica/client/search.go
@@ -22,37 +22,49 @@
 
 // reply is the outcome of a call to one replica that only the leader can complete.
 type reply struct {
-	final  bool   // no other replica needs to be tried
-	silent bool   // the replica did not respond
-	leader string // address of the leader if the replica named it
+	final  bool // no other replica needs to be tried
+	silent bool // the replica did not respond
 }
 
-// search calls the replicas one after another until a reply is final or ctx ends.
-// When a replica names the leader, the leader is called next.
-func (c *Client) search(ctx context.Context, call func(address string) reply) {
-	silent := map[string]bool{}
+// candidate is a replica that probably leads.
+type candidate struct {
+	address   string
+	confirmed bool // it has said just now that it leads
+}
+
+// callTime returns the timeout of one call to the candidate. One that has not confirmed
+// that it leads leaves time for another one.
+func (l candidate) callTime(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok && l.confirmed {
+		return min(attemptTimeout, time.Until(deadline))
+	}
+	return attemptTime(ctx)
+}
+
+// search calls the leader until a reply is final or ctx ends. It calls the last known
+// leader first. After a reply that is not final it waits for the lookup of the leader that
+// all calls share, so that the replicas are not asked by each waiting call while they elect
+// a leader, and no command is sent to a replica that may not lead.
+func (c *Client) search(ctx context.Context, call func(candidate) reply) {
+	leader := candidate{address: c.knownLeader()}
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
-		for _, address := range c.candidates(silent) {
-			r := call(address)
+		if leader.address != "" {
+			r := call(leader)
 			if r.final {
 				c.noRecentLeader.Store(r.silent)
 				return
 			}
-			if ctx.Err() != nil {
-				c.recordNoLeader(ctx)
-				return
-			}
-			silent[address] = r.silent
-			if r.leader != "" && r.leader != address && !silent[r.leader] {
-				c.leader.Store(&r.leader)
+			c.forgetLeader(leader.address)
+			if !pause(ctx, backoff) {
 				break
 			}
 		}
-		if !pause(ctx, backoff) {
-			c.recordNoLeader(ctx)
-			return
+		leader = candidate{address: c.awaitLeader(ctx, leader.address), confirmed: true}
+		if leader.address == "" {
+			break
 		}
 	}
+	c.recordNoLeader(ctx)
 }
 
 // recordNoLeader records that no leader was found if the deadline has expired. A
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -44,7 +44,7 @@
 // ctx ended.
 func (c *Client) Find(ctx context.Context, host, path string, key *model.KeyDigest) (WorkloadStatus, error) {
 	req := &workloadv1.FindRequest{Host: host, Path: path, Key: keyBytes(key)}
-	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
+	resp, _, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, req)
 	if err != nil {
 		return WorkloadStatus{}, err
 	}
@@ -59,10 +59,8 @@
 
 // Leader returns the address of the leader. The error is that of Find.
 func (c *Client) Leader(ctx context.Context) (string, error) {
-	if _, err := c.Find(ctx, "", "", nil); err != nil {
-		return "", err
-	}
-	return *c.leader.Load(), nil
+	_, address, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.Find, &workloadv1.FindRequest{})
+	return address, err
 }
 
 // CountPending returns the number of workloads in the queue at the host and path
@@ -70,7 +68,7 @@
 // Find.
 func (c *Client) CountPending(ctx context.Context, host, path string, key *model.KeyDigest) (int, bool, error) {
 	req := &workloadv1.CountPendingRequest{Host: host, Path: path, Key: keyBytes(key)}
-	resp, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
+	resp, _, err := queryLeader(ctx, c, workloadv1connect.WorkloadQueryServiceClient.CountPending, req)
 	if err != nil {
 		return 0, false, err
 	}
@@ -96,27 +94,29 @@
 // queryTimeout is the timeout of one attempt of a query.
 const queryTimeout = 400 * time.Millisecond
 
-// queryLeader tries the replicas until the leader responds or ctx ends.
-func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, error) {
+// queryLeader returns the response and the address of the leader. It tries the replicas
+// until the leader responds or ctx ends.
+func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, string, error) {
 	var found P
-	c.search(ctx, func(address string) reply {
-		resp, err := attemptQuery(ctx, c, address, method, req)
+	var leader string
+	c.search(ctx, func(l candidate) reply {
+		resp, err := attemptQuery(ctx, c, l.address, method, req)
 		if err != nil {
 			return reply{silent: true}
 		}
 		leadership := P(resp).GetLeadership()
 		c.setMembers(leadership.GetReplicas())
 		if leadership.GetNotLeader() {
-			return reply{leader: leadership.GetLeaderAddress()}
+			return reply{}
 		}
-		c.leader.Store(&address)
-		found = resp
+		c.leader.Store(&l.address)
+		found, leader = resp, l.address
 		return reply{final: true}
 	})
 	if found == nil {
-		return nil, result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
+		return nil, "", result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
 	}
-	return found, nil
+	return found, leader, nil
 }
 
 func attemptQuery[Q, R any](ctx context.Context, c *Client, address string, method leaderQuery[Q, R], req *Q) (*R, error) {
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -10,6 +10,7 @@
 
 	"lacewingturn.example/core/command"
 	"lacewingturn.example/core/command/maintain"
+	"lacewingturn.example/core/command/pace"
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -50,9 +51,10 @@
 	m.evacuate(now, after)
 	m.preempt(now, after)
 	m.requestAdvice(now, after)
-	if changed || now.Sub(m.plannedAt) >= planInterval {
-		m.plannedIndex, m.plannedAt = state.Index, now
-		progress.Starts = place.Plan(after, m.offers(now, after), m.placeOptions(now, after))
+	due := changed || now.Sub(m.plannedAt) >= planInterval
+	if due && now.Sub(m.passedAt) >= pace.PassInterval(m.fleetSize()) {
+		m.plannedIndex, m.plannedAt, m.passedAt = state.Index, now, now
+		progress.Starts = m.plan(now, after)
 	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.pending)
@@ -96,7 +98,7 @@
 		for _, run := range a.Runs {
 			// A run that the worker does not list never started there: the start order
 			// was lost, or not sent because the run is to be stopped.
-			if m.stopping[run] && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) {
+			if m.stopping[run] && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) && !m.mayBeInherited(now, p.report.Worker, run) {
 				causes[run] = causeUnstarted
 				out = append(out, model.RunEnd{Run: run, Worker: p.report.Worker, Outcome: model.RunInterrupted})
 			}
@@ -153,7 +155,7 @@
 	due := instancesWithUpkeepDue(s)
 	var out []place.Worker
 	for _, w := range m.workers {
-		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > maxReportAge {
+		if m.cordons[w.Instance] || m.hasEnded(w.Worker) || now.Sub(w.reportedAt) > m.maxReportAge() {
 			continue
 		}
 		if offer, ok := w.offer(now, s); ok {
@@ -182,10 +184,6 @@
 	return due
 }
 
-// maxReportAge is how long after its last report a worker is given work. It is a
-// little longer than the time between two reports.
-const maxReportAge = busyInterval + 200*time.Millisecond
-
 // evacuate stops the runs of long-running tasks on draining workers, so that the tasks
 // serve on other workers before the draining ones shut down. A run waits while as many
 // other tasks of its step are away as may be, for example for upkeep: the worker goes on
@@ -240,6 +238,10 @@
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
 		RemoteDataFactor: m.settings.RemoteDataFactor,
 		Unassigned:       m.unassignedNeeds(now, s),
+		Near:             m.near,
+		RunTime:          func(t model.TaskRef, estimate time.Duration) time.Duration { return m.runTime(now, s, t, estimate) },
+		TimeLeft:         func(run model.RunRef, w model.WorkerID) (time.Duration, bool) { return m.timeLeft(now, run, w) },
+		Arrivals:         m.arrivals(now),
 	}
 }
 
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -10,9 +10,11 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/near"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/core/table"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
@@ -45,6 +47,9 @@
 	// leaderSince is when this replica became leader. Leases granted by earlier
 	// leaders are assumed to start then.
 	leaderSince time.Time
+	// inherited holds the runs that were assigned when this replica became leader, by worker.
+	// What their workers have listed to earlier leaders is not known here.
+	inherited table.Table[model.WorkerID, model.Assignment]
 	// endedSince is the earliest end of a workload whose runs workers may still have, with a
 	// lease of an earlier leader, when the term begins. It is a time of the replicated clock.
 	endedSince model.Timestamp
@@ -71,15 +76,21 @@
 	// ever extended, so an earlier check would find no lost run among those that were
 	// assigned at the last check; markEnded brings it forward.
 	nextExpiryCheck time.Time
-	// plannedIndex is the index of the state of the last planning pass, plannedAt
-	// its time.
+	// plannedIndex is the index of the state of the last planning pass, passedAt its time.
+	// plannedAt is passedAt, or zero if a report has shown more free capacity since.
 	plannedIndex model.Index
 	plannedAt    time.Time
+	passedAt     time.Time
 	prunedAt     time.Time // of the last pass of pruneEnded
 	// medianSpeeds holds the median speed of the workers of each pool, computed at
 	// mediansAt.
 	medianSpeeds map[model.PoolName]float64
 	mediansAt    time.Time
+	// near is what the last planning pass decided about waits for near places.
+	near near.History
+	// awayTime is the moving average of the time from the last report of an incarnation
+	// until the next one of its instance reports; 0 if it is not known yet.
+	awayTime time.Duration
 
 	pending    []pendingReport
 	committing *cycle // the cycle that is being committed; nil if none is
@@ -191,7 +202,7 @@
 // startLeading discards everything observed under earlier terms.
 func (m *Machine) startLeading(v *replica.View) {
 	m.refuseAll(errNotLeader)
-	m.term, m.leaderSince = v.Term, v.LeaderSince
+	m.term, m.leaderSince, m.inherited = v.Term, v.LeaderSince, v.State.Assignments
 	m.endedSince = min(v.State.Clock, model.TimestampOf(v.LeaderSince)).Add(-leaseEnd(time.Time{}, m.lease()).Sub(time.Time{}))
 	event.SchedulingBegun.Log(m.settings.Logger, zap.Uint64("term", uint64(v.Term)), zap.Uint64("state", uint64(v.State.Index)), zap.Duration("lease", m.lease()))
 	m.workers, m.endedAt = map[model.WorkerID]*worker{}, map[model.WorkerID]time.Time{}
@@ -199,6 +210,7 @@
 	m.refusals = refusals{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 	m.tickets = newTickets()
+	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
 	m.nextExpiryCheck, m.plannedAt, m.mediansAt = time.Time{}, time.Time{}, time.Time{}
 }
 
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -70,6 +70,7 @@
 	delete(m.refusals, r.Worker)
 	w := m.workers[r.Worker]
 	if w == nil {
+		m.observeReturn(now, r.Instance)
 		w = &worker{leaseUntil: leaseEnd(m.leaderSince, m.lease()), throttle: throttle.NewWorker(), sentThrottle: map[model.RunRef]int{}}
 		m.workers[r.Worker] = w
 		m.logWorker(event.WorkerAppeared, r)
@@ -140,7 +141,7 @@
 			m.markEnded(w.Worker, now.Add(departGrace))
 			m.logWorker(event.WorkerLeft, w.Report)
 		}
-		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(maxReportAge))
+		w.backoffUntil = compare.Later(w.backoffUntil, now.Add(m.maxReportAge()))
 	}
 	msg.reply <- answer{}
 }
