Operators see the client accounts: lacewingturn accounts, explain account

The view shows weight, rate, cap and number of keys of each account, and from the state what it has running and waiting, with the age of the oldest waiting workload. The explanation says why callers get 401.

--- a/cmd/lacewingturn/query/explain.go
+++ b/cmd/lacewingturn/query/explain.go
@@ -7,7 +7,7 @@
 
 // Explain is the query that explains the state of one object, such as why a job waits.
 type Explain struct {
-	Kind string `arg:"" enum:"job,instance,wave,move,pool,worker" help:"job, instance, wave, move, pool or worker."`
+	Kind string `arg:"" enum:"job,instance,wave,move,pool,worker,account" help:"job, instance, wave, move, pool, worker or account."`
 	ID   string `arg:"" help:"ID or name of the object."`
 }
 
--- a/cmd/lacewingturn/query/query.go
+++ b/cmd/lacewingturn/query/query.go
@@ -12,16 +12,17 @@
 
 // Group declares the queries of the command line for kong.
 type Group struct {
-	Status  Status  `cmd:"" group:"Queries" help:"Show the revision in force on each entry instance, the replicas and what needs attention."`
-	Pools   Pools   `cmd:"" group:"Queries" help:"Show the pools, their budgets and instances."`
-	Waves   Waves   `cmd:"" group:"Queries" help:"Show the maintenance waves and moves."`
-	Jobs    Jobs    `cmd:"" group:"Queries" help:"Show the jobs."`
-	Targets Targets `cmd:"" group:"Queries" help:"Show the announced targets."`
-	Config  Config  `cmd:"" group:"Queries" help:"Show a configuration, each value with the answer that it came from."`
-	History History `cmd:"" group:"Queries" help:"Show the accepted configurations."`
-	Explain Explain `cmd:"" group:"Queries" help:"Explain why a job waits, an instance does not drain or a wave does not go on."`
-	Replay  Replay  `cmd:"" group:"Queries" help:"Replay a traffic trace through a queue policy on a virtual clock."`
-	Verify  Verify  `cmd:"" group:"Queries" help:"Replay recorded control inputs and compare the state digests."`
+	Status   Status   `cmd:"" group:"Queries" help:"Show the revision in force on each entry instance, the replicas and what needs attention."`
+	Pools    Pools    `cmd:"" group:"Queries" help:"Show the pools, their budgets and instances."`
+	Waves    Waves    `cmd:"" group:"Queries" help:"Show the maintenance waves and moves."`
+	Jobs     Jobs     `cmd:"" group:"Queries" help:"Show the jobs."`
+	Accounts Accounts `cmd:"" group:"Queries" help:"Show the client accounts, what they may have and what they have running and waiting."`
+	Targets  Targets  `cmd:"" group:"Queries" help:"Show the announced targets."`
+	Config   Config   `cmd:"" group:"Queries" help:"Show a configuration, each value with the answer that it came from."`
+	History  History  `cmd:"" group:"Queries" help:"Show the accepted configurations."`
+	Explain  Explain  `cmd:"" group:"Queries" help:"Explain why a job waits, an instance does not drain or a wave does not go on."`
+	Replay   Replay   `cmd:"" group:"Queries" help:"Replay a traffic trace through a queue policy on a virtual clock."`
+	Verify   Verify   `cmd:"" group:"Queries" help:"Replay recorded control inputs and compare the state digests."`
 }
 
 // show reads a view and prints it with the fields that the server sent, in their order.
@@ -64,6 +65,16 @@
 // Run prints the jobs view.
 func (c Jobs) Run(s *session.Session) error { return show(s, operatorv1.View_VIEW_JOBS, c.Job) }
 
+// Accounts is the query for all client accounts, or one.
+type Accounts struct {
+	Account string `arg:"" optional:"" help:"Name of one account."`
+}
+
+// Run prints the accounts view.
+func (c Accounts) Run(s *session.Session) error {
+	return show(s, operatorv1.View_VIEW_ACCOUNTS, c.Account)
+}
+
 // Targets is the query for the announced targets, of one service if it is named.
 type Targets struct {
 	Service string `arg:"" optional:"" help:"Name of one service."`
--- a/core/query/explain.go
+++ b/core/query/explain.go
@@ -32,6 +32,8 @@
 	KindPool     = "pool"
 	// KindWorker is a worker, identified by its name without the incarnation.
 	KindWorker = "worker"
+	// KindAccount is a client account.
+	KindAccount = "account"
 )
 
 // Explain explains one object at the time now. The observations are empty on
@@ -67,6 +69,12 @@
 		list := assignmentsOf(s, id)
 		found = len(list) > 0
 		e.worker(list)
+	case KindAccount:
+		var v AccountsView
+		v, found = Accounts(s, e.now, model.AccountName(id))
+		if found = found && id != ""; found {
+			e.account(s, v.Accounts[0])
+		}
 	}
 	return *e, found
 }
--- a/operator/query/views.go
+++ b/operator/query/views.go
@@ -36,6 +36,10 @@
 		v, found := query.Jobs(s.state, model.JobID(subject))
 		return v, okOrNotFound(found, "job", subject)
 	},
+	operatorv1.View_VIEW_ACCOUNTS: func(s viewInput, subject string) (any, result.Result) {
+		v, found := query.Accounts(s.state, s.now, model.AccountName(subject))
+		return v, okOrNotFound(found, "account", subject)
+	},
 	operatorv1.View_VIEW_CONFIG:  buildConfig,
 	operatorv1.View_VIEW_EXPLAIN: buildExplanation,
 }
