Metrics, a log event and a walk for accounts whose work waits

Cause: an operator could not see that a cap holds an account's work back.

Measured: go test -race of replica/schedule, core/command/{share,place} and core/query passes.

--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -41,6 +41,7 @@
 	if now.Sub(m.prunedAt) >= pruneInterval {
 		m.prunedAt = now
 		m.pruneEnded(now, state)
+		m.observeAccounts(now, state)
 	}
 	causes := map[model.RunRef]string{}
 	progress := model.RecordProgress{Ends: append(m.reportedEnds(now, state, causes), m.lostRuns(now, state, causes)...)}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -53,7 +53,9 @@
 	// endedSince is the earliest end of a workload whose runs workers may still have, with a
 	// lease of an earlier leader, when the term begins. It is a time of the replicated clock.
 	endedSince model.Timestamp
-	workers    map[model.WorkerID]*worker
+	// capLoggedAt is when the log last said that the cap of an account holds work back.
+	capLoggedAt map[model.AccountName]time.Time
+	workers     map[model.WorkerID]*worker
 	// byName, byInstance and byAddress hold the incarnation that holds each name, instance
 	// and address; see claim.
 	byName     map[string]*worker
@@ -194,6 +196,7 @@
 			event.SchedulingEnded.Log(m.settings.Logger, zap.Uint64("term", uint64(m.term)))
 		}
 		m.term, m.workers = 0, nil
+		m.settings.Metrics.accounts.reset()
 	case m.term != v.Term:
 		m.startLeading(v)
 	}
@@ -210,6 +213,7 @@
 	m.refusals = refusals{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 	m.tickets = newTickets()
+	m.capLoggedAt = map[model.AccountName]time.Time{}
 	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
 	m.nextExpiryCheck, m.plannedAt, m.mediansAt = time.Time{}, time.Time{}, time.Time{}
 }
--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -27,6 +27,7 @@
 	workers         prometheus.Gauge
 	activeWorkloads prometheus.Gauge
 	pendingReports  prometheus.Gauge
+	accounts        accountMetrics
 	nearWaits       prometheus.Counter
 	nearWaited      prometheus.Histogram
 	nearSaved       prometheus.Counter
@@ -59,6 +60,7 @@
 		nearSaved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_near_saved_seconds_total", Help: "Run time that tasks saved because they waited for a near place."}),
 		nearTasks:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_near_wait_tasks_total", Help: "Tasks that started after a wait for a near place, by where they started."}, []string{"place"}),
 	}
+	m.accounts = newAccountMetrics(r)
 	r.MustRegister(m.nearWaits, m.nearWaited, m.nearSaved, m.nearTasks, m.reports, m.unused, m.readmitted, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
 	return m
 }
--- a/replica/schedule/unassigned_test.go
+++ b/replica/schedule/unassigned_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/core/model"
@@ -104,3 +105,28 @@
 		assert.Assert(t, h.started(second))
 	})
 }
+
+// Guards against a cap that holds work back without a trace, or with a log line for each
+// cycle. It follows the walk "One account's work waits while others run" of
+// docs/OPERATIONS.md.
+func TestCapThatHoldsWorkBackIsShown(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.addAccount()
+		h.submitAs(firstPath, oneTask)
+		h.submitAs(secondPath, oneTask)
+		start := h.mustReport("w", 1, nil).Start
+		for range 20 {
+			time.Sleep(idleInterval)
+			h.mustReport("w", 1, running(start...))
+		}
+		assert.Equal(t, h.logs.FilterMessage("cap holds work back").Len(), 1)
+		held := func() float64 {
+			return testutil.ToFloat64(h.machine.settings.Metrics.accounts.held.WithLabelValues("a"))
+		}
+		assert.Equal(t, held(), 1.0)
+		h.mustReport("w", 1, ended(model.RunDone, start[0]))
+		time.Sleep(pruneInterval)
+		h.mustReport("w", 1, nil)
+		assert.Equal(t, held(), 0.0)
+	})
+}
