Server: a budget for connections and unfinished requests in each process

Cause: node/server had a time limit for heads and the head size of the library, and nothing else: no bound on connections, on the bytes that unfinished requests hold, or on the time of a body or a response. Handlers read bodies with io.ReadAll.

Change: node/server/admission decides what a process may hold, with the time given; Guard applies it to the connections of all listeners. A quarter of the memory limit of the machine is for connections and requests; connections are bounded by descriptors. Stalled requests are closed for others, then new ones are refused: 431, 413, 503 with Retry-After, or a closed connection, always before the request is complete. Bodies of the platform's calls are read by ReadJSON, which also takes room for the decoded form. Oversized bodies of callers, workers and the operator get 413 instead of 400.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -105,11 +105,11 @@
 
 // routeControl serves the replica to other processes. The listener is opened before
 // the replica runs, because the peers call Identify on it to form a new site.
-func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, counter *server.ByteCounter, tracing telemetry.Tracing, r *replicacommand.Replica, m *liveness.Machine, f *reconcile.Machine) error {
+func routeControl(lc fx.Lifecycle, s Settings, all *servers, mux internalMux, tracing telemetry.Tracing, r *replicacommand.Replica, m *liveness.Machine, f *reconcile.Machine) error {
 	mux.Handle(r.Replication().Route())
 	mux.Handle(replicav1connect.NewReplicaCommandServiceHandler(commandService{proposals: r.CommandService(), renewals: m, fleet: f}))
 	mux.Handle(replicav1connect.NewReplicaQueryServiceHandler(replicaquery.New(r)))
-	return serveInternal(lc, all, s, mux, counter, tracing)
+	return serveInternal(lc, all, s, mux, tracing)
 }
 
 type operatorParams struct {
@@ -133,7 +133,7 @@
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle(operatorcommand.New(p.Forwarder, p.Log).Route())
 	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Fleet, p.Log).Route())
-	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, p.Settings.OperatorTLS)
+	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, listener{tls: p.Settings.OperatorTLS, limits: essential()})
 }
 
 // runReplica runs the replica until the process stops. A stop transfers
--- a/cmd/internal/instance/entry.go
+++ b/cmd/internal/instance/entry.go
@@ -16,7 +16,6 @@
 	entryinstance "lacewingturn.example/entry/instance"
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
-	"lacewingturn.example/node/server"
 	"lacewingturn.example/node/telemetry"
 	"lacewingturn.example/replica/client"
 )
@@ -86,7 +85,6 @@
 	Log       *zap.Logger
 	Metrics   metricsHandler
 	Internal  internalMux
-	Traffic   *server.ByteCounter
 	Tracing   telemetry.Tracing
 	Recorder  *trafficRecorder
 }
@@ -126,11 +124,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle("/", p.Entry.Traffic)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Settings.PublicAddress, mux, listener{}); err != nil {
 		return err
 	}
 	if !p.Settings.Has(RoleControl) {
-		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Traffic, p.Tracing); err != nil {
+		if err := serveInternal(p.Lifecycle, p.Servers, p.Settings, p.Internal, p.Tracing); err != nil {
 			return err
 		}
 	}
--- a/cmd/internal/instance/platform.go
+++ b/cmd/internal/instance/platform.go
@@ -71,8 +71,8 @@
 	s := Settings{
 		Name: p.IP, Roles: []Role{role}, Domain: p.Domain,
 		InternalAddress: p.ReplicaAddress(p.IP), InternalListen: p.InternalListen, OperatorAddress: p.OperatorAddress(), DataFolder: p.DataFolder, InodesChange: true, TargetVoters: 2*p.ToleratedFailures + 1,
-		SnapshotEvery: snapshotEvery,
-		JoinOnly:      !p.Bootstrap, DrainTimeout: p.StopGrace - stopReserve,
+		SnapshotEvery: snapshotEvery, MemoryLimit: p.MemoryLimit, MaxDescriptors: p.MaxDescriptors,
+		JoinOnly: !p.Bootstrap, DrainTimeout: p.StopGrace - stopReserve,
 		Log: telemetry.LogSettings{Level: "info", JSON: true},
 	}
 	for _, ip := range p.Seeds {
--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -10,7 +10,6 @@
 
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
-	"lacewingturn.example/node/server"
 	"lacewingturn.example/platform/cloud"
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
@@ -78,5 +77,5 @@
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
 	}
 	platformquery.NewControl(p.Reader, redirect).Register(router)
-	return servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{})
+	return servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, listener{http1Only: true})
 }
--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -9,7 +9,6 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"lacewingturn.example/node/server"
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
@@ -44,15 +43,15 @@
 	callers.Methods(http.MethodPost).HandlerFunc(commands.Submit)
 	callers.Methods(http.MethodDelete).HandlerFunc(commands.Cancel)
 	callers.Methods(http.MethodGet).HandlerFunc(queries.Read)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, listener{http1Only: true}); err != nil {
 		return err
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", p.Metrics)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.MetricsAddress(), metrics, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.MetricsAddress(), metrics, listener{http1Only: true, limits: essential()}); err != nil {
 		return err
 	}
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReadinessAddress, ready, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReadinessAddress, ready, listener{http1Only: true, limits: essential()}); err != nil {
 		return err
 	}
 	p.Lifecycle.Append(fx.Hook{
--- a/cmd/internal/instance/platform_relay.go
+++ b/cmd/internal/instance/platform_relay.go
@@ -7,7 +7,6 @@
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
 
-	"lacewingturn.example/node/server"
 	platformcommand "lacewingturn.example/platform/command"
 	"lacewingturn.example/platform/settings"
 	"lacewingturn.example/replica/client"
@@ -26,18 +25,18 @@
 	router.PathPrefix("/lacewingturn/").HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		platformcommand.RedirectToLeader(w, r, remoteLeader{p.Control}, p.Platform.ControlAddress)
 	})
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, listener{http1Only: true}); err != nil {
 		return err
 	}
 	directory := client.NewDirectory(p.Control)
 	directory.Route(p.Internal.Handle)
 	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error { go directory.Run(p.Lifetime); return nil }})
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReplicaAddress(p.Platform.IP), p.Internal, server.TLSFiles{}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.ReplicaAddress(p.Platform.IP), p.Internal, listener{limits: essential()}); err != nil {
 		return err
 	}
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", p.Metrics)
-	return servePublic(p.Lifecycle, p.Servers, p.Platform.OperatorAddress(), metrics, server.TLSFiles{})
+	return servePublic(p.Lifecycle, p.Servers, p.Platform.OperatorAddress(), metrics, listener{http1Only: true, limits: essential()})
 }
 
 // remoteLeader looks up the leader by querying the replicas.
--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -18,6 +18,7 @@
 	"lacewingturn.example/node/event"
 	"lacewingturn.example/node/loop"
 	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/server/admission"
 	"lacewingturn.example/node/telemetry"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/liveness"
@@ -45,7 +46,11 @@
 }
 
 // servers holds the listeners of the process, so that Kill can close all of them.
-type servers struct{ list []*server.Server }
+type servers struct {
+	list    []*server.Server
+	guard   *server.Guard
+	counter *server.ByteCounter // of the internal listener
+}
 
 // New assembles a process with the roles in the settings. Log lines go to w. It
 // returns an error if the settings are unusable, for example if an address is
@@ -95,7 +100,7 @@
 func (p *Process) Settings() Settings { return p.settings }
 
 var processModule = fx.Module("process",
-	fx.Provide(newLifetime, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, newControlClient, asControl, server.NewByteCounter, func() *servers { return &servers{} }),
+	fx.Provide(newLifetime, newLogger, newTracing, telemetry.NewRegistry, newLoop, newInternalMux, newDialer, newControlClient, asControl, server.NewByteCounter, newGuard, newServers),
 	fx.Provide(func(r *prometheus.Registry) prometheus.Registerer { return r }),
 	fx.Provide(func(r *prometheus.Registry) metricsHandler {
 		return metricsHandler{promhttp.HandlerFor(r, promhttp.HandlerOpts{})}
@@ -118,6 +123,10 @@
 	return &lifetime{Context: ctx, cancel: cancel}
 }
 
+func newServers(g *server.Guard, c *server.ByteCounter) *servers {
+	return &servers{guard: g, counter: c}
+}
+
 func newLoop() *loop.Loop { return loop.New(loop.DefaultCapacity) }
 
 func newDialer(s Settings, counter *server.ByteCounter) (server.DialFunc, error) {
@@ -169,14 +178,35 @@
 // Streams between processes do not end by themselves and are closed after it.
 const internalStopTimeout = 500 * time.Millisecond
 
+// newGuard returns the guard of all listeners of the process.
+func newGuard(s Settings, r prometheus.Registerer, log *zap.Logger) *server.Guard {
+	return server.NewGuard(server.NewBudget(s.MemoryLimit, s.MaxDescriptors), r, log)
+}
+
+// listener says how the listener of a role is served.
+type listener struct {
+	tls server.TLSFiles
+	// http1Only turns HTTP/2 off.
+	http1Only bool
+	// limits may be nil for the defaults.
+	limits *admission.Listener
+}
+
+// essential returns the default limits for a listener that others than callers use, which
+// gets connections also while callers use up theirs.
+func essential() *admission.Listener {
+	return &admission.Listener{Limits: server.DefaultLimits(), Essential: true}
+}
+
 // serveInternal serves other processes of the system. Its stop waits at most
 // internalStopTimeout for the calls in flight.
-func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux, counter *server.ByteCounter, tracing telemetry.Tracing) error {
+func serveInternal(lc fx.Lifecycle, all *servers, s Settings, mux internalMux, tracing telemetry.Tracing) error {
 	config, err := s.InternalTLS.Config()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	l, err := server.ListenAndCount(cmp.Or(s.InternalListen, s.InternalAddress), server.TraceHandler(mux, tracing.Provider), config, counter)
+	l, err := server.ListenWith(cmp.Or(s.InternalListen, s.InternalAddress), server.TraceHandler(mux, tracing.Provider),
+		server.Options{TLS: config, Counter: all.counter, Guard: all.guard, Limits: essential()})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -190,12 +220,12 @@
 
 // servePublic serves callers, targets or operators. Its stop waits for the
 // requests in flight.
-func servePublic(lc fx.Lifecycle, all *servers, address string, handler http.Handler, files server.TLSFiles) error {
-	config, err := files.Config()
+func servePublic(lc fx.Lifecycle, all *servers, address string, handler http.Handler, how listener) error {
+	config, err := how.tls.Config()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	l, err := server.Listen(address, handler, config)
+	l, err := server.ListenWith(address, handler, server.Options{TLS: config, Guard: all.guard, Limits: how.limits, HTTP1Only: how.http1Only})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/cmd/internal/instance/settings.go
+++ b/cmd/internal/instance/settings.go
@@ -66,6 +66,12 @@
 	PlatformURL string
 	InternalTLS server.TLSFiles
 	OperatorTLS server.TLSFiles
+	// MemoryLimit is the memory of the process in bytes, of which connections and unfinished
+	// requests may hold a share; 0 selects the default of the server.
+	MemoryLimit int64
+	// MaxDescriptors is the number of descriptors that the process may open; 0 selects the
+	// limit of the operating system.
+	MaxDescriptors int
 	// DrainTimeout limits how long a graceful shutdown waits for requests in flight.
 	DrainTimeout time.Duration
 	Log          telemetry.LogSettings
--- a/cmd/lacewingturnd/main.go
+++ b/cmd/lacewingturnd/main.go
@@ -21,9 +21,9 @@
 // startTimeout bounds the start of a process including the recovery of its state.
 const startTimeout = 2 * time.Minute
 
-// memoryLimitBytes is the soft memory limit of the Go runtime, which collects garbage
-// more often near it. It is below the 256 MB that control may take on a node.
-const memoryLimitBytes = 224 << 20
+// softMemoryShare is the soft memory limit of the Go runtime as a share of --memory-mb. Near
+// it, garbage is collected more often.
+const softMemoryShare = 0.875
 
 type cli struct {
 	Run      runCommand      `cmd:"" default:"withargs" help:"Run one instance until SIGTERM or SIGINT."`
@@ -57,7 +57,7 @@
 	if err != nil {
 		return trace.Wrap(err, "wrong settings; nothing was started")
 	}
-	debug.SetMemoryLimit(memoryLimitBytes)
+	debug.SetMemoryLimit(int64(float64(checked.MemoryLimit) * softMemoryShare))
 	p, err := instance.New(checked, os.Stderr)
 	if err != nil {
 		return trace.Wrap(err)
--- a/cmd/lacewingturnd/settings.go
+++ b/cmd/lacewingturnd/settings.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +18,12 @@
 	maxDrainTimeout = 24 * time.Hour
 )
 
+// Bounds of --memory-mb.
+const (
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+)
+
 // flags are the settings as text, from flags and environment variables. check converts
 // them and reports all wrong ones together, which typed flags would not allow.
 type flags struct {
@@ -39,6 +46,7 @@
 	OperatorCert    string   `help:"Certificate file of mutual TLS for operators." env:"LACEWINGTURN_OPERATOR_CERT"`
 	OperatorKey     string   `help:"Key file of mutual TLS for operators." env:"LACEWINGTURN_OPERATOR_KEY"`
 	OperatorCA      string   `help:"Authority file of mutual TLS for operators." name:"operator-ca" env:"LACEWINGTURN_OPERATOR_CA"`
+	MemoryMB        int64    `help:"Memory that this process may take, in MiB. A quarter is for connections and unfinished requests." name:"memory-mb" default:"256" env:"LACEWINGTURN_MEMORY_MB"`
 	DrainTimeout    string   `help:"Longest wait for requests in flight at a graceful shutdown." default:"60s" env:"LACEWINGTURN_DRAIN_TIMEOUT"`
 	LogLevel        string   `help:"debug, info, warn or error." default:"info" env:"LACEWINGTURN_LOG_LEVEL"`
 	LogFormat       string   `help:"json or console." default:"json" env:"LACEWINGTURN_LOG_FORMAT"`
@@ -59,6 +67,7 @@
 		PlatformURL:     f.PlatformURL,
 		InternalTLS:     tlsFiles(&c, "internal", f.InternalCert, f.InternalKey, f.InternalCA),
 		OperatorTLS:     tlsFiles(&c, "operator", f.OperatorCert, f.OperatorKey, f.OperatorCA),
+		MemoryLimit:     f.MemoryMB << 20,
 		DrainTimeout:    c.Duration("drain-timeout", f.DrainTimeout, minDrainTimeout, maxDrainTimeout),
 		Log: telemetry.LogSettings{
 			Level: c.OneOf("log-level", f.LogLevel, "debug", "info", "warn", "error"),
@@ -67,6 +76,9 @@
 		TraceEndpoint: f.TraceEndpoint,
 		RecordFolder:  f.Record,
 	}
+	if f.MemoryMB < minMemoryMB || f.MemoryMB > maxMemoryMB {
+		c.Add("memory-mb", strconv.FormatInt(f.MemoryMB, 10), "must be between %d and %d", minMemoryMB, maxMemoryMB)
+	}
 	if f.InternalListen != "" {
 		s.InternalListen = c.Address("internal-listen", f.InternalListen)
 	}
--- a/cmd/lacewingturnd/settings_test.go
+++ b/cmd/lacewingturnd/settings_test.go
@@ -14,7 +14,7 @@
 		Name: "c1", Roles: []string{"control", "entry"}, Region: "r1", DataCenter: "dc1", Rack: "a",
 		InternalAddress: "127.0.0.1:7400", PublicAddress: "127.0.0.1:7480", OperatorAddress: "127.0.0.1:7490",
 		DataFolder: t.TempDir(), Replicas: []string{"c1@dc1=127.0.0.1:7400", "c2@dc2=127.0.0.1:7401"},
-		DrainTimeout: "60s", LogLevel: "info", LogFormat: "json",
+		MemoryMB: 256, DrainTimeout: "60s", LogLevel: "info", LogFormat: "json",
 	}
 }
 
@@ -32,6 +32,7 @@
 	f := validFlags(t)
 	f.Name, f.Roles, f.DataCenter = "", []string{"queen"}, "a b"
 	f.Replicas = []string{"c2", "c3=host:1"}
+	f.MemoryMB = 1
 	f.DrainTimeout, f.LogLevel, f.InternalCert = "soon", "loud", "/nowhere/cert.pem"
 	_, err := f.check()
 	problems := err.(settings.Problems)
@@ -39,7 +40,7 @@
 	for _, p := range problems {
 		flagsSeen[p.Flag] = true
 	}
-	for _, want := range []string{"name", "roles", "data-center", "replicas", "drain-timeout", "log-level", "internal-cert"} {
+	for _, want := range []string{"name", "roles", "data-center", "replicas", "memory-mb", "drain-timeout", "log-level", "internal-cert"} {
 		assert.Assert(t, flagsSeen[want], "no problem reported for --%s in:\n%v", want, err)
 	}
 }
--- a/entry/command/call.go
+++ b/entry/command/call.go
@@ -15,6 +15,7 @@
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry/query"
+	"lacewingturn.example/node/server"
 )
 
 // Headers of caller requests and their answers.
@@ -102,6 +103,9 @@
 	if errors.As(err, &tooLong) {
 		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", MaxBody)
 	}
+	if errors.Is(err, server.ErrNoRoom) {
+		return result.New(result.Overloaded, "%v", err)
+	}
 	if err != nil {
 		return result.New(result.InvalidInput, "the body ended early: %v", err)
 	}
--- a/entry/command/worker/handler.go
+++ b/entry/command/worker/handler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,6 +24,7 @@
 	"lacewingturn.example/core/result"
 	"lacewingturn.example/entry"
 	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/server"
 )
 
 const (
@@ -117,6 +119,8 @@
 	report, err := Decode(r.Body)
 	var res result.Result
 	switch {
+	case errors.Is(err, server.ErrNoRoom):
+		res = result.New(result.Overloaded, "%v", err)
 	case err != nil:
 		res = result.New(result.InvalidInput, "%v", err)
 	case report.isRenewal():
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"lacewingturn.example/node/server/admission"
 )
 
 // headerTimeout is the time limit for reading the header of a request. It protects
@@ -25,34 +27,75 @@
 	err      error // result of Serve; must be read only after done is closed
 }
 
+// Options are the optional settings of a server.
+type Options struct {
+	// TLS is the configuration of TLS; nil for cleartext.
+	TLS *tls.Config
+	// Counter counts the bytes of all connections; nil for none.
+	Counter *ByteCounter
+	// Guard bounds the connections and requests together with those of the other listeners of
+	// the process; nil for no bounds.
+	Guard *Guard
+	// Limits of the requests, with a guard only; may be nil for DefaultLimits.
+	Limits *admission.Listener
+	// HTTP1Only turns HTTP/2 off.
+	HTTP1Only bool
+}
+
 // Listen opens the listener, so its address is known before the server is started.
 // If tlsConfig is nil, connections are in cleartext.
 func Listen(address string, handler http.Handler, tlsConfig *tls.Config) (*Server, error) {
-	return ListenAndCount(address, handler, tlsConfig, nil)
+	return ListenWith(address, handler, Options{TLS: tlsConfig})
 }
 
-// ListenAndCount is like Listen and counts the bytes of all connections in counter.
-// If counter is nil, they are not counted.
-func ListenAndCount(address string, handler http.Handler, tlsConfig *tls.Config, counter *ByteCounter) (*Server, error) {
+// ListenWith is like Listen with further options.
+func ListenWith(address string, handler http.Handler, o Options) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err, "listen on %s", address)
 	}
-	if counter != nil {
-		listener = countedListener{listener, counter}
-	}
-	if tlsConfig != nil {
-		listener = tls.NewListener(listener, tlsConfig)
-	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &Server{
-		listener: listener,
-		http:     &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout},
-		done:     make(chan struct{}),
-	}, nil
+	protocols.SetHTTP2(!o.HTTP1Only)
+	protocols.SetUnencryptedHTTP2(!o.HTTP1Only)
+	s := &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+	if o.Counter != nil {
+		listener = countedListener{listener, o.Counter}
+	}
+	if o.Guard != nil {
+		listener = guard(s, listener, o)
+	}
+	if o.TLS != nil {
+		listener = tls.NewListener(listener, o.TLS)
+	}
+	return &Server{listener: listener, http: s, done: make(chan struct{})}, nil
+}
+
+const (
+	// maxStreams is the number of concurrent requests on an HTTP/2 connection.
+	maxStreams = 128
+	// maxFrameBytes is the longest frame of HTTP/2 that is read.
+	maxFrameBytes = 64 << 10
+)
+
+// guard sets up a server and its listener so that their connections and requests are bounded.
+func guard(s *http.Server, l net.Listener, o Options) net.Listener {
+	limits := o.Limits
+	if limits == nil {
+		limits = &admission.Listener{Limits: DefaultLimits()}
+	}
+	if !o.HTTP1Only {
+		s.MaxHeaderBytes = defaultHeadBytes
+		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes}
+	}
+	s.Handler = guardHandler(s.Handler)
+	s.ConnContext = withConn
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if g := guardedConnOf(c); g != nil && state == http.StateIdle {
+			g.idle()
+		}
+	}
+	return &guardedListener{Listener: l, guard: o.Guard, limits: limits}
 }
 
 // Address returns the address that the listener is bound to, as host:port.
