Limits of the configuration are obeyed on entry instances

Cause: max_header_bytes, max_body_bytes, header_timeout_ms and idle_timeout_ms of the configuration were read by nobody, and entry instances have no configuration.

Change: the leader states the limits of its catalog in a header of its response to Find without a workload, which the readiness check asks for every second. Entry instances apply them to the callers' listener, also to open connections; defaults stand for what is missing or unreadable. The stored state and the messages of the RPC interface are unchanged.

The soak has not been run on this commit yet.

--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -14,6 +14,7 @@
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
+	"lacewingturn.example/platform/wire"
 	"lacewingturn.example/replica/client"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/fleet"
@@ -43,7 +44,9 @@
 }
 
 func newScheduleReader(r *replicacommand.Replica, d *clock.SuspendDetector) *schedulequery.Reader {
-	return schedulequery.New(r, d)
+	reader := schedulequery.New(r, d)
+	reader.ExtractLimits = wire.ExtractTrafficLimits
+	return reader
 }
 
 type platformControlParams struct {
--- a/cmd/internal/instance/platform_entry.go
+++ b/cmd/internal/instance/platform_entry.go
@@ -1,17 +1,23 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"lacewingturn.example/node/server"
+	"lacewingturn.example/node/server/admission"
+	"lacewingturn.example/node/wait"
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
+	"lacewingturn.example/platform/wire"
 	"lacewingturn.example/replica/client"
 )
 
@@ -39,11 +45,12 @@
 	commands := platformcommand.NewCallers(p.Control, platformcommand.NewMetrics(p.Registry), p.Log)
 	queries := platformquery.NewCallers(p.Control, p.Log)
 	ready := platformquery.NewReadiness(p.Control, p.Log)
+	limits := &admission.Listener{Limits: server.DefaultLimits()}
 	callers := mux.NewRouter().SkipClean(true)
 	callers.Methods(http.MethodPost).HandlerFunc(commands.Submit)
 	callers.Methods(http.MethodDelete).HandlerFunc(commands.Cancel)
 	callers.Methods(http.MethodGet).HandlerFunc(queries.Read)
-	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, listener{http1Only: true}); err != nil {
+	if err := servePublic(p.Lifecycle, p.Servers, p.Platform.CallerAddress, callers, listener{http1Only: true, limits: limits}); err != nil {
 		return err
 	}
 	metrics := http.NewServeMux()
@@ -55,8 +62,39 @@
 		return err
 	}
 	p.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { go ready.Run(p.Lifetime); return nil },
-		OnStop:  func(ctx context.Context) error { return leaveBalancer(ctx, ready) },
+		OnStart: func(context.Context) error {
+			go ready.Run(p.Lifetime)
+			go followLimits(p.Lifetime, p.Control, p.Servers.guard, limits)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return leaveBalancer(ctx, ready) },
 	})
 	return nil
 }
+
+// limitsInterval is the interval at which the limits in force are compared with those of the
+// leader's last response. The readiness check asks the leader as often.
+const limitsInterval = time.Second
+
+// followLimits applies the limits of callers' requests in the catalog to a listener until ctx
+// ends.
+func followLimits(ctx context.Context, c *client.Client, g *server.Guard, l *admission.Listener) {
+	inForce := ""
+	for wait.Sleep(ctx, limitsInterval) == nil {
+		if text := c.Limits(); text != inForce {
+			inForce = text
+			g.SetLimits(l, callerLimits(wire.DecodeTrafficLimits(text)))
+		}
+	}
+}
+
+// callerLimits returns the limits of a listener. The defaults stand for those that the catalog
+// does not set.
+func callerLimits(t wire.TrafficLimits) admission.Limits {
+	l := server.DefaultLimits()
+	l.HeadBytes = cmp.Or(t.HeadBytes, l.HeadBytes)
+	l.BodyBytes = t.BodyBytes
+	l.HeadTime = cmp.Or(t.HeadTime, l.HeadTime)
+	l.IdleTime = cmp.Or(t.IdleTime, l.IdleTime)
+	return l
+}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -87,6 +87,7 @@
 	injector := &faultInjector{system: s, rng: rng, reserved: map[*faults.Process]bool{}}
 	s.all.Go(func() { injector.supervise(s.ctx) })
 	s.all.Go(func() { injector.writeOddHeartbeats(ctx, rand.New(rand.NewPCG(seed, seed+1))) })
+	s.all.Go(func() { injector.leaveUnfinished(ctx, rand.New(rand.NewPCG(seed, seed+2))) })
 	injector.inject(ctx, length)
 	cancel()
 	load.all.Wait()
--- a/node/server/guard.go
+++ b/node/server/guard.go
@@ -96,6 +96,13 @@
 	return g
 }
 
+// SetLimits changes the limits of a listener. They also apply to its open connections.
+func (g *Guard) SetLimits(l *admission.Listener, limits admission.Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l.Limits = limits
+}
+
 // connect opens the account of a connection. It reports false if there is no room for it.
 func (g *Guard) connect(c *guardedConn) bool {
 	g.mu.Lock()
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -32,6 +32,7 @@
 	members        atomic.Pointer[[]string] // addresses of the members that replicas have reported or announced
 	http           connect.HTTPClient
 	leader         atomic.Pointer[string] // address of the last known leader
+	limits         atomic.Pointer[string] // limits of callers' requests that the leader stated last
 	noRecentLeader atomic.Bool            // the last search for the leader found none
 }
 
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -103,9 +103,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if limits := resp.Header().Get(LimitsHeader); limits != "" {
+		c.limits.Store(&limits)
+	}
 	return resp.Msg, nil
 }
 
+// LimitsHeader is the header of the leader's response to Find without a workload, which holds
+// the limits of callers' requests in the catalog as text.
+const LimitsHeader = "Lacewingturn-Limits"
+
+// Limits returns the limits of callers' requests that the leader stated last; empty if none.
+func (c *Client) Limits() string {
+	if text := c.limits.Load(); text != nil {
+		return *text
+	}
+	return ""
+}
+
 // setMembers replaces the known members by the current ones, so that the settings
 // need not name the replacements of replicas. It ignores an empty list.
 func (c *Client) setMembers(members []string) {
--- a/replica/schedule/query/handler.go
+++ b/replica/schedule/query/handler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +16,7 @@
 	"lacewingturn.example/core/query"
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/replica"
+	"lacewingturn.example/replica/client"
 )
 
 // Reader reads the replicated state while this replica certainly leads. It
@@ -22,13 +24,25 @@
 type Reader struct {
 	replica  replica.Replica
 	detector *clock.SuspendDetector
+	// ExtractLimits returns the limits of callers' requests in the document of a catalog as
+	// text; nil if responses do not state them. It must be set before the first query.
+	ExtractLimits func(document []byte) string
+	limits        atomic.Pointer[catalogLimits]
+}
+
+// catalogLimits are the limits of one version of the catalog.
+type catalogLimits struct {
+	version model.CatalogVersion
+	text    string
 }
 
 var _ workloadv1connect.WorkloadQueryServiceHandler = (*Reader)(nil)
 
 // New returns a reader of the replica's state. The detector reports if this process
 // was suspended and may have lost the leadership meanwhile.
-func New(r replica.Replica, detector *clock.SuspendDetector) *Reader { return &Reader{r, detector} }
+func New(r replica.Replica, detector *clock.SuspendDetector) *Reader {
+	return &Reader{replica: r, detector: detector}
+}
 
 // Route returns the path and handler of the WorkloadQueryService.
 func (r *Reader) Route() (string, http.Handler) {
@@ -92,7 +106,21 @@
 		phase, known, queue := query.WorkloadAt(s, req.Msg.Host, req.Msg.Path)
 		resp.Phase, resp.WorkloadKnown, resp.QueueKnown = uint32(phase), known, queue
 	}
-	return connect.NewResponse(resp), nil
+	out := connect.NewResponse(resp)
+	if !lead.NotLeader && req.Msg.Path == "" && s.Catalog != nil && r.ExtractLimits != nil {
+		out.Header().Set(client.LimitsHeader, r.limitsOf(s.Catalog))
+	}
+	return out, nil
+}
+
+// limitsOf returns the limits of a catalog as text, which is extracted once for each version.
+func (r *Reader) limitsOf(c *model.Catalog) string {
+	known := r.limits.Load()
+	if known == nil || known.version != c.Version {
+		known = &catalogLimits{c.Version, r.ExtractLimits(c.Document)}
+		r.limits.Store(known)
+	}
+	return known.text
 }
 
 // CountPending returns the number of pending workloads of a queue. It implements
