--- a/core/query/accounts.go
+++ b/core/query/accounts.go
@@ -1,8 +1,10 @@
 package query
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -19,7 +21,7 @@
 	Name         string  `json:"name"`
 	Weight       float64 `json:"weight"`
 	Rate         float64 `json:"rate"` // workloads a second; 0 is no limit
-	Cap          string  `json:"cap"`  // a component that is not named has no limit
+	Cap          string  `json:"cap"`  // "none" without a limit; a component that is not named has none
 	Keys         int     `json:"keys"`
 	Workloads    int     `json:"workloads"` // that have not ended
 	Waiting      int     `json:"waiting"`   // those of them that have not started
@@ -58,7 +60,7 @@
 
 func accountEntry(a model.ClientAccount, keys int, w accountWork, now model.Timestamp) AccountEntry {
 	e := AccountEntry{
-		Name: string(a.Name), Weight: a.Weight, Rate: a.Rate, Cap: Capacity(a.Cap), Keys: keys,
+		Name: string(a.Name), Weight: a.Weight, Rate: a.Rate, Cap: capText(a.Cap), Keys: keys,
 		Workloads: w.workloads, Waiting: w.waiting, RunningTasks: w.runs, Running: Capacity(w.running),
 	}
 	if w.waiting > 0 {
@@ -67,6 +69,21 @@
 	return e
 }
 
+// capText formats the components of a cap that set a limit.
+func capText(r model.Resources) string {
+	var parts []string
+	if r.MilliCPU > 0 {
+		parts = append(parts, fmt.Sprintf("%g processors", float64(r.MilliCPU)/1000))
+	}
+	if r.MemoryMB > 0 {
+		parts = append(parts, fmt.Sprintf("%d MB", r.MemoryMB))
+	}
+	if r.Accelerators > 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", r.Accelerators))
+	}
+	return cmp.Or(strings.Join(parts, ", "), "none")
+}
+
 // workOfAccounts adds up the workloads that have not ended.
 func workOfAccounts(s model.State) map[model.AccountName]accountWork {
 	out := map[model.AccountName]accountWork{}
--- a/core/query/accounts_test.go
+++ b/core/query/accounts_test.go
@@ -51,6 +51,8 @@
 	assert.Equal(t, a.Name, "a")
 	assert.Equal(t, fmt.Sprint(a.Keys, a.Workloads, a.Waiting, a.RunningTasks, a.OldestWaitSeconds), "1 2 1 1 7")
 	assert.Equal(t, a.Running, query.Capacity(model.Resources{MilliCPU: 1500}))
+	assert.Equal(t, a.Cap, "4 processors")
+	assert.Equal(t, v.Accounts[1].Cap, "none")
 	assert.Equal(t, v.Accounts[1].Workloads, 0)
 	_, ok = query.Accounts(s, now, "none")
 	assert.Assert(t, !ok)
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -74,6 +74,7 @@
 	snapshotting  bool
 	appliedBytes  int                      // size of the commands applied since the last snapshot was started
 	transferring  map[model.ReplicaID]bool // followers to which a snapshot is being sent
+	calls         *calls
 
 	next    chan struct{} // closed when the next view is published
 	lastKey viewKey
@@ -84,7 +85,7 @@
 func newMachine(r *Replica, state raft.State, applied model.State) *machine {
 	return &machine{
 		r: r, raft: state, state: applied, snapshotIndex: applied.Index,
-		transferring: map[model.ReplicaID]bool{}, next: make(chan struct{}),
+		transferring: map[model.ReplicaID]bool{}, next: make(chan struct{}), calls: newCalls(r.log, r.settings.Metrics),
 	}
 }
 
@@ -189,9 +190,11 @@
 	if m.r.settings.BeforeApply != nil {
 		m.r.settings.BeforeApply(AppliedCommand{Before: m.state, Index: e.Index, Term: e.Term, Envelope: env})
 	}
+	before := m.state.Catalog
 	var res result.Result
 	m.state, res = command.Apply(m.state, e.Index, e.Term, env)
-	m.recordResult(e, res)
+	own := m.recordResult(e, res)
+	m.calls.applied(before, m.state.Catalog, env.Command, res, own)
 }
 
 // replicaMembers converts a membership to the list that SetReplicas stores in the
--- a/replica/command/metrics.go
+++ b/replica/command/metrics.go
@@ -20,6 +20,7 @@
 	backlog       prometheus.Gauge
 	pending       prometheus.Gauge
 	contactAge    prometheus.Gauge
+	calls         *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics of a replica and registers them. It panics if
@@ -41,8 +42,11 @@
 		backlog:       gauge("lacewingturn_replica_backlog_entries", "Committed entries that are not applied yet."),
 		pending:       gauge("lacewingturn_replica_proposals_waiting", "Proposals that wait for their results."),
 		contactAge:    gauge("lacewingturn_replica_contact_age_seconds", "Time since the last contact with the leader, or on the leader with a quorum."),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lacewingturn_account_calls_total", Help: "Submissions and cancellations that this leader has judged, by client account and result.",
+		}, []string{"account", "result"}),
 	}
-	r.MustRegister(m.sync, m.commit, m.logBytes, m.leaderChanges, m.snapshot, m.logLength, m.backlog, m.pending, m.contactAge)
+	r.MustRegister(m.sync, m.commit, m.logBytes, m.leaderChanges, m.snapshot, m.logLength, m.backlog, m.pending, m.contactAge, m.calls)
 	return m
 }
 
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -132,10 +132,10 @@
 
 // recordResult stores the result of an applied entry in its pending proposal. An
 // entry of another term at the index of a proposal proves that the proposed entry
-// was discarded.
-func (m *machine) recordResult(e raft.Entry, res result.Result) {
+// was discarded. It reports whether the entry is that of a proposal to this replica.
+func (m *machine) recordResult(e raft.Entry, res result.Result) bool {
 	if len(m.pending) == 0 || e.Index < m.pending[0].first {
-		return
+		return false
 	}
 	p := m.pending[0]
 	if e.Term != p.term {
@@ -146,6 +146,7 @@
 		m.completed = append(m.completed, p)
 		m.pending = m.pending[1:]
 	}
+	return e.Term == p.term
 }
 
 // deliverResults sends the results of completed proposals. It must be called after
