Surplus instances are powered off once they are empty

Cause: an instance had to be idle for 0.8 s before it was powered off, also when it had been surplus to the demand since before its last runs ended. After each burst of hlpcg about 1,000 instances waited so.

An instance that has been among those to retire for 0.8 s without a break now leaves as soon as it is empty.

--- a/core/command/scale/scale.go
+++ b/core/command/scale/scale.go
@@ -16,8 +16,9 @@
 	headroom = 1
 	// minSize is the minimum size of a pool with queues.
 	minSize = 2
-	// minIdle is how long an instance must be idle before it is powered off. It is
-	// longer than the break-even time of moving an instance away and back.
+	// minIdle is how long an instance must be idle, or surplus to the demand, before it is
+	// powered off. It is longer than the break-even time of moving an instance away and
+	// back.
 	minIdle = 800 * time.Millisecond
 )
 
@@ -59,6 +60,17 @@
 	LoadMilliCPU int64
 	PoweredOff   bool
 	IdleTime     time.Duration // how long nothing has run on it
+	// SurplusTime is how long the instance has been among those to retire without a
+	// break; 0 if it was not at the last decision.
+	SurplusTime time.Duration
+}
+
+// maySwitchOff reports whether the instance may be powered off if its pool is larger than
+// desired. When the demand of a pool falls, an instance is surplus for longer than its last
+// runs take, and leaves as soon as it is empty; the wait only keeps instances that a
+// short gap in the demand leaves idle.
+func (i *Instance) maySwitchOff() bool {
+	return i.Movable && !i.PoweredOff && max(i.IdleTime, i.SurplusTime) >= minIdle
 }
 
 // Move asks the caller to move an instance to another pool.
@@ -169,7 +181,7 @@
 		case instance.PoweredOff:
 			off = firstFound(off, i)
 		case p.size[instance.Pool] <= p.desired[instance.Pool]:
-		case p.standby != "" && instance.Pool != p.standby && instance.IdleTime >= minIdle:
+		case p.standby != "" && instance.Pool != p.standby && instance.maySwitchOff():
 			return i
 		default:
 			surplus = firstFound(surplus, i)
@@ -196,8 +208,7 @@
 		return
 	}
 	for i, instance := range p.instances {
-		if instance.Movable && !instance.PoweredOff && instance.Pool != p.standby && instance.IdleTime >= minIdle &&
-			p.size[instance.Pool] > p.desired[instance.Pool] {
+		if instance.Pool != p.standby && instance.maySwitchOff() && p.size[instance.Pool] > p.desired[instance.Pool] {
 			p.move(i, p.standby)
 		}
 	}
--- a/core/command/scale/scale_test.go
+++ b/core/command/scale/scale_test.go
@@ -59,7 +59,7 @@
 func TestIdleInstancesArePoweredOff(t *testing.T) {
 	all := append(instances("a", 9, true, false), instances("off", 1, true, true)...)
 	all[0].Movable = false
-	all[1].IdleTime = 0
+	all[1].IdleTime, all[1].SurplusTime = 0, minIdle/2
 	d := Decide(Input{Pools: []Pool{{Name: "a", MinInstances: 5}, {Name: "off", Standby: true}}, Instances: all})
 	assert.Equal(t, countTo(d.Moves, "off"), 3) // 5 for the spread of lasting tasks and 1 as headroom stay
 	for _, m := range d.Moves {
--- a/replica/fleet/scale.go
+++ b/replica/fleet/scale.go
@@ -128,6 +128,9 @@
 	if since, ok := m.idleSince[o.ID]; ok {
 		i.IdleTime = now.Sub(since)
 	}
+	if since, ok := m.retiringSince[o.ID]; ok {
+		i.SurplusTime = model.TimestampOf(now).Sub(since)
+	}
 	return i
 }
 
