--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -104,7 +104,7 @@
 func (c *Client) proposeWithRetries(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
 	maybeAppended := false // the commands of an attempt may have been appended
 	var results []result.Result
-	c.search(ctx, func(leader candidate) reply {
+	c.search(ctx, func(leader presumedLeader) reply {
 		a := c.attempt(ctx, leader, req)
 		settled := a.results != nil && !(a.unknown && repeatable && ctx.Err() == nil)
 		// A replica that appends nothing says nothing about an earlier attempt.
@@ -137,8 +137,8 @@
 	unknown bool            // the commands may have been appended
 }
 
-// attempt proposes the commands once, to the candidate.
-func (c *Client) attempt(ctx context.Context, leader candidate, req *replicav1.ProposeRequest) proposeReply {
+// attempt proposes the commands once, to the replica that is presumed to lead.
+func (c *Client) attempt(ctx context.Context, leader presumedLeader, req *replicav1.ProposeRequest) proposeReply {
 	ctx, cancel := context.WithTimeout(ctx, leader.callTime(ctx))
 	defer cancel()
 	// A call that never got a connection was not sent, also if its deadline expired while
--- a/replica/client/forward_test.go
+++ b/replica/client/forward_test.go
@@ -159,6 +159,6 @@
 	server.Start()
 	t.Cleanup(server.Close)
 	c := New(nil, NewHTTPClient())
-	c.attempt(t.Context(), candidate{address: server.Listener.Addr().String()}, &replicav1.ProposeRequest{Envelopes: [][]byte{bytes.Repeat([]byte(`{"name":"queue"}`), 4096)}})
+	c.attempt(t.Context(), presumedLeader{address: server.Listener.Addr().String()}, &replicav1.ProposeRequest{Envelopes: [][]byte{bytes.Repeat([]byte(`{"name":"queue"}`), 4096)}})
 	assert.Assert(t, <-sizes < 8<<10)
 }
--- a/replica/client/search.go
+++ b/replica/client/search.go
@@ -14,8 +14,7 @@
 	// attemptTimeout is the timeout of one call. It keeps a partitioned leader from
 	// using up the deadline and is longer than a commit under load.
 	attemptTimeout = time.Second
-	// minBackoff and maxBackoff limit the backoff between rounds. An election takes
-	// 0.5 to 0.9 s, which corresponds to about five rounds.
+	// minBackoff and maxBackoff limit the backoff between two calls of a search.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 200 * time.Millisecond
 )
@@ -26,15 +25,15 @@
 	silent bool // the replica did not respond
 }
 
-// candidate is a replica that probably leads.
-type candidate struct {
+// presumedLeader is a replica that probably leads.
+type presumedLeader struct {
 	address   string
 	confirmed bool // it has said just now that it leads
 }
 
-// callTime returns the timeout of one call to the candidate. One that has not confirmed
+// callTime returns the timeout of one call to the replica. One that has not confirmed
 // that it leads leaves time for another one.
-func (l candidate) callTime(ctx context.Context) time.Duration {
+func (l presumedLeader) callTime(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok && l.confirmed {
 		return min(attemptTimeout, time.Until(deadline))
 	}
@@ -45,8 +44,8 @@
 // leader first. After a reply that is not final it waits for the lookup of the leader that
 // all calls share, so that the replicas are not asked by each waiting call while they elect
 // a leader, and no command is sent to a replica that may not lead.
-func (c *Client) search(ctx context.Context, call func(candidate) reply) {
-	leader := candidate{address: c.knownLeader()}
+func (c *Client) search(ctx context.Context, call func(presumedLeader) reply) {
+	leader := presumedLeader{address: c.knownLeader()}
 	for backoff := minBackoff; ; backoff = min(backoff*2, maxBackoff) {
 		if leader.address != "" {
 			r := call(leader)
@@ -59,7 +58,7 @@
 				break
 			}
 		}
-		leader = candidate{address: c.awaitLeader(ctx, leader.address), confirmed: true}
+		leader = presumedLeader{address: c.awaitLeader(ctx, leader.address), confirmed: true}
 		if leader.address == "" {
 			break
 		}
@@ -77,7 +76,7 @@
 
 // candidates returns the last known leader followed by the other members in random
 // order; the seeds are added while no member responds. Replicas that have not
-// responded earlier in the same search come last, so that a failed leader is tried
+// responded earlier in the same lookup come last, so that a failed leader is asked
 // once per round while the other replicas elect and name a new one.
 func (c *Client) candidates(silent map[string]bool) []string {
 	list := slices.Clone(*c.members.Load())
@@ -103,7 +102,7 @@
 	return min(attemptTimeout, max(time.Until(deadline)/2, minBackoff))
 }
 
-// pause waits between rounds for a random time between d/2 and d. It returns false if
+// pause waits between calls for a random time between d/2 and d. It returns false if
 // ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	return wait.Sleep(ctx, d/2+rand.N(d/2)) == nil
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -76,7 +76,7 @@
 func queryLeader[Q, R any, P leadershipResponse[R]](ctx context.Context, c *Client, method leaderQuery[Q, R], req *Q) (P, string, error) {
 	var found P
 	var leader string
-	c.search(ctx, func(l candidate) reply {
+	c.search(ctx, func(l presumedLeader) reply {
 		resp, err := attemptQuery(ctx, c, l.address, method, req)
 		if err != nil {
 			return reply{silent: true}
