--- a/cmd/internal/crowd/site_test.go
+++ b/cmd/internal/crowd/site_test.go
@@ -49,6 +49,9 @@
 		t: t, operator: standin.NewOperator([]standin.Queue{queue}), caller: standin.NewCaller(),
 		settings: standin.ProcessSettings{Name: "n1", IP: ip, Zone: "z1", Zones: []string{"z1"}, FirstPort: firstPort, Seeds: []string{ip}, Bootstrap: true, MemoryMB: memoryMB, MaxFDs: maxFDs},
 	}
+	if *scale > 1 {
+		s.settings.MemoryMB, s.settings.MaxFDs = standin.DefaultMemoryMB, standin.DefaultMaxFDs
+	}
 	folder := t.TempDir()
 	var pids faults.PIDs
 	start := func(role string, p standin.ProcessSettings) *faults.Process {
