The lookup finds the leader of a site without workloads too

Cause: the lookup that waiting calls share asked only with the query for a workload, which replicas serve on the platform alone.

A replica that does not serve the query is asked by a proposal without commands. TestLeaderIsFoundWithoutQueries fails before.

--- a/replica/client/lookup.go
+++ b/replica/client/lookup.go
@@ -5,6 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"connectrpc.com/connect"
+
+	replicav1 "lacewingturn.example/api/gen/lacewingturn/replica/v1"
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	workloadv1 "lacewingturn.example/api/gen/lacewingturn/workload/v1"
 	"lacewingturn.example/api/gen/lacewingturn/workload/v1/workloadv1connect"
 )
@@ -150,14 +154,33 @@
 func (r *prober) ask(ctx context.Context, address string) {
 	r.asked[address] = true
 	go func() {
-		answer := probe{address: address}
-		resp, err := attemptQuery(ctx, r.client, address, workloadv1connect.WorkloadQueryServiceClient.Find, &workloadv1.FindRequest{})
-		if err == nil {
-			answer.leadership = resp.GetLeadership()
-		}
+		answer := probe{address, r.client.askLeadership(ctx, address)}
 		select {
 		case r.answers <- answer:
 		case <-ctx.Done():
 		}
 	}()
 }
+
+// askLeadership asks a replica whether it leads. It returns nil if there is no answer.
+func (c *Client) askLeadership(ctx context.Context, address string) *workloadv1.Leadership {
+	resp, err := attemptQuery(ctx, c, address, workloadv1connect.WorkloadQueryServiceClient.Find, &workloadv1.FindRequest{})
+	switch {
+	case err == nil:
+		return resp.GetLeadership()
+	case connect.CodeOf(err) == connect.CodeUnimplemented:
+		return c.askByProposal(ctx, address) // a site without workloads does not serve the query
+	}
+	return nil
+}
+
+// askByProposal asks a replica whether it leads by a proposal without commands.
+func (c *Client) askByProposal(ctx context.Context, address string) *workloadv1.Leadership {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	resp, err := replicav1connect.NewReplicaCommandServiceClient(c.http, "http://"+address).Propose(ctx, connect.NewRequest(&replicav1.ProposeRequest{}))
+	if err != nil {
+		return nil
+	}
+	return &workloadv1.Leadership{NotLeader: resp.Msg.GetNotLeader(), LeaderAddress: resp.Msg.GetLeaderAddress()}
+}
--- a/replica/client/lookup_test.go
+++ b/replica/client/lookup_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/result"
 )
 
@@ -85,3 +88,16 @@
 	codes := proposeAtOnce(t, New([]string{busy}, NewHTTPClient()), 1, time.Second)
 	assert.Equal(t, codes[0], result.Accepted)
 }
+
+// Guards against a lookup that finds no leader on a site whose replicas do not serve queries
+// about workloads.
+func TestLeaderIsFoundWithoutQueries(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.NewServeMux())
+	server.Config.Handler.(*http.ServeMux).Handle(replicav1connect.NewReplicaCommandServiceHandler(&fakeReplica{}))
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	codes := proposeAtOnce(t, New([]string{server.Listener.Addr().String()}, NewHTTPClient()), 1, 2*time.Second)
+	assert.Equal(t, codes[0], result.Accepted)
+}
