--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -256,12 +256,10 @@
 		}
 	}
 	for key := range p.options.Near.Use {
-		if p.pools[key.Pool] != nil {
-			p.racks(key.Pool)
-		}
+		p.rack(key)
 	}
 	for key, r := range p.locality.racks {
-		if _, known := p.options.Near.Use[key]; known || r.short {
+		if _, known := p.options.Near.Use[key]; r != nil && (known || r.short) {
 			update(r)
 		}
 	}
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -84,23 +84,41 @@
 		return out
 	}
 	var out []*rack
+	seen := map[string]bool{}
 	for _, w := range p.pools[name].workers {
-		key := near.Rack{Pool: name, Name: w.Rack}
-		r := p.locality.racks[key]
-		if r == nil {
-			r = &rack{name: w.Rack}
-			p.locality.racks[key] = r
-			out = append(out, r)
+		if !seen[w.Rack] {
+			seen[w.Rack] = true
+			out = append(out, p.rack(near.Rack{Pool: name, Name: w.Rack}))
 		}
-		r.workers = append(r.workers, w)
-	}
-	for _, r := range out {
-		r.updateLargestFree()
 	}
 	p.locality.inOrder[name] = out
 	return out
 }
 
+// rack returns the workers of the pool in one rack; nil if there are none.
+func (p *planner) rack(key near.Rack) *rack {
+	if r, ok := p.locality.racks[key]; ok {
+		return r
+	}
+	var r *rack
+	if group := p.pools[key.Pool]; group != nil {
+		for _, w := range group.workers {
+			if w.Rack != key.Name {
+				continue
+			}
+			if r == nil {
+				r = &rack{name: key.Name}
+			}
+			r.workers = append(r.workers, w)
+		}
+	}
+	if r != nil {
+		r.updateLargestFree()
+	}
+	p.locality.racks[key] = r
+	return r
+}
+
 // markAwaited marks the workers that steps waited for in the last plan.
 func (p *planner) markAwaited() {
 	awaited := map[near.Rack]bool{}
@@ -126,8 +144,7 @@
 	if spec.NearRack == "" || spec.Lasting {
 		return nil
 	}
-	p.racks(c.pool)
-	return p.locality.racks[near.Rack{Pool: c.pool, Name: spec.NearRack}]
+	return p.rack(near.Rack{Pool: c.pool, Name: spec.NearRack})
 }
 
 // chooseOrWait returns the worker for a task, or nil if it fits nowhere or waits for a
--- a/core/command/place/replay_test.go
+++ b/core/command/place/replay_test.go
@@ -60,6 +60,7 @@
 	load    load
 	policy  policy
 	memory  memory
+	begin   model.Timestamp
 	running map[model.RunRef]activeRun
 	// total is the sum over workloads of the time from submission to completion, late the
 	// number that missed their target.
@@ -75,22 +76,32 @@
 }
 
 func (l load) play(t *testing.T, p policy) *replay {
+	r := l.begin(t, p)
+	for at := time.Duration(0); at < replayLength+replayDrain; at += replayTick {
+		r.step(at)
+	}
+	return r
+}
+
+func (l load) begin(t *testing.T, p policy) *replay {
 	r := &replay{x: newSite(t), load: l, policy: p, running: map[model.RunRef]activeRun{}}
 	r.x.s.Catalog.Queues[0].Advised = p.mayFar != nil
 	r.x.s.Catalog.Queues[0].Target = replayTarget
-	begin := r.x.s.Clock
-	for at := time.Duration(0); at < replayLength+replayDrain; at += replayTick {
-		r.x.s.Clock = begin.Add(at)
-		r.endRuns()
-		if at < replayLength {
-			for _, s := range l.arrive(at) {
-				r.count++
-				r.x.submit(0, r.count, s)
-			}
+	r.begin = r.x.s.Clock
+	return r
+}
+
+// step plays the load at one moment.
+func (r *replay) step(at time.Duration) {
+	r.x.s.Clock = r.begin.Add(at)
+	r.endRuns()
+	if at < replayLength {
+		for _, s := range r.load.arrive(at) {
+			r.count++
+			r.x.submit(0, r.count, s)
 		}
-		r.start(r.plan(at))
 	}
-	return r
+	r.start(r.plan(at))
 }
 
 // endRuns ends the runs that have run for their true time.
