--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -10,11 +10,11 @@
 
 	"lacewingturn.example/node/clock"
 	"lacewingturn.example/node/loop"
-	"lacewingturn.example/node/server"
 	"lacewingturn.example/platform/cloud"
 	platformcommand "lacewingturn.example/platform/command"
 	platformquery "lacewingturn.example/platform/query"
 	"lacewingturn.example/platform/settings"
+	"lacewingturn.example/platform/wire"
 	"lacewingturn.example/replica/client"
 	replicacommand "lacewingturn.example/replica/command"
 	"lacewingturn.example/replica/fleet"
@@ -44,7 +44,9 @@
 }
 
 func newScheduleReader(r *replicacommand.Replica, d *clock.SuspendDetector) *schedulequery.Reader {
-	return schedulequery.New(r, d)
+	reader := schedulequery.New(r, d)
+	reader.ExtractLimits = wire.ExtractTrafficLimits
+	return reader
 }
 
 type platformControlParams struct {
@@ -78,5 +80,5 @@
 		platformcommand.RedirectToLeader(w, r, p.Reader, p.Platform.ControlAddress)
 	}
 	platformquery.NewControl(p.Reader, redirect).Register(router)
-	return servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, server.TLSFiles{})
+	return servePublic(p.Lifecycle, p.Servers, p.Platform.ControlAddress, router, listener{http1Only: true})
 }
