--- a/api/codec/workload_test.go
+++ b/api/codec/workload_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewingturn.example/core/command"
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/model"
 )
 
@@ -110,3 +111,19 @@
 		}
 	}
 }
+
+// Guards against rate limits that a restart or a snapshot resets, and against workloads that
+// lose their account or the mark of being beyond its rate.
+func TestRateLimitsSurviveASnapshot(t *testing.T) {
+	s := model.State{Clock: 1000, Catalog: &model.Catalog{Accounts: []model.ClientAccount{{Name: "a", Weight: 1, Rate: 1}}}}
+	assert.Assert(t, !share.ChargeRate(&s, "a"))
+	s.Workloads = s.Workloads.Set("w", model.Workload{ID: "w", Account: "a", BeyondRate: true})
+	s.Finished = s.Finished.Set("f", model.FinishedWorkload{ID: "f", Account: "a", Held: &model.Resources{MilliCPU: 1}})
+	data, err := EncodeState(s)
+	assert.NilError(t, err)
+	restored, err := DecodeState(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored.Workloads.Values(), s.Workloads.Values())
+	assert.DeepEqual(t, restored.Finished.Values(), s.Finished.Values())
+	assert.Assert(t, share.ChargeRate(&restored, "a"))
+}
--- a/core/command/job/place.go
+++ b/core/command/job/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
 )
@@ -87,10 +88,5 @@
 		return true
 	}
 	load, _ := s.JobIndex.Teams.Get(team)
-	return fitsQuota(q, load.Reserved.Add(more))
-}
-
-func fitsQuota(q, use model.Resources) bool {
-	return (q.MilliCPU == 0 || use.MilliCPU <= q.MilliCPU) && (q.MemoryMB == 0 || use.MemoryMB <= q.MemoryMB) &&
-		(q.Accelerators == 0 || use.Accelerators <= q.Accelerators)
+	return share.FitsCap(q, load.Reserved.Add(more))
 }
--- a/core/command/job/reconcile_place.go
+++ b/core/command/job/reconcile_place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lacewingturn.example/core/command/share"
 	"lacewingturn.example/core/model"
 )
 
@@ -132,7 +133,7 @@
 			continue
 		}
 		size := p.s.JobSize(h.job, model.Instance{Capacity: h.job.Declared.Add(unlimited)})
-		if !borrow && t.limited && !fitsQuota(t.quota, t.used.Add(size)) {
+		if !borrow && t.limited && !share.FitsCap(t.quota, t.used.Add(size)) {
 			overQuota = append(overQuota, heap.Pop(&q).(*head))
 			continue
 		}
