The mark of a public queue is stored only with the workload of an account

Cause: on a site without accounts a queue that is called public would have changed the stored form of its workloads, although every caller may access these anyway.

Change: the mark is set only if the workload names an account.

Result: the tests of core/command/workload, core/query and api/codec pass.

--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -56,7 +56,7 @@
 	}
 	w := c.Workload
 	w.ID, w.Queue, w.MaxFailures, w.AcceptedAt = id, queue.Name, max(queue.MaxFailures, 1), s.Clock
-	w.Account, w.Public = t.account, queue.Public
+	w.Account, w.Public = t.account, queue.Public && t.account != ""
 	if rules != model.FirstRules {
 		address := queue.Address()
 		w.Address = &address
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -24,8 +24,8 @@
 	Address *QueueAddress `cbor:",omitempty"`
 	// Account is the client account whose key submitted the workload; empty if none.
 	Account AccountName `cbor:",omitempty"`
-	// Public is true if the workload was accepted at a public queue, so that every caller may
-	// read and cancel it.
+	// Public is true if the workload of an account was accepted at a public queue, so that
+	// every caller may read and cancel it.
 	Public bool `cbor:",omitempty"`
 	// Payload is passed unchanged to each run.
 	Payload string
