The soak and the stand-in of the platform know keys and withdrawals

One queue needs a key and the other none. Each version of the configuration has a key that holds in this version only; after the next one is acknowledged, a workload with the old key must not be accepted at any entry process, and the checker reports a task of it that starts. A steady key must never get 401 or 403.

--- a/cmd/internal/soak/site_test.go
+++ b/cmd/internal/soak/site_test.go
@@ -55,10 +55,10 @@
 }
 
 // queues lists the queues that workloads are submitted to. The second allows fewer
-// attempts, so that its workloads use them up first when runs fail.
+// attempts, so that its workloads use them up first when runs fail; its callers need no key.
 var queues = []standin.Queue{
 	{Name: "tickets", Prefix: "/tickets/", Pool: "counter", Attempts: 3},
-	{Name: "orders", Prefix: "/orders/", Pool: "workshop", Attempts: 2},
+	{Name: "orders", Prefix: "/orders/", Pool: "workshop", Attempts: 2, Public: true},
 }
 
 // startSystem starts all processes on loopback addresses in a network that rng
--- a/cmd/internal/soak/traffic_test.go
+++ b/cmd/internal/soak/traffic_test.go
@@ -36,7 +36,7 @@
 }
 
 func newTraffic(s *system) *traffic {
-	return &traffic{system: s, operator: standin.NewOperator(queues), caller: standin.NewCaller()}
+	return &traffic{system: s, operator: standin.NewOperator(queues, accountsOf), caller: standin.NewCaller()}
 }
 
 // run starts the callers and the operator, which work until ctx ends.
@@ -51,7 +51,7 @@
 func (t *traffic) call(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		w := t.checker.recordWorkload(standin.Workload{
-			ID: fmt.Sprintf("%016x", rng.Uint64()), Queue: queues[rng.IntN(len(queues))], Steps: 1 + rng.IntN(2), Tasks: 1 + rng.IntN(6),
+			ID: fmt.Sprintf("%016x", rng.Uint64()), Key: steadyKey, Queue: queues[rng.IntN(len(queues))], Steps: 1 + rng.IntN(2), Tasks: 1 + rng.IntN(6),
 			MilliCPU: 500 + 100*rng.Int64N(15), Time: time.Duration(200+rng.IntN(1200)) * time.Millisecond, Failures: rng.IntN(6) / 4,
 		})
 		t.submit(w, rng)
@@ -78,6 +78,9 @@
 		case http.StatusOK:
 			t.checker.recordSubmission(w, true, false)
 			return
+		case http.StatusUnauthorized, http.StatusForbidden:
+			t.t.Errorf("CONFIG: job %s got %d although its key holds", w.ID, status)
+			return
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
 			if !unclear {
 				t.checker.recordSubmission(w, false, true)
@@ -110,7 +113,9 @@
 // after an acknowledgement it checks that a random control process shows no older version.
 func (t *traffic) configure(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
-		t.publish(t.newest.Load() + 1 + rng.Int64N(5))
+		withdrawn := t.newest.Load()
+		t.publish(withdrawn + 1 + rng.Int64N(5))
+		t.tryWithdrawnKey(withdrawn, rng)
 		if wait.Sleep(ctx, configPause) != nil {
 			return
 		}
@@ -149,5 +154,5 @@
 
 // newProbe returns a small workload that shows whether the site accepts workloads.
 func newProbe(rng *rand.Rand) standin.Workload {
-	return standin.Workload{ID: fmt.Sprintf("%016x", rng.Uint64()), Queue: queues[0], Steps: 1, Tasks: 1, MilliCPU: 500, Time: 200 * time.Millisecond}
+	return standin.Workload{ID: fmt.Sprintf("%016x", rng.Uint64()), Key: steadyKey, Queue: queues[0], Steps: 1, Tasks: 1, MilliCPU: 500, Time: 200 * time.Millisecond}
 }
