--- a/cmd/internal/crowd/site_test.go
+++ b/cmd/internal/crowd/site_test.go
@@ -46,7 +46,7 @@
 	t.Helper()
 	ip := fmt.Sprintf("127.%d.%d.1", 2+rand.IntN(250), rand.IntN(256))
 	s := &site{
-		t: t, operator: standin.NewOperator([]standin.Queue{queue}), caller: standin.NewCaller(),
+		t: t, operator: standin.NewOperator([]standin.Queue{queue}, nil), caller: standin.NewCaller(),
 		settings: standin.ProcessSettings{Name: "n1", IP: ip, Zone: "z1", Zones: []string{"z1"}, FirstPort: firstPort, Seeds: []string{ip}, Bootstrap: true, MemoryMB: memoryMB, MaxFDs: maxFDs},
 	}
 	if *scale > 1 {
