Server: HTTP/2 and TLS connections are not counted as one request

Cause: a connection of HTTP/2 or TLS was counted as one head until its first request reached the handler, so that a first request with a large body could exceed the limit of a head: the connection was refused, over TLS with a response in cleartext. With TLS an idle HTTP/2 connection was also counted as idle.

Change: HTTP/2 is recognized by its preface, TLS by its listener; the HTTP server bounds their heads and idle times (64 KiB, 2 min), and bodies are counted as before.

--- a/node/server/admission/admission.go
+++ b/node/server/admission/admission.go
@@ -308,18 +308,16 @@
 	if now.Before(t.nextScan) {
 		return nil
 	}
-	var sum int64
+	if t.stalledBytes(now, asking) < missing {
+		t.nextScan = now.Add(scanPause)
+		return nil
+	}
 	var list []*Account
 	for a := range t.accounts {
 		if a != asking && a.stalled(now) {
-			sum += a.held
 			list = append(list, a)
 		}
 	}
-	if sum < missing {
-		t.nextScan = now.Add(scanPause)
-		return nil
-	}
 	slices.SortFunc(list, func(a, b *Account) int { return compareVictims(now, a, b) })
 	for _, a := range list {
 		if missing <= 0 {
--- a/node/server/guard_test.go
+++ b/node/server/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -163,3 +164,37 @@
 	}
 	t.Fatal("connections are still open")
 }
+
+// Guards against calls between processes that are refused or not given back with a guard, over
+// TLS and over HTTP/2.
+func TestGuardWithHTTP2(t *testing.T) {
+	config, err := writeTLSFiles(t, t.TempDir()).Config()
+	assert.NilError(t, err)
+	t.Run("cleartext", func(t *testing.T) { sendOverHTTP2(t, nil) })
+	t.Run("TLS", func(t *testing.T) { sendOverHTTP2(t, config) })
+}
+
+// sendOverHTTP2 sends large requests, the first of them on a new connection.
+func sendOverHTTP2(t *testing.T, config *tls.Config) {
+	g := NewGuard(NewBudget(testMemory, 600), prometheus.NewRegistry(), zap.NewNop())
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprint(w, r.Proto, " ", len(body))
+	})
+	s, err := ListenWith("127.0.0.1:0", handler, Options{TLS: config, Guard: g})
+	assert.NilError(t, err)
+	s.Start()
+	defer s.Close()
+	client := NewClient(Dialer(config))
+	for range 20 {
+		resp, err := client.Post("http://"+s.Address(), "application/proto", strings.NewReader(strings.Repeat(" ", 4<<20)))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, string(body), "HTTP/2.0 4194304")
+	}
+	g.update(func(table *admission.Table, _ time.Time) {
+		assert.Equal(t, table.Used(), int64(table.Connections())*admission.ConnectionBytes)
+	})
+}
--- a/node/server/guarded_conn.go
+++ b/node/server/guarded_conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,12 +17,11 @@
 	// heldPerByte is what a byte of a request holds in memory: the buffer that it is read
 	// into, and the growth of that buffer or the decoded form.
 	heldPerByte = 2
-	// writeBufferBytes is the part of a response that is covered by the share of its connection.
-	writeBufferBytes = 4 << 10
+	// coveredBytes is the part of a head and of a response that is covered by the share of
+	// their connection.
+	coveredBytes = 4 << 10
 	// writePiece is the part of a response after which progress is recorded.
 	writePiece = 64 << 10
-	// multiplexedBytes is held by an HTTP/2 connection beside its requests.
-	multiplexedBytes = 64 << 10
 	// lingerTime is how long a connection is read after a refusal, so that the client gets
 	// the response before the connection is reset.
 	lingerTime = 250 * time.Millisecond
@@ -39,6 +39,8 @@
 	net.Listener
 	guard  *Guard
 	limits *admission.Listener
+	http2  bool // HTTP/2 is served
+	tls    bool // the connections are encrypted
 }
 
 func (l *guardedListener) Accept() (net.Conn, error) {
@@ -50,6 +52,9 @@
 		c := &guardedConn{Conn: inner, listener: l}
 		c.account.Owner = inner
 		if l.guard.connect(c) {
+			if l.tls {
+				c.multiplex()
+			}
 			return c, nil
 		}
 		_ = inner.Close()
@@ -65,8 +70,8 @@
 	head     int64       // bytes of the present head
 	refused  atomic.Bool
 	closed   atomic.Bool
-	// multiplexed is set once the connection speaks HTTP/2. Its requests have accounts of
-	// their own.
+	// multiplexed is set for connections of HTTP/2 and of TLS. The HTTP server bounds their
+	// heads and idle times, and requests of HTTP/2 have accounts of their own.
 	multiplexed atomic.Bool
 }
 
@@ -98,6 +103,10 @@
 		return 0, c.refuse(admission.HeadSize, http.StatusRequestHeaderFieldsTooLarge)
 	}
 	n, err := c.Conn.Read(p[:max(room, 1)])
+	if n > 0 && c.head == 0 && c.listener.http2 && strings.HasPrefix(preface, string(p[:min(n, len(preface))])) {
+		c.multiplex()
+		return n, err
+	}
 	if n > 0 && !c.receivedHead(n) {
 		return 0, c.refuse(admission.Memory, http.StatusServiceUnavailable)
 	}
@@ -112,8 +121,7 @@
 			t.Begin(now, &c.account, admission.Head)
 		}
 	})
-	// The first bytes are covered by the share of the connection.
-	return c.head <= writeBufferBytes || c.listener.guard.take(&c.account, int64(n)*heldPerByte)
+	return c.head <= coveredBytes || c.listener.guard.take(&c.account, int64(n)*heldPerByte)
 }
 
 // refuse sends a response to a request whose head has not been read completely, and returns
@@ -126,10 +134,8 @@
 		c.listener.guard.refuse(reason)
 	}
 	c.refused.Store(true)
-	if _, ok := c.Conn.(*net.TCPConn); ok { // a response in cleartext would break a TLS connection
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = io.WriteString(c.Conn, refusalHead(status)) // the client may have closed the connection
-	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, refusalHead(status)) // the client may have closed the connection
 	return errRefused
 }
 
@@ -147,7 +153,7 @@
 		return c.Conn.Write(p)
 	}
 	g := c.listener.guard
-	extra := int64(max(0, len(p)-writeBufferBytes))
+	extra := int64(max(0, len(p)-coveredBytes))
 	if extra > 0 && !g.take(&c.account, extra) {
 		_ = c.Conn.Close()
 		return 0, net.ErrClosed
@@ -212,9 +218,23 @@
 
 // idle is called when a response has been sent and the connection waits for a request.
 func (c *guardedConn) idle() {
-	c.listener.guard.update(func(t *admission.Table, now time.Time) { t.Begin(now, &c.account, admission.Idle) })
+	c.listener.guard.update(func(t *admission.Table, now time.Time) {
+		t.Begin(now, &c.account, admission.Idle)
+		if c.multiplexed.Load() {
+			t.Begin(now, &c.account, admission.Running)
+		}
+	})
+}
+
+// multiplex marks the connection as one of HTTP/2 or TLS.
+func (c *guardedConn) multiplex() {
+	c.multiplexed.Store(true)
+	c.idle()
 }
 
+// preface is the begin of an HTTP/2 connection in cleartext.
+const preface = "PRI * HTTP/2.0"
+
 // guardedConnOf returns the guarded connection below a connection of the HTTP server; nil if
 // there is none.
 func guardedConnOf(c net.Conn) *guardedConn {
--- a/node/server/guarded_request.go
+++ b/node/server/guarded_request.go
@@ -101,13 +101,6 @@
 // their messages are handled one after the other.
 func serveMultiplexed(c *guardedConn, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	g := c.listener.guard
-	if !c.multiplexed.Swap(true) {
-		g.update(func(t *admission.Table, now time.Time) { t.Begin(now, &c.account, admission.Running) })
-		if !g.take(&c.account, multiplexedBytes) {
-			_ = c.Conn.Close()
-			return
-		}
-	}
 	if r.Body == nil || r.ContentLength == 0 || isStream(r) {
 		next.ServeHTTP(w, r)
 		return
--- a/node/server/server.go
+++ b/node/server/server.go
@@ -86,6 +86,7 @@
 	}
 	if !o.HTTP1Only {
 		s.MaxHeaderBytes = defaultHeadBytes
+		s.IdleTimeout = defaultIdleTime
 		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: maxFrameBytes}
 	}
 	s.Handler = guardHandler(s.Handler)
@@ -95,7 +96,7 @@
 			g.idle()
 		}
 	}
-	return &guardedListener{Listener: l, guard: o.Guard, limits: limits}
+	return &guardedListener{Listener: l, guard: o.Guard, limits: limits, http2: !o.HTTP1Only, tls: o.TLS != nil}
 }
 
 // Address returns the address that the listener is bound to, as host:port.
