explain job names the rack that tasks wait for, and until when

Cause: an operator could not see that a task waits for a place near its data.

Result: TestExplainWorkload passes.

--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -28,6 +28,7 @@
 	"lacewingturn.example/replica/liveness"
 	replicaquery "lacewingturn.example/replica/query"
 	"lacewingturn.example/replica/reconcile"
+	"lacewingturn.example/replica/schedule"
 )
 
 // controlModule runs a replica of the control state and its operator interface.
@@ -122,6 +123,7 @@
 	Replica   replica.Replica
 	Liveness  replica.Liveness
 	Fleet     *reconcile.Machine
+	Scheduler *schedule.Machine `optional:"true"`
 	Forwarder *client.Forwarder
 	Log       *zap.Logger
 }
@@ -132,10 +134,25 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.Metrics)
 	mux.Handle(operatorcommand.New(p.Forwarder, p.Log).Route())
-	mux.Handle(operatorquery.New(p.Replica, p.Liveness, p.Fleet, p.Log).Route())
+	mux.Handle(operatorquery.New(p.Replica, p.Liveness, observations{p.Fleet, p.Scheduler}, p.Log).Route())
 	return servePublic(p.Lifecycle, p.Servers, p.Settings.OperatorAddress, mux, p.Settings.OperatorTLS)
 }
 
+// observations joins what the reconciler and the scheduler, if there is one, have observed.
+type observations struct {
+	fleet     *reconcile.Machine
+	scheduler *schedule.Machine
+}
+
+// Observations implements operatorquery.ObservationSource.
+func (o observations) Observations() model.Observations {
+	out := o.fleet.Observations()
+	if o.scheduler != nil {
+		out.Waits = o.scheduler.Waits()
+	}
+	return out
+}
+
 // runReplica runs the replica until the process stops. A stop transfers
 // leadership first and closes the data folder last. If the replica ends with an
 // error, the process exits with status 1, so that it is restarted.
--- a/core/model/observation.go
+++ b/core/model/observation.go
@@ -7,6 +7,17 @@
 	LeaderSince Timestamp
 	Instances   map[InstanceID]InstanceObservation
 	Operations  map[OperationID]OperationReport
+	// Waits lists the steps of each workload that wait for workers near their data.
+	Waits map[WorkloadID][]StepWait
+}
+
+// StepWait is the wait of a step for workers near its data, or in one rack.
+type StepWait struct {
+	Round, Step int
+	Rack        string
+	Tasks       int // that wait
+	// Expected is when they are expected to start there, Until when the wait ends in any case.
+	Expected, Until Timestamp
 }
 
 // InstanceObservation is what the leader has observed of one instance. A time of 0
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -46,6 +46,12 @@
 		e.addReason("%s waits for steps %v", where, w.Steps[step].After)
 		return
 	}
+	for _, wait := range e.observations.Waits[w.ID] {
+		if wait.Round == round && wait.Step == step {
+			e.addReason("%s: %d tasks wait for workers in rack %s, expected in %s, and start elsewhere in %s at the latest",
+				where, wait.Tasks, wait.Rack, max(0, wait.Expected.Sub(e.now)), max(0, wait.Until.Sub(e.now)))
+		}
+	}
 	running, waiting, failures := 0, 0, state.GangProgress().FailedRuns
 	for _, t := range state.Tasks {
 		running += len(t.Active)
--- a/core/query/workload_views_test.go
+++ b/core/query/workload_views_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -32,13 +33,17 @@
 	contains(explain(query.KindJob, workloadID), "active, queue q, pool p",
 		"step 0 of round 0: 0 of 2 tasks are done, 1 runs are active, 1 tasks wait", "run 1 of task 1 of step 0 in round 0 is on worker w@1", "step 1 of round 0 waits for steps [0]")
 	contains(explain(query.KindWorker, "w"), "w@1 has 1 runs", "of workload "+workloadID)
+	waits := map[model.WorkloadID][]model.StepWait{workloadID: {{Rack: "r1", Tasks: 1, Expected: s.Clock.Add(400 * time.Millisecond), Until: s.Clock.Add(time.Second)}}}
+	waiting, ok := query.Explain(s, model.Observations{Waits: waits}, s.Clock, query.KindJob, workloadID)
+	assert.Assert(t, ok)
+	contains(strings.Join(waiting.Reasons, "\n"), "1 tasks wait for workers in rack r1, expected in 400ms, and start elsewhere in 1s at the latest")
 	for run := 1; run <= 2; run++ {
 		ref := model.RunRef{Task: model.TaskRef{Workload: workloadID, Index: 1}, Number: run}
 		s, _ = command.Apply(s, s.Index+1, 1, model.Envelope{Time: s.Clock, Command: model.RecordProgress{Starts: []model.RunStart{{Run: ref, Worker: "w@1"}}}})
 		s, _ = command.Apply(s, s.Index+1, 1, model.Envelope{Time: s.Clock, Command: model.RecordProgress{Ends: []model.RunEnd{{Run: ref, Worker: "w@1", Outcome: model.RunFailed}}}})
 	}
 	contains(explain(query.KindJob, workloadID), "failed, queue q", "task 1 of step 0 in round 0 has failed 2 times")
-	_, ok := query.Explain(s, model.Observations{}, s.Clock, query.KindJob, "other")
+	_, ok = query.Explain(s, model.Observations{}, s.Clock, query.KindJob, "other")
 	assert.Assert(t, !ok)
 }
 
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,6 +81,8 @@
 	mediansAt    time.Time
 	// near is what the last planning pass decided about waits for near places.
 	near near.History
+	// waits holds the waits of near for other goroutines.
+	waits atomic.Pointer[map[model.WorkloadID][]model.StepWait]
 	// awayTime is the moving average of the time from the last report of an incarnation
 	// until the next one of its instance reports; 0 if it is not known yet.
 	awayTime time.Duration
@@ -186,6 +189,8 @@
 			event.SchedulingEnded.Log(m.settings.Logger, zap.Uint64("term", uint64(m.term)))
 		}
 		m.term, m.workers = 0, nil
+		m.near = near.History{}
+		m.publishWaits()
 	case m.term != v.Term:
 		m.startLeading(v)
 	}
@@ -202,6 +207,7 @@
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
 	m.tickets = newTickets()
 	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
+	m.publishWaits()
 	m.nextExpiryCheck, m.plannedAt, m.mediansAt = time.Time{}, time.Time{}, time.Time{}
 }
 
--- a/replica/schedule/near.go
+++ b/replica/schedule/near.go
@@ -28,6 +28,7 @@
 	options := m.placeOptions(now, s)
 	result := place.Decide(s, m.offers(now, s), options)
 	m.near = result.Near
+	m.publishWaits()
 	m.settings.Metrics.nearWaits.Add(float64(len(result.Begun)))
 	for _, step := range result.Ended {
 		m.logWaitEnded(options.Now, step, result.Near.Waits[step])
@@ -35,6 +36,29 @@
 	return result.Starts
 }
 
+// publishWaits makes the current waits available to Waits.
+func (m *Machine) publishWaits() {
+	out := map[model.WorkloadID][]model.StepWait{}
+	for step, w := range m.near.Waits {
+		if w.Tasks > 0 {
+			out[step.Workload] = append(out[step.Workload], model.StepWait{
+				Round: step.Round, Step: step.Step, Rack: w.Rack.Name, Tasks: w.Tasks, Expected: w.Expected, Until: w.Until,
+			})
+		}
+	}
+	m.waits.Store(&out)
+}
+
+// Waits returns the steps that wait for workers near their data, as the last planning pass
+// of this leader decided; none if this replica does not lead. The result must not be
+// modified. Waits may be called on any goroutine.
+func (m *Machine) Waits() map[model.WorkloadID][]model.StepWait {
+	if waits := m.waits.Load(); waits != nil {
+		return *waits
+	}
+	return nil
+}
+
 // logWaitEnded records the end of the wait of a step.
 func (m *Machine) logWaitEnded(now model.Timestamp, step near.Step, w near.Wait) {
 	waited := now.Sub(w.Since)
