Fewer look-ups and bookings for steps that find no room

Cause: each of thousands of steps that wish for one rack looked it up by its name and was kept as booked ahead.

Change: the planner remembers the last rack, and keeps at most 100 steps ahead.

--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -127,13 +127,17 @@
 	}
 }
 
+// maxAhead is the largest number of steps for which a rack books places ahead of others. The
+// first of them leave no place that becomes free within near.MaxWait.
+const maxAhead = 100
+
 // leaveAhead records that the tasks of the step from the given one on found no room, so
 // that what becomes free in their rack goes to them first.
-func (p *planner) leaveAhead(c *candidate, spec model.Step, first model.TaskRef) {
+func (p *planner) leaveAhead(c *candidate, spec *model.Step, first model.TaskRef) {
 	if p.options.RemoteDataFactor <= 1 {
 		return
 	}
-	if r := p.rackOf(c, spec); r != nil {
+	if r := p.rackOf(c, spec); r != nil && len(r.ahead) < maxAhead {
 		r.ahead = append(r.ahead, aheadStep{c, first})
 	}
 }
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -52,6 +52,8 @@
 type locality struct {
 	racks   map[near.Rack]*rack
 	inOrder map[model.PoolName][]*rack
+	// last is the latest answer of rackOf, because many steps wish for the same rack.
+	last *rack
 	// contended is set for pools with more waiting work than free capacity.
 	contended map[model.PoolName]bool
 	runTimes  map[near.Step]time.Duration
@@ -140,17 +142,21 @@
 // rackOf returns the rack that the step should run in; nil if it may run anywhere or no
 // worker of the pool is there. Lasting tasks never wait for a rack, because neither their
 // own end nor that of others like them is known.
-func (p *planner) rackOf(c *candidate, spec model.Step) *rack {
+func (p *planner) rackOf(c *candidate, spec *model.Step) *rack {
 	if spec.NearRack == "" || spec.Lasting {
 		return nil
 	}
-	return p.rack(near.Rack{Pool: c.pool, Name: spec.NearRack})
+	if last := p.locality.last; last != nil && last.name == spec.NearRack && last.workers[0].Pool == c.pool {
+		return last
+	}
+	p.locality.last = p.rack(near.Rack{Pool: c.pool, Name: spec.NearRack})
+	return p.locality.last
 }
 
 // chooseOrWait returns the worker for a task, or nil if it fits nowhere or waits for a
 // worker near its data.
 func (p *planner) chooseOrWait(c *candidate, spec model.Step, ref model.TaskRef, active []model.Run) (w *Worker, waits bool) {
-	r := p.rackOf(c, spec)
+	r := p.rackOf(c, &spec)
 	if r == nil {
 		return p.chooseWorker(c, spec, ref, active), false
 	}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -155,7 +155,7 @@
 			continue
 		}
 		if !p.pools[c.pool].mayFit(spec.Reserved()) {
-			p.leaveAhead(c, spec, ref)
+			p.leaveAhead(c, &spec, ref)
 			return
 		}
 		w, waits := p.chooseOrWait(c, spec, ref, task.Active)
@@ -164,7 +164,7 @@
 		}
 		if w == nil {
 			if full = !p.options.avoidsAny(ref); full {
-				p.leaveAhead(c, spec, ref)
+				p.leaveAhead(c, &spec, ref)
 			}
 			continue
 		}
