--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -165,7 +165,7 @@
 			return
 		}
 		if !p.pools[c.pool].mayFit(spec.Reserved()) {
-			p.leaveAhead(c, spec, ref)
+			p.leaveAhead(c, &spec, ref)
 			return
 		}
 		if c.turn.pauses(round, step, k) {
@@ -177,7 +177,7 @@
 		}
 		if w == nil {
 			if full = !p.options.avoidsAny(ref); full {
-				p.leaveAhead(c, spec, ref)
+				p.leaveAhead(c, &spec, ref)
 			}
 			continue
 		}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -90,6 +91,8 @@
 	mediansAt    time.Time
 	// near is what the last planning pass decided about waits for near places.
 	near near.History
+	// waits holds the waits of near for other goroutines.
+	waits atomic.Pointer[map[model.WorkloadID][]model.StepWait]
 	// awayTime is the moving average of the time from the last report of an incarnation
 	// until the next one of its instance reports; 0 if it is not known yet.
 	awayTime time.Duration
@@ -197,6 +200,8 @@
 		}
 		m.term, m.workers = 0, nil
 		m.settings.Metrics.accounts.reset()
+		m.near = near.History{}
+		m.publishWaits()
 	case m.term != v.Term:
 		m.startLeading(v)
 	}
@@ -215,6 +220,7 @@
 	m.tickets = newTickets()
 	m.capLoggedAt = map[model.AccountName]time.Time{}
 	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
+	m.publishWaits()
 	m.nextExpiryCheck, m.plannedAt, m.mediansAt = time.Time{}, time.Time{}, time.Time{}
 }
 
