explain account shows the share and what the cap holds back; the unused delay of a backlog leaves

Cause: two views summed up what an account has running, one of them with fillers by what they reserve and not by their need; and share.Backlogs with result code 309 was called by nobody.

Result: tests of the changed packages pass.

--- a/core/command/share/share_test.go
+++ b/core/command/share/share_test.go
@@ -32,35 +32,6 @@
 	assert.Equal(t, s.AccountRates.Len(), 1, "rates of accounts that are no longer there stay for good")
 }
 
-// Guards against a refusal that names no time, one for another account's backlog, and one
-// where there is room for all.
-func TestDelayComesFromTheOwnBacklog(t *testing.T) {
-	s := withAccounts(model.ClientAccount{Name: "a", Weight: 1, Rate: 2, Cap: model.Resources{MilliCPU: 4000}}, model.ClientAccount{Name: "b", Weight: 1, Rate: 2})
-	add := func(id model.WorkloadID, account model.AccountName, spec model.Step) {
-		w := model.Workload{ID: id, Account: account, Steps: []model.Step{spec}, Rounds: []model.Round{{Steps: []model.StepState{{Tasks: make([]model.Task, spec.Count)}}}}}
-		s.Workloads = s.Workloads.Set(id, w)
-	}
-	for _, id := range []model.WorkloadID{"1", "2", "3"} {
-		add(id, "a", model.Step{Count: 4, Need: model.Resources{MilliCPU: 1000}, Estimate: time.Second})
-	}
-	delays := func() [2]time.Duration {
-		b := NewBacklogs(s)
-		return [2]time.Duration{b.Delay("a", false), b.Delay("b", true)}
-	}
-	assert.Equal(t, delays(), [2]time.Duration{3 * time.Second, 0})
-	add("4", "a", model.Step{Count: 2, Need: model.Resources{MilliCPU: 1000}, Lasting: true})
-	assert.Equal(t, delays(), [2]time.Duration{6 * time.Second, 0})
-	for _, id := range []model.WorkloadID{"5", "6", "7"} {
-		add(id, "b", model.Step{Count: 1, Estimate: time.Millisecond})
-	}
-	assert.Equal(t, delays(), [2]time.Duration{6 * time.Second, 1500 * time.Millisecond})
-	assert.Equal(t, NewBacklogs(s).Delay("b", false), time.Duration(0))
-	assert.Equal(t, NewBacklogs(s).Delay("", true), time.Duration(0))
-	add("8", "a", model.Step{Count: 2, Need: model.Resources{MilliCPU: 1000}, Lasting: true})
-	assert.Equal(t, NewBacklogs(s).Delay("a", false), maxDelay)
-	assert.Equal(t, NewBacklogs(model.State{}).Delay("a", true), time.Duration(0))
-}
-
 // Guards against a workload that waits for good because its account's cap cannot run one of
 // its tasks or its gang, and against one that is refused although it can run in waves.
 func TestWorkAboveTheCapIsRefused(t *testing.T) {
--- a/core/query/accounts.go
+++ b/core/query/accounts.go
@@ -26,7 +26,11 @@
 	Workloads    int     `json:"workloads"` // that have not ended
 	Waiting      int     `json:"waiting"`   // those of them that have not started
 	RunningTasks int     `json:"running_tasks"`
-	Running      string  `json:"running"` // capacity of the running tasks in all pools
+	Running      string  `json:"running"` // need of the running tasks in all pools
+	Share        float64 `json:"share"`   // largest share in what all accounts have running
+	FairShare    float64 `json:"fair_share"`
+	HeldByCap    int     `json:"held_by_cap"` // workloads of which the cap holds back every waiting task
+	BeyondRate   int     `json:"beyond_rate"` // waiting workloads that were submitted beyond the rate
 	// OldestWaitSeconds is the age of the oldest workload that has not started; 0 if none.
 	OldestWaitSeconds float64 `json:"oldest_wait_seconds"`
 }
@@ -34,7 +38,6 @@
 // accountWork is the work of an account that has not ended.
 type accountWork struct {
 	workloads, waiting, runs int
-	running                  model.Resources
 	oldest                   model.Timestamp // acceptance of the oldest waiting workload
 }
 
@@ -50,18 +53,24 @@
 	for _, k := range s.Catalog.Keys {
 		keys[k.Account]++
 	}
+	now = max(now, s.Clock)
+	shares := map[model.AccountName]AccountShare{}
+	for _, share := range AccountShares(s, now, nil) {
+		shares[share.Name] = share
+	}
 	for _, a := range s.Catalog.Accounts {
 		if name == "" || a.Name == name {
-			v.Accounts = append(v.Accounts, accountEntry(a, keys[a.Name], work[a.Name], max(now, s.Clock)))
+			v.Accounts = append(v.Accounts, accountEntry(shares[a.Name], keys[a.Name], work[a.Name], now))
 		}
 	}
 	return v, name == "" || len(v.Accounts) > 0
 }
 
-func accountEntry(a model.ClientAccount, keys int, w accountWork, now model.Timestamp) AccountEntry {
+func accountEntry(a AccountShare, keys int, w accountWork, now model.Timestamp) AccountEntry {
 	e := AccountEntry{
 		Name: string(a.Name), Weight: a.Weight, Rate: a.Rate, Cap: capText(a.Cap), Keys: keys,
-		Workloads: w.workloads, Waiting: w.waiting, RunningTasks: w.runs, Running: Capacity(w.running),
+		Workloads: w.workloads, Waiting: w.waiting, RunningTasks: w.runs, Running: Capacity(a.Running),
+		Share: a.Share, FairShare: a.FairShare, HeldByCap: a.HeldByCap, BeyondRate: a.BeyondRate,
 	}
 	if w.waiting > 0 {
 		e.OldestWaitSeconds = math.Round(now.Sub(w.oldest).Seconds()*10) / 10
@@ -107,11 +116,9 @@
 		a.waiting++
 	}
 	for _, round := range w.Rounds {
-		for j, step := range round.Steps {
-			need := w.Steps[j].Reserved()
+		for _, step := range round.Steps {
 			for _, t := range step.Tasks {
 				a.runs += len(t.Active)
-				a.running = a.running.Add(need.Scale(float64(len(t.Active))))
 			}
 		}
 	}
@@ -133,5 +140,11 @@
 	if c, ok := s.Catalog.Account(model.AccountName(a.Name)); ok && c.Cap != (model.Resources{}) {
 		e.addReason("it has %s running, and may have %s", a.Running, a.Cap)
 	}
+	if a.HeldByCap > 0 {
+		e.addReason("the cap holds back %d workloads", a.HeldByCap)
+	}
+	if a.BeyondRate > 0 {
+		e.addReason("%d workloads wait that were submitted beyond the rate of %g a second; they come after those within any account's rate", a.BeyondRate, a.Rate)
+	}
 	e.addNext("`lacewingturn_account_calls_total` on the leader counts its calls by result")
 }
--- a/core/result/job.go
+++ b/core/result/job.go
@@ -11,7 +11,6 @@
 	NoCatalog      Code = 306
 	UnknownKey     Code = 307
 	WrongAccount   Code = 308
-	AccountBacklog Code = 309
 )
 
 func init() {
@@ -25,6 +24,5 @@
 		Info{NoCatalog, "no-catalog", OutcomeNotRun, 503, 36, "No catalog of queues has been published yet; the request did not run. Retry it later."},
 		Info{UnknownKey, "unknown-key", OutcomeNotRun, 401, 37, "The call carries no key, or one that belongs to no client account of the configuration in force. The request did not run."},
 		Info{WrongAccount, "wrong-account", OutcomeNotRun, 403, 38, "The key belongs to a client account other than the one that submitted the workload. Nothing was changed."},
-		Info{AccountBacklog, "account-backlog", OutcomeNotRun, 429, 39, "The client account has more work waiting than can start before the deadline; retry after the time given in the response. The request did not run."},
 	)
 }
