--- a/core/command/near/near.go
+++ b/core/command/near/near.go
@@ -51,7 +51,7 @@
 // History is what the next decisions need to know about the earlier ones.
 type History struct {
 	Waits Waits
-	// Use holds the use of the racks that steps have wished for recently.
+	// Use holds the use of the racks that steps have preferred recently.
 	Use map[Rack]Use
 }
 
@@ -61,7 +61,7 @@
 	Name string
 }
 
-// Use says how long a rack has had too little room for the steps that wish for it.
+// Use says how long a rack has had too little room for the steps that prefer it.
 type Use struct {
 	// Short is the share of the time until At in which it had too little room, as a moving
 	// average; a queue that does not clear brings it to 1.
@@ -106,9 +106,9 @@
 	// Slack is the time from now to the target completion time, less the expected run
 	// time of all that is left of the workload. It is negative if the target will be missed.
 	Slack time.Duration
-	// Alone is set if other tasks of the step run far anyway, so that a near place for this
+	// OthersFar is set if other tasks of the step run far anyway, so that a near place for this
 	// one does not complete the step sooner.
-	Alone bool
+	OthersFar bool
 	// Contended is set if other work waits for the capacity that a longer run would use.
 	Contended bool
 	// Short is the share of the time lately in which the rack had too little room. It stands
@@ -142,7 +142,7 @@
 // counts.
 func (c Choice) Saved() time.Duration {
 	var saved time.Duration
-	if !c.Alone {
+	if !c.OthersFar {
 		saved += c.Extra()
 	}
 	if c.Contended {
--- a/core/command/pace/pace.go
+++ b/core/command/pace/pace.go
@@ -1,6 +1,6 @@
 // Package pace decides how often the workers of a fleet report to the leader, and how often
-// the leader plans. It answers a fleet whose reports and plans would use up the processor of
-// the leader, so that leases expire before their renewals are handled.
+// the leader plans. In a large fleet, reports and plans would otherwise use up the leader's
+// processor, and leases would expire before their renewals are handled.
 package pace
 
 import "time"
--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -184,7 +184,7 @@
 	return func(host int) int {
 		w := r.hosts[host]
 		switch {
-		case !p.mayRun(c, w, spec, ref), p.options.avoidsAny(ref) && p.options.Avoid(ref, w.ID):
+		case !p.mayRun(c, w, spec, ref), w.ID != "" && p.options.Avoid != nil && p.options.Avoid(ref, w.ID):
 			return 0
 		case spec.MaxPerWorker > 0:
 			return spec.MaxPerWorker - p.countRuns(w, stepOf(ref))
@@ -202,7 +202,7 @@
 	left := p.locality.freeMilliCPU[name]
 	for _, c := range p.waiting {
 		if c.pool == name {
-			left -= p.waitingMilliCPU(c.workload, left)
+			left -= p.waitingMilliCPU(c, left)
 		}
 		if left < 0 {
 			break
@@ -212,16 +212,18 @@
 	return left < 0
 }
 
-// waitingMilliCPU returns the processor time that the tasks of the workload need that could
-// start now. It stops counting above the given maximum.
-func (p *planner) waitingMilliCPU(w model.Workload, enough int64) int64 {
+// waitingMilliCPU returns the processor time that the tasks of the candidate need that could
+// start now, as far as the cap of its account allows one. It stops counting above the given
+// maximum.
+func (p *planner) waitingMilliCPU(c *candidate, enough int64) int64 {
 	var sum int64
+	w := c.workload
 	for i, round := range w.Rounds {
 		if w.Due(i) > p.options.Now {
 			break
 		}
 		for j, step := range round.Steps {
-			if step.Complete() || !w.StepReady(i, j) {
+			if step.Complete() || !w.StepReady(i, j) || !c.account.MayStart(w.Steps[j].Need, 1) {
 				continue
 			}
 			for k := range step.Tasks {
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -4,7 +4,7 @@
 
 // placeGang starts all tasks of a gang together, or none of them; none if a task is
 // done or has an active run. All runs get the same number. A gang that should run in
-// one rack waits for a rack with enough free capacity while that pays.
+// one rack waits for a rack with enough free capacity while the expected wait costs less than it saves.
 func (p *planner) placeGang(c *candidate, round, step int) {
 	tasks := c.workload.Rounds[round].Steps[step].Tasks
 	number := 0
--- a/core/command/place/locality_properties_test.go
+++ b/core/command/place/locality_properties_test.go
@@ -88,14 +88,14 @@
 		c := near.Choice{
 			Now: 1000, Wait: duration("wait", 3000), Run: duration("run", 4000), Factor: 1 + float64(rapid.IntRange(0, 30).Draw(rt, "factor"))/10,
 			Slack: duration("slack", 6000) - 3*time.Second, Contended: rapid.Bool().Draw(rt, "contended"),
-			Alone: rapid.Bool().Draw(rt, "alone"), Short: rapid.Float64Range(0, 1).Draw(rt, "short"),
+			OthersFar: rapid.Bool().Draw(rt, "alone"), Short: rapid.Float64Range(0, 1).Draw(rt, "short"),
 		}
 		w, ok := near.Decide(c)
 		if !ok {
 			return
 		}
 		extra := time.Duration((c.Factor - 1) * float64(c.Run))
-		if c.Wait >= 2*extra || !c.Contended && (c.Alone || c.Wait >= extra) {
+		if c.Wait >= 2*extra || !c.Contended && (c.OthersFar || c.Wait >= extra) {
 			rt.Fatalf("waits %s to save %s", c.Wait, extra)
 		}
 		if c.Slack >= extra && c.Slack < c.Wait {
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -63,8 +63,8 @@
 	freeMilliCPU map[model.PoolName]int64
 	// waits holds the waits of the steps that wait in this plan.
 	waits near.Waits
-	// alone is the answer of runsAlone for each step.
-	alone map[near.Step]bool
+	// alone is the answer of othersRunFar for each step.
+	othersFar map[near.Step]bool
 }
 
 func newLocality(workers []Worker) locality {
@@ -76,7 +76,7 @@
 		freeMilliCPU: free,
 		racks:        map[near.Rack]*rack{}, inOrder: map[model.PoolName][]*rack{}, contended: map[model.PoolName]bool{},
 		runTimes: map[near.Step]time.Duration{}, gangAtLeast: map[gangShape]time.Duration{}, waits: near.Waits{},
-		alone: map[near.Step]bool{},
+		othersFar: map[near.Step]bool{},
 	}
 }
 
@@ -182,7 +182,7 @@
 	}
 	p.buildForecast(r)
 	p.bookAhead(r)
-	choice.Alone = p.runsAlone(c, r, spec, ref, choice)
+	choice.OthersFar = p.othersRunFar(c, r, spec, ref, choice)
 	host, at := p.earliest(c, r, spec, ref, choice.Limit())
 	choice.Wait = at
 	wait, ok := near.Decide(choice)
@@ -193,11 +193,11 @@
 	return ok
 }
 
-// runsAlone reports whether other tasks of the step run far anyway: one that will still run
+// othersRunFar reports whether other tasks of the step run far anyway: one that will still run
 // when a new run near the data could have ended, or those that cannot all wait.
-func (p *planner) runsAlone(c *candidate, r *rack, spec model.Step, ref model.TaskRef, choice near.Choice) bool {
+func (p *planner) othersRunFar(c *candidate, r *rack, spec model.Step, ref model.TaskRef, choice near.Choice) bool {
 	key := near.StepOf(ref)
-	if known, ok := p.locality.alone[key]; ok {
+	if known, ok := p.locality.othersFar[key]; ok {
 		return known
 	}
 	waiting, runsFar := 0, false
@@ -211,9 +211,9 @@
 			runsFar = runsFar || !isNear && p.timeLeft(c.workload, sibling, run.Worker, "") > choice.Run
 		}
 	}
-	alone := runsFar || !r.forecast.FitsAll(spec.Reserved(), waiting, choice.Run, choice.Limit(), p.room(c, r, spec, ref))
-	p.locality.alone[key] = alone
-	return alone
+	othersFar := runsFar || !r.forecast.FitsAll(spec.Reserved(), waiting, choice.Run, choice.Limit(), p.room(c, r, spec, ref))
+	p.locality.othersFar[key] = othersFar
+	return othersFar
 }
 
 // gangWaitPays decides whether a gang waits for a rack with room for all of its members,
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -137,7 +137,7 @@
 			if step.Complete() || !c.workload.StepReady(i, j) || c.turn.placed(i, j) {
 				continue
 			}
-			if c.turn.pauses(i, j, 0) {
+			if c.turn.pauseIfUsedUp(i, j, 0) {
 				return
 			}
 			spec := c.workload.Steps[j]
@@ -168,7 +168,7 @@
 			p.leaveAhead(c, &spec, ref)
 			return
 		}
-		if c.turn.pauses(round, step, k) {
+		if c.turn.pauseIfUsedUp(round, step, k) {
 			return
 		}
 		w, waits := p.chooseOrWait(c, spec, ref, task.Active)
--- a/core/command/place/turn.go
+++ b/core/command/place/turn.go
@@ -29,8 +29,9 @@
 	}
 }
 
-// pauses reports whether the turn has ended, and if so remembers the task as the next one.
-func (t *turn) pauses(round, step, task int) bool {
+// pauseIfUsedUp ends the turn before the task if it has started maxTurnRuns runs, and reports
+// whether it has ended.
+func (t *turn) pauseIfUsedUp(round, step, task int) bool {
 	switch {
 	case t == nil:
 		return false
--- a/core/command/share/rate.go
+++ b/core/command/share/rate.go
@@ -10,6 +10,10 @@
 // its rate.
 const rateBurst = time.Second
 
+// maxRateInterval bounds the time between two workloads of an account, so that sums of times
+// do not overflow.
+const maxRateInterval = 365 * 24 * time.Hour
+
 // ChargeRate counts a workload that is accepted now against the rate of its account. It
 // returns true if the workload is beyond the rate; such a workload is not counted, so that
 // it does not use up the rate of later ones. It is a token bucket in the form of the generic
@@ -19,10 +23,13 @@
 	if !ok || account.Rate <= 0 {
 		return false
 	}
-	interval := max(int64(float64(time.Second)/account.Rate), 1)
+	interval := max(int64(min(float64(time.Second)/account.Rate, float64(maxRateInterval))), 1)
 	now := int64(s.Clock) * int64(time.Millisecond)
 	rate, _ := s.AccountRates.Get(name)
 	next := max(rate.Next, now)
+	if next-now > max(int64(rateBurst), interval) {
+		next = now // a lower rate set it, which is no longer in force
+	}
 	if next-now > max(int64(rateBurst)-interval, 0) {
 		return true
 	}
--- a/core/command/share/turns.go
+++ b/core/command/share/turns.go
@@ -5,7 +5,7 @@
 // Turns orders items of several accounts by dominant resource fairness: the next item is the
 // first one of the account whose dominant share, divided by its weight, is the smallest. The
 // dominant share is the largest share that the account has running of any kind of resource.
-// Between two accounts with items left, the weighted shares differ by no more than what one
+// Between two accounts with items left that fit and that their caps allow, the weighted shares differ by no more than what one
 // of them had running before, or than what it starts in one turn.
 type Turns[T any] struct{ queues turnHeap[T] }
 
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -134,11 +134,12 @@
 		w = recordGangEnd(w, end)
 	}
 	unassignRun(s, end.Worker, end.Run)
+	held := heldBy(&w) // includes copies and gang members, which markDone unassigns
 	if end.Outcome == model.RunDone && !step.Lasting {
 		w = markDone(s, w, ref, step.Gang)
 	}
 	s.Workloads = s.Workloads.Set(w.ID, w)
-	finishIfDecided(s, w, ref, rules)
+	finishIfDecided(s, w, ref, rules, held)
 }
 
 // recordGangEnd records the end of a member's run for its gang. The run counts as failed
@@ -189,16 +190,16 @@
 }
 
 // finishIfDecided moves the workload to a final phase if the end of the task decides its
-// outcome.
-func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef, rules model.Rules) {
+// outcome. Workers may still have what is held.
+func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef, rules model.Rules, held *model.Resources) {
 	task, _ := w.Task(ref)
 	if n := failures(w, ref, rules); !task.Done && !w.Steps[ref.Step].Lasting && n >= w.MaxFailures {
 		reason := fmt.Sprintf("task %d of step %d in round %d has failed %d times", ref.Index, ref.Step, ref.Round, n)
-		finish(s, w, model.WorkloadFailed, reason)
+		finish(s, w, model.WorkloadFailed, reason, held)
 		return
 	}
 	if complete(w) {
-		finish(s, w, model.WorkloadCompleted, "")
+		finish(s, w, model.WorkloadCompleted, "", held)
 	}
 }
 
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -123,7 +123,7 @@
 		return wrongAccount(id)
 	}
 	if w, active := s.Workloads.Get(id); active {
-		finish(s, w, model.WorkloadCancelled, "")
+		finish(s, w, model.WorkloadCancelled, "", heldBy(&w))
 		return result.Result{Code: result.OK}
 	}
 	if s.Finished.Has(id) {
@@ -134,7 +134,7 @@
 
 // finish moves a workload to its final phase. Above finishedPruneThreshold outcomes it drops
 // those that are older than Retention.
-func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string) {
+func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string, held *model.Resources) {
 	for _, task := range w.Tasks() {
 		for _, run := range task.Active {
 			unassign(s, run.Worker, w.ID)
@@ -142,7 +142,7 @@
 	}
 	s.Workloads = s.Workloads.Delete(w.ID)
 	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{
-		ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason, Account: w.Account, Public: w.Public, Held: heldBy(&w),
+		ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason, Account: w.Account, Public: w.Public, Held: held,
 	})
 	if s.Finished.Len() > finishedPruneThreshold {
 		dropExpired(s)
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -48,7 +48,7 @@
 	// Workloads holds the workloads that have not ended, Finished those in a final
 	// phase.
 	Workloads table.Table[WorkloadID, Workload]
-	// AccountRates holds the rate limits of the accounts that have submitted workloads.
+	// AccountRates holds how much of its rate each account has used.
 	AccountRates table.Table[AccountName, AccountRate]
 	Finished     table.Table[WorkloadID, FinishedWorkload]
 	// Assignments is derived from Workloads. Package command/workload keeps it up to
--- a/core/query/account_shares.go
+++ b/core/query/account_shares.go
@@ -15,9 +15,10 @@
 	Weight float64
 	Rate   float64 // workloads a second; 0 means no limit
 	Cap    model.Resources
-	// Running is the need of the active runs and of those that are being stopped.
+	// Running is the need of the active runs, and of those that are being stopped as far as
+	// the caller names them.
 	Running model.Resources
-	// Share is the largest share of Running in what all accounts have running, for any kind
+	// Share is the largest share of Running in all that runs, for any kind
 	// of resource; FairShare is the account's part of all weights.
 	Share     float64
 	FairShare float64
@@ -27,8 +28,8 @@
 	HeldByCap int
 	// BeyondRate is the number of waiting workloads that were submitted beyond the rate.
 	BeyondRate int
-	// OldestWait is the longest time since the acceptance of a workload of which nothing has
-	// started.
+	// OldestWait is the longest time since the first round of a workload was due of which
+	// nothing has started.
 	OldestWait time.Duration
 }
 
--- a/core/query/accounts.go
+++ b/core/query/accounts.go
@@ -26,8 +26,8 @@
 	Workloads    int     `json:"workloads"` // that have not ended
 	Waiting      int     `json:"waiting"`   // those of them that have not started
 	RunningTasks int     `json:"running_tasks"`
-	Running      string  `json:"running"` // need of the running tasks in all pools
-	Share        float64 `json:"share"`   // largest share in what all accounts have running
+	Running      string  `json:"running"` // need of the active runs in all pools, without those that are being stopped
+	Share        float64 `json:"share"`   // largest share in all that runs
 	FairShare    float64 `json:"fair_share"`
 	HeldByCap    int     `json:"held_by_cap"` // workloads of which the cap holds back every waiting task
 	BeyondRate   int     `json:"beyond_rate"` // waiting workloads that were submitted beyond the rate
--- a/node/server/admission/admission.go
+++ b/node/server/admission/admission.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// EndRequest gives back everything but the share of the connection itself, once the handler of
+// the request has returned.
+func (t *Table) EndRequest(a *Account) {
+	if a.open {
+		t.Give(a, a.held-a.base)
+	}
+}
+
 // Fits reports whether the bytes would fit into the budget, counting what can be closed to
 // make room.
 func (t *Table) Fits(now time.Time, a *Account, n int64) bool {
@@ -223,8 +231,8 @@
 		a.before = a.phase
 	}
 	a.phase, a.since, a.moved = p, now, 0
-	if p == Idle && a.open {
-		t.Give(a, a.held-a.base)
+	if p == Idle {
+		t.EndRequest(a)
 	}
 }
 
--- a/node/server/guard.go
+++ b/node/server/guard.go
@@ -34,7 +34,7 @@
 const (
 	DefaultMemory    = 256 << 20 // bytes
 	defaultHeadBytes = 64 << 10
-	defaultHeadTime  = 10 * time.Second
+	defaultHeadTime  = headerTimeout
 	defaultIdleTime  = 2 * time.Minute
 	defaultLagTime   = 10 * time.Second
 	defaultMinRate   = 16 << 10 // bytes per second
@@ -56,7 +56,7 @@
 	}
 	return admission.Budget{
 		Bytes:       cmp.Or(memory, DefaultMemory) / memoryShare,
-		Connections: max(1, int(float64(descriptors-reservedFiles)*clientShare)),
+		Connections: max(1, int(float64(descriptors-min(reservedFiles, descriptors/2))*clientShare)),
 	}
 }
 
--- a/node/server/guarded_conn.go
+++ b/node/server/guarded_conn.go
@@ -41,6 +41,14 @@
 	limits *admission.Listener
 	http2  bool // HTTP/2 is served
 	tls    bool // the connections are encrypted
+	// closing is set once the listener is closed. Connections do not linger after that.
+	closing atomic.Bool
+}
+
+// Close implements net.Listener.
+func (l *guardedListener) Close() error {
+	l.closing.Store(true)
+	return l.Listener.Close()
 }
 
 func (l *guardedListener) Accept() (net.Conn, error) {
@@ -103,11 +111,11 @@
 		return 0, c.refuse(admission.HeadSize, http.StatusRequestHeaderFieldsTooLarge)
 	}
 	n, err := c.Conn.Read(p[:max(room, 1)])
-	if n > 0 && c.head == 0 && c.listener.http2 && strings.HasPrefix(preface, string(p[:min(n, len(preface))])) {
+	if n >= minPreface && c.head == 0 && c.listener.http2 && strings.HasPrefix(preface, string(p[:min(n, len(preface))])) {
 		c.multiplex()
 		return n, err
 	}
-	if n > 0 && !c.receivedHead(n) {
+	if n > 0 && len(p) > 1 && !c.receivedHead(n) {
 		return 0, c.refuse(admission.Memory, http.StatusServiceUnavailable)
 	}
 	return n, err
@@ -127,7 +135,9 @@
 // refuse sends a response to a request whose head has not been read completely, and returns
 // the error that makes the HTTP server close the connection.
 func (c *guardedConn) refuse(reason admission.Reason, status int) error {
-	if !c.account.Open() {
+	open := false
+	c.listener.guard.update(func(*admission.Table, time.Time) { open = c.account.Open() })
+	if !open {
 		return net.ErrClosed
 	}
 	if reason != admission.Memory { // counted where the bytes were refused
@@ -180,7 +190,7 @@
 	if c.closed.Swap(true) {
 		return c.Conn.Close()
 	}
-	if c.refused.Load() {
+	if c.refused.Load() && !c.listener.closing.Load() {
 		c.idle()
 		_ = c.CloseWrite()
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -235,6 +245,9 @@
 // preface is the begin of an HTTP/2 connection in cleartext.
 const preface = "PRI * HTTP/2.0"
 
+// minPreface is the length of the part of the preface that no method of HTTP/1 begins with.
+const minPreface = len("PRI")
+
 // guardedConnOf returns the guarded connection below a connection of the HTTP server; nil if
 // there is none.
 func guardedConnOf(c net.Conn) *guardedConn {
--- a/node/server/guarded_request.go
+++ b/node/server/guarded_request.go
@@ -20,6 +20,9 @@
 // maxInternalBody bounds the body of a call between processes that is not a stream.
 const maxInternalBody = 64 << 20
 
+// maxDeclared bounds a declared length, so that products of it do not overflow.
+const maxDeclared = 1 << 40
+
 // readPiece is the part of a body for which room is taken at once.
 const readPiece = 32 << 10
 
@@ -57,18 +60,21 @@
 // serveSingle serves a request of HTTP/1.1, which is the only one of its connection.
 func serveSingle(c *guardedConn, next http.Handler, w http.ResponseWriter, r *http.Request) {
 	hasBody := r.Body != nil && r.Body != http.NoBody
-	fits := true
+	open, fits := false, true
 	limit := int64(0)
 	c.listener.guard.update(func(t *admission.Table, now time.Time) {
+		open = c.account.Open()
 		limit = c.listener.limits.Limits.BodyBytes
 		if !hasBody {
 			t.Begin(now, &c.account, admission.Running)
 			return
 		}
 		t.Begin(now, &c.account, admission.Body)
-		fits = t.Fits(now, &c.account, r.ContentLength*heldPerByte)
+		fits = t.Fits(now, &c.account, min(r.ContentLength, maxDeclared)*heldPerByte)
 	})
 	switch {
+	case !open:
+		panic(http.ErrAbortHandler) // the connection was closed; the request must not run
 	case limit > 0 && r.ContentLength > limit:
 		c.refuseBody(w, admission.BodySize, http.StatusRequestEntityTooLarge)
 		return
@@ -80,6 +86,8 @@
 		r.Body = &c.body
 	}
 	next.ServeHTTP(w, r)
+	// The client gets the response next, and its following request may use another connection.
+	c.listener.guard.update(func(t *admission.Table, _ time.Time) { t.EndRequest(&c.account) })
 }
 
 // refuseBody responds to a request whose body is not read.
@@ -153,10 +161,7 @@
 	return n, err
 }
 
-func (b *guardedBody) tooLong() error {
-	b.guard.refuse(admission.BodySize)
-	return &http.MaxBytesError{Limit: b.limit}
-}
+func (b *guardedBody) tooLong() error { return &http.MaxBytesError{Limit: b.limit} }
 
 // firstBuffer is the size of the buffer that is allocated before any byte of a body has come.
 // It doubles when it is full, so that a declared length alone holds no memory.
@@ -203,14 +208,14 @@
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
 	// One byte more than expected makes room to see the end of the body.
 	end := limit + 1
 	if r.ContentLength > 0 {
 		end = r.ContentLength + 1
 	}
-	if end > limit+1 {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
 	buffer := make([]byte, 0, min(end, firstBuffer))
 	for {
 		n, err := r.Body.Read(buffer[len(buffer):cap(buffer)])
@@ -246,6 +251,9 @@
 func RefuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	if c, ok := r.Context().Value(connKey{}).(*guardedConn); ok {
 		c.refused.Store(true)
+		if BodyStatus(err) == http.StatusRequestEntityTooLarge {
+			c.listener.guard.refuse(admission.BodySize)
+		}
 	}
 	writeRefusal(w, BodyStatus(err))
 }
--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -165,7 +165,7 @@
 		a.unknown = a.unknown || a.results[i].Code == result.Unknown
 	}
 	if slices.ContainsFunc(a.results, func(r result.Result) bool { return r.Code == result.Stopping }) {
-		return proposeReply{reply: reply{silent: true}} // appended nothing; another replica leads soon
+		return proposeReply{reply: reply{silent: true}, unknown: a.unknown} // another replica leads soon
 	}
 	c.leader.Store(&leader.address)
 	return a
--- a/replica/client/workloads.go
+++ b/replica/client/workloads.go
@@ -126,8 +126,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if limits := resp.Header().Get(LimitsHeader); limits != "" {
-		c.limits.Store(&limits)
+	if limits := resp.Header().Values(LimitsHeader); len(limits) > 0 {
+		c.limits.Store(&limits[0]) // empty if the catalog sets none
 	}
 	return resp.Msg, nil
 }
--- a/replica/command/calls.go
+++ b/replica/command/calls.go
@@ -44,26 +44,26 @@
 }
 
 // applied observes a command and its result. The catalog before it is nil if there was none.
-// Calls are counted only where they were proposed, which is told by leads.
-func (c *calls) applied(before, after *model.Catalog, cmd model.Command, res result.Result, leads bool) {
+// Calls are counted only on the replica to which they were proposed; own is set there.
+func (c *calls) applied(before, after *model.Catalog, cmd model.Command, res result.Result, own bool) {
 	switch cmd := cmd.(type) {
 	case model.PublishCatalog:
 		if before != after {
-			c.keysChanged(before, after, leads)
+			c.keysChanged(before, after, own)
 		}
 	case model.SubmitWorkload:
-		if leads {
+		if own {
 			c.call(after, cmd.Key, res)
 		}
 	case model.CancelWorkload:
-		if leads {
+		if own {
 			c.call(after, cmd.Key, res)
 		}
 	}
 }
 
 // keysChanged remembers the keys that a catalog has withdrawn.
-func (c *calls) keysChanged(before, after *model.Catalog, leads bool) {
+func (c *calls) keysChanged(before, after *model.Catalog, own bool) {
 	withdrawn, added := 0, 0
 	if before != nil {
 		for _, k := range before.Keys {
@@ -82,7 +82,7 @@
 			delete(c.reported, k.Digest)
 		}
 	}
-	if leads && withdrawn+added > 0 {
+	if own && withdrawn+added > 0 {
 		event.AccountKeysChanged.Log(c.log, zap.Int64("version", int64(after.Version)), zap.Int("accounts", len(after.Accounts)),
 			zap.Int("added", added), zap.Int("withdrawn", withdrawn))
 	}
@@ -96,8 +96,8 @@
 	account, known := catalog.AccountOf(key)
 	outcome := res.Code.String()
 	if !known && key != nil {
-		former, was := c.withdrawn[*key]
-		if was && res.Code == result.UnknownKey {
+		former, withdrawn := c.withdrawn[*key]
+		if withdrawn && res.Code == result.UnknownKey {
 			account, known, outcome = former, true, withdrawnKeyUsed
 			if !c.reported[*key] {
 				c.reported[*key] = true
--- a/replica/schedule/unassigned.go
+++ b/replica/schedule/unassigned.go
@@ -9,7 +9,8 @@
 
 // unassignedNeeds returns, for each account, the sum of the needs of the runs that the state
 // does not list as active and that may still be running: those that workers have listed or
-// were told to start, and those that workers may have which have not reported to this leader.
+// were told to start, and, until the leases of earlier leaders have
+// expired, those that were active when their workloads ended.
 // It returns nil if there are no accounts.
 func (m *Machine) unassignedNeeds(now time.Time, s model.State) map[model.AccountName]model.Resources {
 	if s.Catalog == nil || len(s.Catalog.Accounts) == 0 {
