--- a/core/command/near/near.go
+++ b/core/command/near/near.go
@@ -61,13 +61,13 @@
 	Name string
 }
 
-// Use says how long a rack has had too little room for the steps that prefer it.
+// Use says how long a rack has had too little capacity for the steps that prefer it.
 type Use struct {
-	// Short is the share of the time until At in which it had too little room, as a moving
+	// Short is the share of the time until At in which it had too little capacity, as a moving
 	// average; a queue that does not clear brings it to 1.
 	Short float64
 	At    model.Timestamp
-	// IsShort is set if there was too little room at that time, for a task of the size Need.
+	// IsShort is set if there was too little capacity at that time, for a task of the size Need.
 	IsShort bool
 	Need    model.Resources
 }
@@ -111,7 +111,7 @@
 	OthersFar bool
 	// Contended is set if other work waits for the capacity that a longer run would use.
 	Contended bool
-	// Short is the share of the time lately in which the rack had too little room. It stands
+	// Short is the share of the recent time in which the rack had too little capacity. It stands
 	// for the chance that another task would use the near place, and runs far in exchange.
 	Short float64
 	// Begun is the wait that the step has begun; nil if it has not waited yet.
--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -131,7 +131,7 @@
 // first of them leave no place that becomes free within near.MaxWait.
 const maxAhead = 100
 
-// leaveAhead records that the tasks of the step from the given one on found no room, so
+// leaveAhead records that the tasks of the step from the given one on found no capacity, so
 // that what becomes free in their rack goes to them first.
 func (p *planner) leaveAhead(c *candidate, spec *model.Step, first model.TaskRef) {
 	if p.options.RemoteDataFactor <= 1 {
@@ -142,7 +142,7 @@
 	}
 }
 
-// bookAhead books places for the steps that found no room.
+// bookAhead books places for the steps that found no capacity.
 func (p *planner) bookAhead(r *rack) {
 	for _, step := range r.ahead {
 		spec := step.candidate.workload.Steps[step.first.Step]
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -24,10 +24,10 @@
 	// forecast is nil until a decision needs it; hosts holds its workers, in its order.
 	forecast *near.Forecast
 	hosts    []*Worker
-	// short is set if a task of the size need found no room in this plan.
+	// short is set if a task of the size need found no capacity in this plan.
 	short bool
 	need  model.Resources
-	// ahead lists steps that want the rack, have an earlier turn and found no room.
+	// ahead lists steps that want the rack, have an earlier turn and found no capacity.
 	ahead []aheadStep
 }
 
@@ -268,91 +268,3 @@
 		Continues: p.locality.waits[near.StepOf(ref)].Tasks < p.options.Near.Waits[near.StepOf(ref)].Tasks,
 	}
 }
-
-// begunWait returns the wait that the step has begun; nil if there is none. Without a record
-// of waits the step counts as waiting since it was due.
-func (p *planner) begunWait(c *candidate, ref model.TaskRef) *near.Wait {
-	key := near.StepOf(ref)
-	if w, ok := p.locality.waits[key]; ok {
-		return &w
-	}
-	if w, ok := p.options.Near.Waits[key]; ok {
-		return &w
-	}
-	if p.options.Near.Waits != nil {
-		return nil
-	}
-	due := c.workload.Due(ref.Round)
-	run := p.runTime(ref)
-	bound := near.Choice{Run: run, Factor: p.options.RemoteDataFactor}.Limit()
-	return &near.Wait{Since: due, Until: due.Add(bound)}
-}
-
-// recordWait records that more tasks of the step wait.
-func (p *planner) recordWait(ref model.TaskRef, r *rack, wait near.Wait, tasks int) {
-	key := near.StepOf(ref)
-	waiting := 0
-	if earlier, ok := p.locality.waits[key]; ok {
-		waiting = earlier.Tasks
-	}
-	wait.Rack, wait.Tasks = r.key(), waiting+tasks
-	p.locality.waits[key] = wait
-}
-
-// waitsAfter returns the waits for the next plan, and the steps whose wait has begun or
-// ended.
-func (p *planner) waitsAfter() (out near.Waits, begun, ended []near.Step) {
-	out = p.locality.waits
-	for step := range out {
-		if p.options.Near.Waits[step].Tasks == 0 {
-			begun = append(begun, step)
-		}
-	}
-	for step, before := range p.options.Near.Waits {
-		if _, waits := out[step]; waits || !p.isOpen(step) {
-			continue
-		}
-		if before.Tasks > 0 {
-			ended = append(ended, step)
-		}
-		before.Tasks = 0
-		out[step] = before
-	}
-	p.countStarts(out)
-	slices.SortFunc(begun, near.Step.Compare)
-	slices.SortFunc(ended, near.Step.Compare)
-	return out, begun, ended
-}
-
-// isOpen reports whether the step exists and is not complete.
-func (p *planner) isOpen(step near.Step) bool {
-	w, ok := p.state.Workloads.Get(step.Workload)
-	return ok && !w.Rounds[step.Round].Steps[step.Step].Complete()
-}
-
-// countStarts counts the starts of this plan in the waits of their steps that had begun
-// before it.
-func (p *planner) countStarts(waits near.Waits) {
-	if len(p.options.Near.Waits) == 0 {
-		return
-	}
-	racks := map[model.WorkerID]string{}
-	for _, group := range p.pools {
-		for _, w := range group.workers {
-			racks[w.ID] = w.Rack
-		}
-	}
-	for _, start := range p.starts {
-		step := near.StepOf(start.Run.Task)
-		wait, ok := waits[step]
-		if _, earlier := p.options.Near.Waits[step]; !ok || !earlier {
-			continue
-		}
-		if racks[start.Worker] == wait.Rack.Name {
-			wait.Near++
-		} else {
-			wait.Far++
-		}
-		waits[step] = wait
-	}
-}
--- a/entry/command/call.go
+++ b/entry/command/call.go
@@ -103,7 +103,7 @@
 	if errors.As(err, &tooLong) {
 		return result.New(result.BodyTooLarge, "the body is longer than %d bytes", MaxBody)
 	}
-	if errors.Is(err, server.ErrNoRoom) {
+	if errors.Is(err, server.ErrOverBudget) {
 		return result.New(result.Overloaded, "%v", err)
 	}
 	if err != nil {
--- a/entry/command/worker/handler.go
+++ b/entry/command/worker/handler.go
@@ -119,7 +119,7 @@
 	report, err := Decode(r.Body)
 	var res result.Result
 	switch {
-	case errors.Is(err, server.ErrNoRoom):
+	case errors.Is(err, server.ErrOverBudget):
 		res = result.New(result.Overloaded, "%v", err)
 	case err != nil:
 		res = result.New(result.InvalidInput, "%v", err)
--- a/node/server/admission/admission.go
+++ b/node/server/admission/admission.go
@@ -2,10 +2,7 @@
 // has no clock and no network: callers pass the time and close what it names.
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// ConnectionBytes is what an open connection holds: its buffers, its goroutine and one
@@ -17,7 +14,7 @@
 	// reserved: the bytes for small requests, the connections for essential listeners.
 	reserveShare = 8
 	// stallTime is how far a request must be behind the least rate, or for how long a
-	// connection must be unused, before it is closed to make room for others.
+	// connection must be unused, before it may be evicted for others.
 	stallTime = 500 * time.Millisecond
 	// scanPause is the time after a search without a result until the next search.
 	scanPause = 20 * time.Millisecond
@@ -125,7 +122,7 @@
 	return n
 }
 
-// Connect opens the account of a new connection. It reports false if there is no room. The
+// Connect opens the account of a new connection. It reports false if the budget does not allow it. The
 // victims are closed already; the caller closes their connections.
 func (t *Table) Connect(now time.Time, a *Account, l *Listener) (victims []*Account, ok bool) {
 	limit := t.budget.Connections
@@ -184,7 +181,7 @@
 		limit = t.Largest()
 	}
 	if missing := t.used + n - limit; missing > 0 {
-		victims = t.makeRoom(now, a, missing)
+		victims = t.evictStalled(now, a, missing)
 	}
 	if t.used+n > limit {
 		return victims, false
@@ -210,8 +207,8 @@
 	}
 }
 
-// Fits reports whether the bytes would fit into the budget, counting what can be closed to
-// make room.
+// Fits reports whether the bytes would fit into the budget, counting what can be
+// evicted.
 func (t *Table) Fits(now time.Time, a *Account, n int64) bool {
 	limit := t.Largest()
 	if a.held+n <= SmallBytes {
@@ -245,141 +242,3 @@
 
 // Move counts bytes that were read or written in the present phase.
 func (t *Table) Move(a *Account, n int64) { a.moved += n }
-
-// Reason is the limit that an account has exceeded.
-type Reason string
-
-// Reasons; they are labels of a metric.
-const (
-	HeadSize    Reason = "head size"
-	HeadTime    Reason = "head time"
-	BodySize    Reason = "body size"
-	BodyRate    Reason = "body rate"
-	WriteRate   Reason = "response rate"
-	IdleTime    Reason = "idle time"
-	Memory      Reason = "memory"
-	Connections Reason = "connections"
-)
-
-// Expired is an account that has exceeded a limit of time.
-type Expired struct {
-	Account *Account
-	Reason  Reason
-}
-
-// Expire closes the accounts that have exceeded a limit of time and returns them.
-func (t *Table) Expire(now time.Time) (out []Expired) {
-	for a := range t.accounts {
-		limit, reason := a.deadline()
-		if limit > 0 && a.lag(now) > limit {
-			out = append(out, Expired{a, reason})
-		}
-	}
-	for _, e := range out {
-		t.Close(e.Account)
-	}
-	return out
-}
-
-// deadline returns the limit of time in the present phase; 0 for none.
-func (a *Account) deadline() (time.Duration, Reason) {
-	l := a.listener.Limits
-	switch a.phase {
-	case Head:
-		return l.HeadTime, HeadTime
-	case Silent, Idle:
-		return l.IdleTime, IdleTime
-	case Body:
-		return l.LagTime, BodyRate
-	case Writing:
-		return l.LagTime, WriteRate
-	default:
-		return 0, ""
-	}
-}
-
-// stalled reports whether the account may be closed to make room for others.
-func (a *Account) stalled(now time.Time) bool { return a.phase != Running && a.lag(now) > stallTime }
-
-func (t *Table) stalledBytes(now time.Time, except *Account) (sum int64) {
-	for a := range t.accounts {
-		if a != except && a.stalled(now) {
-			sum += a.held
-		}
-	}
-	return sum
-}
-
-// makeRoom closes stalled accounts until the missing bytes are given back. It closes none if
-// all of them together hold less.
-func (t *Table) makeRoom(now time.Time, asking *Account, missing int64) (victims []*Account) {
-	if now.Before(t.nextScan) {
-		return nil
-	}
-	if t.stalledBytes(now, asking) < missing {
-		t.nextScan = now.Add(scanPause)
-		return nil
-	}
-	var list []*Account
-	for a := range t.accounts {
-		if a != asking && a.stalled(now) {
-			list = append(list, a)
-		}
-	}
-	slices.SortFunc(list, func(a, b *Account) int { return compareVictims(now, a, b) })
-	for _, a := range list {
-		if missing <= 0 {
-			break
-		}
-		missing -= a.held
-		t.Close(a)
-		victims = append(victims, a)
-	}
-	return victims
-}
-
-// oldest returns the stalled connection that is closed first for a new one; nil if no
-// connection is stalled.
-func (t *Table) oldest(now time.Time) (first *Account) {
-	if now.Before(t.nextScan) {
-		return nil
-	}
-	for a := range t.accounts {
-		if a.base > 0 && a.stalled(now) && (first == nil || compareVictims(now, a, first) < 0) {
-			first = a
-		}
-	}
-	if first == nil {
-		t.nextScan = now.Add(scanPause)
-	}
-	return first
-}
-
-// compareVictims orders accounts by who is closed first: unfinished requests by what they
-// hold and for how long they have stalled, then connections that never sent anything, then
-// idle ones.
-func compareVictims(now time.Time, a, b *Account) int {
-	if x, y := a.rank(), b.rank(); x != y {
-		return x - y
-	}
-	x, y := float64(a.held)*a.lag(now).Seconds(), float64(b.held)*b.lag(now).Seconds()
-	switch {
-	case x > y:
-		return -1
-	case x < y:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func (a *Account) rank() int {
-	switch {
-	case a.phase.unfinished():
-		return 0
-	case a.phase == Silent:
-		return 1
-	default:
-		return 2
-	}
-}
--- a/node/server/admission/admission_test.go
+++ b/node/server/admission/admission_test.go
@@ -60,7 +60,7 @@
 
 // Guards against a crowd that stops short of its end and keeps a request inside the limits
 // from being served.
-func TestStalledRequestsMakeRoom(t *testing.T) {
+func TestStalledRequestsAreEvicted(t *testing.T) {
 	table, now, l := NewTable(testBudget), time.Unix(0, 0), testListener(false)
 	var crowd []*Account
 	for range testBudget.Connections {
@@ -101,7 +101,7 @@
 	_, ok := table.Connect(now, small, testListener(true))
 	assert.Assert(t, ok, "no connection for an essential listener")
 	_, ok = table.Take(now, small, SmallBytes/2)
-	assert.Assert(t, ok, "no room for a small request")
+	assert.Assert(t, ok, "a small request was refused")
 }
 
 // Guards against a slow sender that keeps its request open for ever with a byte from time to
--- a/node/server/guard.go
+++ b/node/server/guard.go
@@ -103,7 +103,7 @@
 	l.Limits = limits
 }
 
-// connect opens the account of a connection. It reports false if there is no room for it.
+// connect opens the account of a connection. It reports false if the budget does not allow it.
 func (g *Guard) connect(c *guardedConn) bool {
 	g.mu.Lock()
 	victims, ok := g.table.Connect(time.Now(), &c.account, c.listener.limits)
@@ -120,7 +120,7 @@
 	return ok
 }
 
-// take adds bytes to an account. It reports false if there is no room for them.
+// take adds bytes to an account. It reports false if the budget does not allow them.
 func (g *Guard) take(a *admission.Account, n int64) bool {
 	g.mu.Lock()
 	victims, ok := g.table.Take(time.Now(), a, n)
@@ -195,7 +195,7 @@
 	g.counts, g.lastLine = map[admission.Reason]int{}, now
 }
 
-// abort closes the connections of accounts that were closed to make room or have expired.
+// abort closes the connections of accounts that were evicted or have expired.
 func abort(victims []*admission.Account) {
 	for _, v := range victims {
 		_ = v.Owner.(io.Closer).Close()
--- a/node/server/guard_test.go
+++ b/node/server/guard_test.go
@@ -128,7 +128,7 @@
 	waitGivenBack(t, g)
 }
 
-// Guards against a request that is accepted although the process has no room for it, against
+// Guards against a request that is accepted although the budget does not allow it, against
 // a refusal without the time to come back, and against refusals that are not logged.
 func TestNoRoom(t *testing.T) {
 	s, _, logs := serveGuarded(t, 4<<20, DefaultLimits())
--- a/node/server/guarded_conn.go
+++ b/node/server/guarded_conn.go
@@ -33,8 +33,8 @@
 // not respond to an error of this type.
 var errRefused = &net.OpError{Op: "read", Err: errors.New("the request was refused")}
 
-// guardedListener opens an account for each connection and closes connections for which there
-// is no room.
+// guardedListener opens an account for each connection and closes connections that the budget
+// does not allow.
 type guardedListener struct {
 	net.Listener
 	guard  *Guard
@@ -121,7 +121,7 @@
 	return n, err
 }
 
-// receivedHead counts n bytes of a head. It reports false if there is no room for them.
+// receivedHead counts n bytes of a head. It reports false if the budget does not allow them.
 func (c *guardedConn) receivedHead(n int) bool {
 	c.head += int64(n)
 	c.listener.guard.update(func(t *admission.Table, now time.Time) {
--- a/node/server/guarded_request.go
+++ b/node/server/guarded_request.go
@@ -26,8 +26,8 @@
 // readPiece is the part of a body for which room is taken at once.
 const readPiece = 32 << 10
 
-// ErrNoRoom is the error of reading a body for which the process has no room.
-var ErrNoRoom = errors.New("no room for the request body")
+// ErrOverBudget is the error of reading a body that the budget of the process does not allow.
+var ErrOverBudget = errors.New("the request body exceeds the memory budget of the process")
 
 func statusLine(status int) string { return strconv.Itoa(status) + " " + http.StatusText(status) }
 
@@ -41,8 +41,8 @@
 	return ctx
 }
 
-// guardHandler counts the bodies of requests, and refuses those that are too long or for
-// which there is no room before the handler sees them.
+// guardHandler counts the bodies of requests, and refuses those that are too long or that
+// the budget does not allow, before the handler sees them.
 func guardHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*guardedConn)
@@ -135,7 +135,7 @@
 	read    int64
 }
 
-// Read implements io.Reader. Its errors are ErrNoRoom, *http.MaxBytesError and those of the
+// Read implements io.Reader. Its errors are ErrOverBudget, *http.MaxBytesError and those of the
 // connection.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	if b.limit > 0 && b.read > b.limit {
@@ -144,7 +144,7 @@
 	p = p[:min(len(p), readPiece)]
 	reserved := int64(len(p)) * heldPerByte
 	if !b.guard.take(b.account, reserved) {
-		return 0, ErrNoRoom
+		return 0, ErrOverBudget
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
@@ -199,7 +199,7 @@
 	case extra > b.guard.largest():
 		return &http.MaxBytesError{Limit: b.guard.largest()}
 	default:
-		return ErrNoRoom
+		return ErrOverBudget
 	}
 }
 
@@ -211,7 +211,7 @@
 	if r.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	// One byte more than expected makes room to see the end of the body.
+	// One byte more than expected lets the loop see the end of the body.
 	end := limit + 1
 	if r.ContentLength > 0 {
 		end = r.ContentLength + 1
@@ -240,7 +240,7 @@
 	switch {
 	case errors.As(err, &tooLong):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, ErrNoRoom):
+	case errors.Is(err, ErrOverBudget):
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadRequest
