--- a/cmd/internal/soak/unfinished_test.go
+++ b/cmd/internal/soak/unfinished_test.go
@@ -34,7 +34,7 @@
 		request := unfinishedRequest(begin, rng)
 		hold := time.Duration(rng.Int64N(int64(maxFault)))
 		for range unfinishedClients {
-			s.all.Go(func() { leaveOpen(ctx, address, request, hold) })
+			s.system.all.Go(func() { leaveOpen(ctx, address, request, hold) }) // inject does not wait for them
 		}
 	}
 }
