A fleet does not count as large because its instances move

Cause, found on reading the change again: the intervals of reports and plans followed the number of known incarnations.

Change: the size of the fleet is the number of instances that have reported.

Result: TestMovesDoNotMakeAFleetLarge fails before and passes.

--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -358,3 +358,17 @@
 		})
 	})
 }
+
+// Guards against a fleet that counts as large because its instances move often: each move
+// makes a new incarnation under a name of its own.
+func TestMovesDoNotMakeAFleetLarge(t *testing.T) {
+	const moves = 1300
+	runHarness(t, func(h *harness) {
+		var next time.Duration
+		for i := range moves {
+			next = h.mustReport(fmt.Sprint(i), model.Timestamp(i+1), func(r *Report) { r.Instance = "m"; r.Address = "m" }).NextReport
+			time.Sleep(maxReportAge + time.Millisecond)
+		}
+		assert.Equal(t, next, idleInterval)
+	})
+}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -32,9 +32,10 @@
 	return pace.Interval(m.fleetSize(), base)
 }
 
-// fleetSize returns the number of workers that report, as far as this leader knows. After an
-// election those with assigned runs are known before they report.
-func (m *Machine) fleetSize() int { return max(len(m.workers), m.view.State.Assignments.Len()) }
+// fleetSize returns the number of instances whose workers have reported, as far as this leader
+// knows. Incarnations do not count: each move of an instance makes a new one. After an election
+// workers with assigned runs are known before they report.
+func (m *Machine) fleetSize() int { return max(len(m.byInstance), m.view.State.Assignments.Len()) }
 
 // maxReportAge is how long after its last report a worker is given work.
 func (m *Machine) maxReportAge() time.Duration { return m.reportInterval(busyInterval) + reportSlack }
