--- a/review/standin-2/replaced.go
+++ b/review/standin-2/replaced.go
@@ -14,8 +14,9 @@
 	readTime     = 4 * time.Second  // for which the operator reads the configuration at the end
 )
 
-// replacements of the additional machine.
-const replacements = 9
+// fourthMachines is the number of machines that take the fourth place in turn, so that there are
+// eight replacements.
+const fourthMachines = 9
 
 // replacedCore replaces machines of the core one after the other, each by an empty one at another
 // address, as the site's replace_core does. The disruption is a fourth machine with a disk that is
@@ -43,7 +44,7 @@
 // replaceFourth adds a machine and replaces it: the new one comes first, then the old one leaves.
 func (st *stage) replaceFourth() error {
 	var old *machine
-	for n := range replacements {
+	for n := range fourthMachines {
 		next, err := st.addMachine(11 + n)
 		if err != nil {
 			return err
