--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -67,8 +67,16 @@
 // releases that applied commands by model.FirstRules have no number.
 const currentRules = 2
 
-func encodeRules(r model.Rules) uint8 {
-	if r == model.FirstRules {
+// budgetRules is the number in entries with a budget for what they store. A release that does
+// not know the budget refuses such an entry instead of storing more than others do.
+const budgetRules = 3
+
+func encodeRules(env model.Envelope) uint8 {
+	submission, ok := env.Command.(model.SubmitWorkload)
+	switch {
+	case ok && submission.Budget > 0:
+		return budgetRules
+	case env.Rules == model.FirstRules:
 		return 0
 	}
 	return currentRules
@@ -78,7 +86,7 @@
 	switch number {
 	case 0:
 		return model.FirstRules, nil
-	case currentRules:
+	case currentRules, budgetRules:
 		return model.CurrentRules, nil
 	}
 	return 0, fmt.Errorf("codec: unknown version %d of the rules", number)
@@ -95,7 +103,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("codec: encode %T: %w", env.Command, err)
 	}
-	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload, Rules: encodeRules(env.Rules)})
+	return encoder.Marshal(envelope{RequestID: env.RequestID, Actor: env.Actor, Time: env.Time, Kind: kind, Payload: payload, Rules: encodeRules(env)})
 }
 
 // EncodeForLog returns the wire form of env and the envelope that every replica will
--- a/api/codec/codec_test.go
+++ b/api/codec/codec_test.go
@@ -123,8 +123,24 @@
 	}
 	payload, err := encoder.Marshal(model.Noop{})
 	assert.NilError(t, err)
-	data, err := encoder.Marshal(envelope{Kind: 1, Payload: payload, Rules: currentRules + 1})
+	data, err := encoder.Marshal(envelope{Kind: 1, Payload: payload, Rules: budgetRules + 1})
 	assert.NilError(t, err)
 	_, err = DecodeEnvelope(data)
-	assert.ErrorContains(t, err, "version 3 of the rules")
+	assert.ErrorContains(t, err, "version 4 of the rules")
+}
+
+// Guards against an entry with a budget that a release without budgets applies, and against one
+// without a budget that it refuses.
+func TestOnlyEntriesWithABudgetAreRefusedByEarlierReleases(t *testing.T) {
+	for budget, number := range map[int64]uint8{0: currentRules, 1 << 20: budgetRules} {
+		data, err := EncodeEnvelope(model.Envelope{Command: model.SubmitWorkload{Budget: budget}})
+		assert.NilError(t, err)
+		var w envelope
+		assert.NilError(t, decoder.Unmarshal(data, &w))
+		assert.Equal(t, w.Rules, number)
+		env, err := DecodeEnvelope(data)
+		assert.NilError(t, err)
+		assert.Equal(t, env.Command.(model.SubmitWorkload).Budget, budget)
+		assert.Equal(t, env.Rules, model.CurrentRules)
+	}
 }
--- a/api/codec/state.go
+++ b/api/codec/state.go
@@ -34,7 +34,7 @@
 	ClaimFloor model.Timestamp
 	Requests   []model.RequestRecord
 	Catalog    *model.Catalog
-	Workloads  []model.Workload
+	Workloads  []workloadImage
 	Finished   []model.FinishedWorkload
 	Upkeeps    []model.Upkeep
 	Orders     []model.InstanceOrder
@@ -42,16 +42,18 @@
 }
 
 // EncodeState returns the wire form of s. Equal states have equal encodings.
-func EncodeState(s model.State) ([]byte, error) {
-	return encoder.Marshal(image{
+func EncodeState(s model.State) ([]byte, error) { return encoder.Marshal(imageOf(s)) }
+
+func imageOf(s model.State) image {
+	return image{
 		Clock: s.Clock, Index: s.Index, Term: s.Term, Traffic: s.TrafficIndex, Revision: s.Revision, Config: s.Config,
 		History: s.History.Values(), Instances: s.Instances.Values(), Waves: s.Waves.Values(), Moves: s.Moves.Values(),
 		Targets: s.Targets.Values(), Entries: s.Entries.Values(), Replicas: s.Replicas.Values(),
 		Jobs: s.Jobs.Values(), Classes: s.Classes.Values(), Workers: s.Workers.Values(), Changes: s.WorkerChanges.Values(),
 		Claims: s.Claims.Values(), ClaimFloor: s.ClaimFloor, Requests: s.Requests.Values(),
-		Catalog: s.Catalog, Workloads: s.Workloads.Values(), Finished: s.Finished.Values(), Upkeeps: s.Upkeeps.Values(),
+		Catalog: s.Catalog, Workloads: encodeWorkloads(s.Workloads.Values()), Finished: s.Finished.Values(), Upkeeps: s.Upkeeps.Values(),
 		Orders: s.Orders.Values(), Rates: s.AccountRates.Values(),
-	})
+	}
 }
 
 // DecodeState decodes the wire form of a state and rebuilds the tables that are
@@ -61,8 +63,12 @@
 	if err := decoder.Unmarshal(data, &m); err != nil {
 		return model.State{}, fmt.Errorf("codec: decode state: %w", err)
 	}
+	workloads, err := decodeWorkloads(m.Workloads)
+	if err != nil {
+		return model.State{}, err
+	}
 	jobs := table.FromValues(m.Jobs, func(v model.Job) model.JobID { return v.ID })
-	return workload.RebuildAssignments(model.State{
+	return workload.RebuildDerived(model.State{
 		Clock: m.Clock, Index: m.Index, Term: m.Term, TrafficIndex: m.Traffic, Revision: m.Revision, Config: m.Config,
 		History:       table.FromValues(m.History, func(v model.ConfigRecord) model.Revision { return v.Revision }),
 		Instances:     table.FromValues(m.Instances, func(v model.Instance) model.InstanceID { return v.ID }),
@@ -80,7 +86,7 @@
 		ClaimFloor:    m.ClaimFloor,
 		Requests:      table.FromValues(m.Requests, func(v model.RequestRecord) model.RequestID { return v.ID }),
 		Catalog:       m.Catalog,
-		Workloads:     table.FromValues(m.Workloads, func(v model.Workload) model.WorkloadID { return v.ID }),
+		Workloads:     table.FromValues(workloads, func(v model.Workload) model.WorkloadID { return v.ID }),
 		Finished:      table.FromValues(m.Finished, func(v model.FinishedWorkload) model.WorkloadID { return v.ID }),
 		Upkeeps:       table.FromValues(m.Upkeeps, func(v model.Upkeep) model.UpkeepNumber { return v.Number }),
 		Orders:        table.FromValues(m.Orders, func(v model.InstanceOrder) model.InstanceID { return v.Instance }),
@@ -88,13 +94,34 @@
 	}), nil
 }
 
-// Digest returns the hex SHA-256 of the encoded state. Replicas that have applied
-// the same log have equal digests.
+// fullImage is a state in the form of the releases before, see fullRound.
+type fullImage struct {
+	image
+	Workloads []fullWorkload
+}
+
+type fullWorkload struct {
+	model.Workload
+	Rounds []fullRound
+}
+
+// Digest returns the hex SHA-256 of the state in the form of the releases before, which lists
+// every task, so that digests can be compared with theirs. Replicas that have applied the same
+// log have equal digests. It takes memory for every task and is for tests and recordings.
 func Digest(s model.State) (string, error) {
-	data, err := EncodeState(s)
+	data, err := encodeFull(s)
 	if err != nil {
 		return "", err
 	}
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:]), nil
 }
+
+// encodeFull returns the state in the form of the releases before.
+func encodeFull(s model.State) ([]byte, error) {
+	full := fullImage{image: imageOf(s), Workloads: make([]fullWorkload, 0, s.Workloads.Len())}
+	for _, w := range s.Workloads.All() {
+		full.Workloads = append(full.Workloads, fullWorkload{w, fullRounds(w.Rounds)})
+	}
+	return encoder.Marshal(full)
+}
--- a/api/codec/workload_test.go
+++ b/api/codec/workload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -45,7 +46,7 @@
 	assert.NilError(t, err)
 	got, err := DecodeState(data)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got.Workloads.Values(), s.Workloads.Values())
+	assert.Assert(t, reflect.DeepEqual(got.Workloads.Values(), s.Workloads.Values()))
 	assert.DeepEqual(t, got.Finished.Values(), s.Finished.Values())
 	assert.DeepEqual(t, got.Upkeeps.Values(), s.Upkeeps.Values())
 	assert.DeepEqual(t, got.Orders.Values(), s.Orders.Values())
@@ -85,7 +86,7 @@
 	got, err := DecodeState(data)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got.Catalog, s.Catalog)
-	assert.DeepEqual(t, got.Workloads.Values(), s.Workloads.Values())
+	assert.Assert(t, reflect.DeepEqual(got.Workloads.Values(), s.Workloads.Values()))
 	w, _ := got.Workloads.Get("00000000000000a1")
 	assert.Equal(t, w.Owner(), model.Owner{Account: "a", Public: true})
 	f, _ := got.Finished.Get("00000000000000a2")
--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -39,6 +39,10 @@
 	fx.Invoke(routeControl, routeOperator, runReplica),
 )
 
+// workloadShare is the part of a replica's memory that stored workloads may take: one in
+// workloadShare. Collecting garbage, a snapshot and the log take about as much again each.
+const workloadShare = 4
+
 func openReplica(s Settings, l *loop.Loop, log *zap.Logger, metrics prometheus.Registerer, dial server.DialFunc, applied beforeApplyHook) (*replicacommand.Replica, error) {
 	peers := make([]replicacommand.Peer, 0, len(s.Replicas))
 	for _, r := range s.Replicas {
@@ -47,6 +51,7 @@
 	return replicacommand.Open(replicacommand.Settings{
 		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Metrics: replicacommand.NewMetrics(metrics), Dial: dial, BeforeApply: applied,
 		InodesChange: s.InodesChange, TargetVoters: s.TargetVoters, JoinOnly: s.JoinOnly, SnapshotEvery: s.SnapshotEvery,
+		WorkloadBudget: s.MemoryLimit / workloadShare,
 	}, l)
 }
 
--- a/core/command/catalog/rebind.go
+++ b/core/command/catalog/rebind.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "lacewingturn.example/core/model"
+import (
+	"lacewingturn.example/core/command/workload"
+	"lacewingturn.example/core/model"
+)
 
 // rebind ties the workloads to the queues of the next catalog. A workload belongs to the
 // queue at the address at which it was accepted, whatever its name. If the next catalog has
@@ -9,12 +12,17 @@
 // a catalog has a queue there again, and does not join another queue that gets its name.
 func rebind(s *model.State, next *model.Catalog) {
 	r := newRebinding(s.Catalog, next)
+	changed := false
 	for _, w := range s.Workloads.All() {
 		if name, address, ok := r.queueOf(w); ok && (name != w.Queue || w.Address == nil || address != *w.Address) {
 			w.Queue, w.Address = name, &address
 			s.Workloads = s.Workloads.Set(w.ID, w)
+			changed = true
 		}
 	}
+	if changed {
+		workload.CountStored(s)
+	}
 }
 
 // rebinding holds the queues of two successive catalogs.
--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -146,11 +146,11 @@
 func (p *planner) bookAhead(r *rack) {
 	for _, step := range r.ahead {
 		spec := step.candidate.workload.Steps[step.first.Step]
-		tasks := step.candidate.workload.Rounds[step.first.Round].Steps[step.first.Step].Tasks
-		for k := step.first.Index; k < len(tasks); k++ {
+		tasks := step.candidate.workload.Rounds.Step(step.first.Round, step.first.Step).Tasks
+		for k, task := range tasks.NotDone(step.first.Index) {
 			ref := step.first
 			ref.Index = k
-			if tasks[k].Done || len(tasks[k].Active) > 0 {
+			if len(task.Active) > 0 {
 				continue
 			}
 			host, at := p.earliest(step.candidate, r, spec, ref, near.MaxWait)
@@ -218,21 +218,14 @@
 func (p *planner) waitingMilliCPU(c *candidate, enough int64) int64 {
 	var sum int64
 	w := c.workload
-	for i, round := range w.Rounds {
-		if w.Due(i) > p.options.Now {
-			break
-		}
-		for j, step := range round.Steps {
+	for i, round := range w.Open(p.options.Now) {
+		for j, step := range round.Steps() {
 			if step.Complete() || !w.StepReady(i, j) || !c.account.MayStart(w.Steps[j].Need, 1) {
 				continue
 			}
-			for k := range step.Tasks {
-				if !step.Tasks[k].Done && len(step.Tasks[k].Active) == 0 {
-					sum += w.Steps[j].Reserved().MilliCPU
-				}
-				if sum > enough {
-					return sum
-				}
+			sum += int64(step.Waiting()) * w.Steps[j].Reserved().MilliCPU
+			if sum > enough {
+				return sum
 			}
 		}
 	}
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -6,12 +6,12 @@
 // done or has an active run. All runs get the same number. A gang that should run in
 // one rack waits for a rack with enough free capacity while the expected wait costs less than it saves.
 func (p *planner) placeGang(c *candidate, round, step int) {
-	tasks := c.workload.Rounds[round].Steps[step].Tasks
+	state := c.workload.Rounds.Step(round, step)
+	if state.Done > 0 || state.Tasks.Active() > 0 {
+		return
+	}
 	number := 0
-	for _, t := range tasks {
-		if t.Done || len(t.Active) > 0 {
-			return
-		}
+	for _, t := range state.Tasks.Begun() {
 		number = max(number, t.LastRun)
 	}
 	spec := c.workload.Steps[step]
--- a/core/command/place/locality_properties_test.go
+++ b/core/command/place/locality_properties_test.go
@@ -68,10 +68,7 @@
 
 func checkGangs(t *rapid.T, r *replay) {
 	for _, w := range r.x.s.Workloads.All() {
-		running := 0
-		for _, task := range w.Rounds[0].Steps[0].Tasks {
-			running += len(task.Active)
-		}
+		running := w.Rounds.Step(0, 0).Tasks.Runs()
 		if w.Steps[0].Gang && running > 0 && running < w.Steps[0].Count {
 			t.Fatalf("%d of %d members of a gang run", running, w.Steps[0].Count)
 		}
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -201,8 +201,9 @@
 		return known
 	}
 	waiting, runsFar := 0, false
-	for k, task := range c.workload.Rounds[ref.Round].Steps[ref.Step].Tasks {
-		if !task.Done && len(task.Active) == 0 && k >= ref.Index {
+	tasks := c.workload.Rounds.Step(ref.Round, ref.Step).Tasks
+	for k, task := range tasks.NotDone(0) {
+		if len(task.Active) == 0 && k >= ref.Index {
 			waiting++
 		}
 		for _, run := range task.Active {
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -58,19 +58,14 @@
 
 // waits reports whether a task of the workload may need a run now.
 func (p *planner) waits(w model.Workload) bool {
-	for i, round := range w.Rounds {
-		if w.Due(i) > p.options.Now {
-			return false
-		}
-		for j, step := range round.Steps {
+	for i, round := range w.Open(p.options.Now) {
+		for j, step := range round.Steps() {
 			if step.Complete() || !w.StepReady(i, j) {
 				continue
 			}
 			copies := w.Steps[j].Speculative && p.options.NeedsCopy != nil
-			for k := range step.Tasks {
-				if !step.Tasks[k].Done && (copies || len(step.Tasks[k].Active) == 0) {
-					return true
-				}
+			if copies || step.Waiting() > 0 {
+				return true
 			}
 		}
 	}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -129,11 +129,8 @@
 // place starts as many tasks of the workload's open steps as fit, in rounds that
 // are due.
 func (p *planner) place(c *candidate) {
-	for i, round := range c.workload.Rounds {
-		if c.workload.Due(i) > p.options.Now {
-			break
-		}
-		for j, step := range round.Steps {
+	for i, round := range c.workload.Open(p.options.Now) {
+		for j, step := range round.Steps() {
 			if step.Complete() || !c.workload.StepReady(i, j) || c.turn.placed(i, j) {
 				continue
 			}
@@ -153,12 +150,10 @@
 // placeTasks starts the tasks of the step that need a run and fit on a worker.
 func (p *planner) placeTasks(c *candidate, round, step int) {
 	spec := c.workload.Steps[step]
-	full := false // no worker can take another task of the step
-	tasks := c.workload.Rounds[round].Steps[step].Tasks
-	for k := c.turn.firstTask(round, step); k < len(tasks); k++ {
-		task := tasks[k]
+	tasks := c.workload.Rounds.Step(round, step).Tasks
+	for k, task := range tasks.NotDone(c.turn.firstTask(round, step)) {
 		ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step, Index: k}
-		if full || task.Done || !p.needsRun(spec, ref, task) {
+		if !p.needsRun(spec, ref, task) {
 			continue
 		}
 		if !c.account.MayStart(spec.Need, 1) {
@@ -176,8 +171,9 @@
 			continue
 		}
 		if w == nil {
-			if full = !p.options.avoidsAny(ref); full {
+			if !p.options.avoidsAny(ref) { // no worker can take another task of the step
 				p.leaveAhead(c, &spec, ref)
+				return
 			}
 			continue
 		}
--- a/core/command/place/place_test.go
+++ b/core/command/place/place_test.go
@@ -220,7 +220,7 @@
 	id := x.submit(0, 1, step(1, 100))
 	w, _ := x.s.Workloads.Get(id)
 	w.FirstDue, w.Interval = x.s.Clock.Add(time.Second), time.Second
-	w.Rounds = append(w.Rounds, model.Round{Steps: []model.StepState{{Tasks: make([]model.Task, 1)}}})
+	w.Rounds = model.NewRounds(2, []int{1})
 	x.s.Workloads = x.s.Workloads.Set(id, w)
 	assert.Equal(t, len(x.plan(Options{}, worker("a", 8000))), 0)
 	assert.Equal(t, len(x.plan(Options{Now: x.s.Clock.Add(time.Second)}, worker("a", 8000))), 1)
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -48,13 +48,9 @@
 // firstWaiting returns the first open step, in rounds that are due, with a task
 // that has no run. Fillers and gangs do not preempt.
 func firstWaiting(w model.Workload, now model.Timestamp) (model.Step, bool) {
-	for i, round := range w.Rounds {
-		if w.Due(i) > now {
-			break
-		}
-		for j, state := range round.Steps {
-			waits := slices.ContainsFunc(state.Tasks, func(t model.Task) bool { return !t.Done && len(t.Active) == 0 })
-			if waits && w.StepReady(i, j) && !w.Steps[j].Filler && !w.Steps[j].Gang {
+	for i, round := range w.Open(now) {
+		for j, state := range round.Steps() {
+			if state.Waiting() > 0 && w.StepReady(i, j) && !w.Steps[j].Filler && !w.Steps[j].Gang {
 				return w.Steps[j], true
 			}
 		}
--- a/core/command/place/waits.go
+++ b/core/command/place/waits.go
@@ -65,7 +65,11 @@
 // isOpen reports whether the step exists and is not complete.
 func (p *planner) isOpen(step near.Step) bool {
 	w, ok := p.state.Workloads.Get(step.Workload)
-	return ok && !w.Rounds[step.Round].Steps[step.Step].Complete()
+	if !ok {
+		return false
+	}
+	state := w.Rounds.Step(step.Round, step.Step)
+	return !state.Complete()
 }
 
 // countStarts counts the starts of this plan in the waits of their steps that had begun
--- a/core/command/share/ledger.go
+++ b/core/command/share/ledger.go
@@ -71,17 +71,9 @@
 // ActiveNeed returns the sum of the needs of the workload's active runs, copies included.
 func ActiveNeed(w *model.Workload) model.Resources {
 	var sum model.Resources
-	for i := range w.Rounds {
-		for j := range w.Rounds[i].Steps {
-			step := &w.Rounds[i].Steps[j]
-			if step.Complete() {
-				continue
-			}
-			active := 0
-			for k := range step.Tasks {
-				active += len(step.Tasks[k].Active)
-			}
-			sum = sum.Add(w.Steps[j].Need.Times(active))
+	for _, round := range w.Rounds.Begun() {
+		for j, step := range round.Steps() {
+			sum = sum.Add(w.Steps[j].Need.Times(step.Tasks.Runs()))
 		}
 	}
 	return sum
--- a/core/command/workload/assign.go
+++ b/core/command/workload/assign.go
@@ -36,12 +36,13 @@
 	s.Assignments = s.Assignments.Set(worker, a)
 }
 
-// RebuildAssignments returns the state with the assignments of each worker, which a snapshot does
-// not contain, rebuilt from the active runs of the workloads.
-func RebuildAssignments(s model.State) model.State {
+// RebuildDerived returns the state with the assignments of each worker and the memory of the
+// workloads, which a snapshot does not contain, rebuilt from the workloads.
+func RebuildDerived(s model.State) model.State {
+	CountStored(&s)
 	byWorker := map[model.WorkerID]model.Assignment{}
 	for _, w := range s.Workloads.All() {
-		for ref, task := range w.Tasks() {
+		for ref, task := range w.Begun() {
 			for _, run := range task.Active {
 				a := byWorker[run.Worker]
 				a.Worker = run.Worker
--- /dev/null
+++ b/core/command/workload/budget.go
@@ -0,0 +1,88 @@
+package workload
+
+import (
+	"unsafe"
+
+	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/result"
+)
+
+const (
+	// workloadBytes is the memory of a workload on a replica without its steps: its place in
+	// the table and the indexes, its name and that of its queue, and the list of its rounds.
+	workloadBytes = 1024
+	// stepBytes is the memory of a step beyond its fields: the progress that all rounds share.
+	stepBytes = 256
+	// outcomeBytes is the memory of a workload that has ended.
+	outcomeBytes = 384
+)
+
+// Cost returns the memory that a workload takes on a replica, in bytes.
+func Cost(w *model.Workload) int64 {
+	cost := int64(workloadBytes + len(w.Payload))
+	for i := range w.Steps {
+		s := &w.Steps[i]
+		cost += stepBytes + int64(unsafe.Sizeof(*s)) + int64(len(s.Label)+len(s.NearRack)+len(s.Image)+8*len(s.After))
+	}
+	return cost + w.Rounds.Bytes()
+}
+
+// Stored returns the memory that all workloads take, active and ended, in bytes.
+func Stored(s *model.State) int64 { return s.Stored.Total + outcomeBytes*int64(s.Finished.Len()) }
+
+// checkBudget returns why a workload must not be stored, or OK. The budget is the number of
+// bytes that the leader allows for all workloads; 0 means no limit.
+//
+// A holder may take as much as it leaves to the others, so that one that sends more than can be
+// stored takes half of the budget at most, and another one still finds room.
+func checkBudget(s *model.State, w *model.Workload, budget int64) result.Result {
+	if budget == 0 {
+		return result.Result{Code: result.OK}
+	}
+	cost := Cost(w)
+	if cost > budget/2 {
+		return result.New(result.InvalidInput, "the workload takes %d bytes of memory; at most %d are possible", cost, budget/2)
+	}
+	holder := model.HolderOf(w.Account, w.Queue)
+	held, _ := s.Stored.ByHolder.Get(holder)
+	if left := budget - Stored(s) - cost; held+cost > left {
+		return result.New(result.Overloaded, "the workload takes %d bytes of memory beside %d of %s and %d of all others; the limit is %d",
+			cost, held, holder, Stored(s)-held, budget)
+	}
+	return result.Result{Code: result.OK}
+}
+
+// add stores a workload and counts its memory. Its holder is charged for what it takes before
+// its first run.
+func add(s *model.State, w model.Workload) {
+	s.Workloads = s.Workloads.Set(w.ID, w)
+	s.Stored.Total += Cost(&w)
+	s.Stored.Charge(model.HolderOf(w.Account, w.Queue), submittedCost(&w))
+}
+
+// update stores a workload with other progress.
+func update(s *model.State, old, w model.Workload) {
+	s.Workloads = s.Workloads.Set(w.ID, w)
+	s.Stored.Total += w.Rounds.Bytes() - old.Rounds.Bytes()
+}
+
+// remove removes a workload.
+func remove(s *model.State, id model.WorkloadID) {
+	w, _ := s.Workloads.Get(id)
+	s.Workloads = s.Workloads.Delete(id)
+	s.Stored.Total -= Cost(&w)
+	s.Stored.Charge(model.HolderOf(w.Account, w.Queue), -submittedCost(&w))
+}
+
+// submittedCost returns the memory that the workload takes before its first run.
+func submittedCost(w *model.Workload) int64 { return Cost(w) - w.Rounds.Bytes() }
+
+// CountStored counts the memory of the workloads, which a snapshot does not contain, and which
+// has to be counted again when workloads change their queue.
+func CountStored(s *model.State) {
+	s.Stored = model.StoredWork{}
+	for _, w := range s.Workloads.All() {
+		s.Stored.Total += Cost(&w)
+		s.Stored.Charge(model.HolderOf(w.Account, w.Queue), submittedCost(&w))
+	}
+}
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -47,7 +47,7 @@
 	}
 	for _, start := range group {
 		w, _ := s.Workloads.Get(start.Run.Task.Workload)
-		s.Workloads = s.Workloads.Set(w.ID, changeTask(w, start.Run.Task, func(t *model.Task) {
+		update(s, w, changeTask(w, start.Run.Task, func(t *model.Task) {
 			t.LastRun = start.Run.Number
 			t.Active = append(slices.Clone(t.Active), model.Run{Number: start.Run.Number, Worker: start.Worker, StartedAt: s.Clock})
 		}))
@@ -78,9 +78,9 @@
 // failures returns how often the task has failed. A gang fails as a whole, once for each
 // run that at least one member has failed.
 func failures(w model.Workload, ref model.TaskRef, rules model.Rules) int {
-	step := w.Rounds[ref.Round].Steps[ref.Step]
+	step := w.Rounds.Step(ref.Round, ref.Step)
 	if !w.Steps[ref.Step].Gang {
-		return step.Tasks[ref.Index].Failures
+		return step.Tasks.At(ref.Index).Failures
 	}
 	if rules == model.FirstRules {
 		return memberFailures(step)
@@ -91,7 +91,7 @@
 // memberFailures returns the sum of the failures of the members of a gang.
 func memberFailures(step model.StepState) int {
 	n := 0
-	for _, t := range step.Tasks {
+	for _, t := range step.Tasks.Begun() {
 		n += t.Failures
 	}
 	return n
@@ -102,7 +102,7 @@
 // runs of the gang have certainly failed.
 func maxMemberFailures(step model.StepState) int {
 	n := 0
-	for _, t := range step.Tasks {
+	for _, t := range step.Tasks.Begun() {
 		n = max(n, t.Failures)
 	}
 	return n
@@ -120,7 +120,7 @@
 	if !ok || !isActive(task, end) {
 		return
 	}
-	step := w.Steps[ref.Step]
+	step, before := w.Steps[ref.Step], w
 	w = changeTask(w, ref, func(t *model.Task) {
 		t.Active = slices.DeleteFunc(slices.Clone(t.Active), func(r model.Run) bool { return r.Number == end.Run.Number })
 		if end.Checkpoint != "" && (!step.Gang || rules == model.FirstRules) {
@@ -138,7 +138,7 @@
 	if end.Outcome == model.RunDone && !step.Lasting {
 		w = markDone(s, w, ref, step.Gang)
 	}
-	s.Workloads = s.Workloads.Set(w.ID, w)
+	update(s, before, w)
 	finishIfDecided(s, w, ref, rules, held)
 }
 
@@ -171,7 +171,7 @@
 func markDone(s *model.State, w model.Workload, ref model.TaskRef, gang bool) model.Workload {
 	first, last := ref.Index, ref.Index
 	if gang {
-		first, last = 0, len(w.Rounds[ref.Round].Steps[ref.Step].Tasks)-1
+		first, last = 0, w.Steps[ref.Step].Count-1
 	}
 	for i := first; i <= last; i++ {
 		member := ref
@@ -198,41 +198,25 @@
 		finish(s, w, model.WorkloadFailed, reason, held)
 		return
 	}
-	if complete(w) {
+	if w.Rounds.Complete() {
 		finish(s, w, model.WorkloadCompleted, "", held)
 	}
 }
 
-func complete(w model.Workload) bool {
-	for _, round := range w.Rounds {
-		for _, step := range round.Steps {
-			if !step.Complete() {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // changeTask returns the workload with one task changed; the given workload is not modified.
 func changeTask(w model.Workload, ref model.TaskRef, change func(*model.Task)) model.Workload {
 	return changeStep(w, ref, func(step *model.StepState) {
-		step.Tasks = slices.Clone(step.Tasks)
-		task := &step.Tasks[ref.Index]
-		wasDone := task.Done
-		change(task)
-		if task.Done && !wasDone {
-			step.Done++
-		}
+		task := step.Tasks.At(ref.Index)
+		change(&task)
+		*step = step.WithTask(ref.Index, task)
 	})
 }
 
 // changeStep returns the workload with the progress of one step changed; the given workload
 // is not modified. The function must not change the tasks in place.
 func changeStep(w model.Workload, ref model.TaskRef, change func(*model.StepState)) model.Workload {
-	w.Rounds = slices.Clone(w.Rounds)
-	round := &w.Rounds[ref.Round]
-	round.Steps = slices.Clone(round.Steps)
-	change(&round.Steps[ref.Step])
+	step := w.Rounds.Step(ref.Round, ref.Step)
+	change(&step)
+	w.Rounds = w.Rounds.WithStep(ref.Round, ref.Step, step)
 	return w
 }
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -65,18 +65,24 @@
 		address := queue.Address()
 		w.Address = &address
 	}
-	w.Rounds = make([]model.Round, max(c.Repeat, 1))
-	for i := range w.Rounds {
-		w.Rounds[i].Steps = make([]model.StepState, len(w.Steps))
-		for j, step := range w.Steps {
-			w.Rounds[i].Steps[j].Tasks = make([]model.Task, step.Count)
-		}
+	w.Rounds = model.NewRounds(max(c.Repeat, 1), taskCounts(w.Steps))
+	if r := checkBudget(s, &w, c.Budget); !r.Code.OK() {
+		return r
 	}
 	w.BeyondRate = share.ChargeRate(s, w.Account)
-	s.Workloads = s.Workloads.Set(id, w)
+	add(s, w)
 	return result.Result{Code: result.Accepted, Value: string(id)}
 }
 
+// taskCounts returns the number of tasks of each step.
+func taskCounts(steps []model.Step) []int {
+	counts := make([]int, len(steps))
+	for i := range steps {
+		counts[i] = steps[i].Count
+	}
+	return counts
+}
+
 func validID(id model.WorkloadID) bool {
 	if len(id) != 16 {
 		return false
@@ -135,12 +141,12 @@
 // finish moves a workload to its final phase. Above finishedPruneThreshold outcomes it drops
 // those that are older than Retention.
 func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string, held *model.Resources) {
-	for _, task := range w.Tasks() {
+	for _, task := range w.Begun() {
 		for _, run := range task.Active {
 			unassign(s, run.Worker, w.ID)
 		}
 	}
-	s.Workloads = s.Workloads.Delete(w.ID)
+	remove(s, w.ID)
 	s.Finished = s.Finished.Set(w.ID, model.FinishedWorkload{
 		ID: w.ID, Queue: w.Queue, Phase: phase, EndedAt: s.Clock, Reason: reason, Account: w.Account, Public: w.Public, Held: held,
 	})
--- a/core/command/workload/workload_test.go
+++ b/core/command/workload/workload_test.go
@@ -53,7 +53,7 @@
 
 func (w *fixture) active(step, index int) int {
 	workload, _ := w.s.Workloads.Get(id)
-	return len(workload.Rounds[0].Steps[step].Tasks[index].Active)
+	return len(workload.Rounds.Step(0, step).Tasks.At(index).Active)
 }
 
 func run(step, index, number int) model.RunRef {
@@ -184,8 +184,9 @@
 	w := newFixture(t)
 	w.submit(model.Step{Count: 2, Gang: true})
 	workload, _ := w.s.Workloads.Get(id)
-	workload.Rounds[0].Steps[0].Tasks[0].Failures = 1
-	workload.Rounds[0].Steps[0].Tasks[1].Failures = 1
+	step := workload.Rounds.Step(0, 0)
+	step = step.WithTask(0, model.Task{Failures: 1}).WithTask(1, model.Task{Failures: 1})
+	workload.Rounds = workload.Rounds.WithStep(0, 0, step)
 	w.s.Workloads = w.s.Workloads.Set(id, workload)
 	w.gangRun(2, model.RunInterrupted, model.RunInterrupted)
 	assert.Equal(t, w.phase(), model.WorkloadActive)
@@ -281,7 +282,7 @@
 	w := newFixture(t)
 	w.submit(model.Step{Count: 2, Gang: true, Checkpointing: true})
 	workload, _ := w.s.Workloads.Get(id)
-	workload.Rounds[0].Steps[0].Tasks[1].Checkpoint = "recorded"
+	workload.Rounds = workload.Rounds.WithStep(0, 0, workload.Rounds.Step(0, 0).WithTask(1, model.Task{Checkpoint: "recorded"}))
 	for i := range 2 {
 		assert.Equal(t, workload.ResumeFrom(run(0, i, 1).Task), "recorded")
 	}
@@ -310,6 +311,6 @@
 	w.record([]model.RunEnd{end(0, 1, 1, second, model.RunDone)})
 	restored := w.s
 	restored.Assignments = model.State{}.Assignments
-	restored = RebuildAssignments(restored)
+	restored = RebuildDerived(restored)
 	assert.DeepEqual(t, restored.Assignments.Values(), w.s.Assignments.Values())
 }
--- a/core/model/commands_workload.go
+++ b/core/model/commands_workload.go
@@ -10,6 +10,9 @@
 	Path     string
 	Workload Workload // queue, ID, rounds and times are not set
 	Repeat   int      // number of rounds; 0 means one
+	// Budget is the memory that all workloads together may take on a replica, in bytes; 0 means
+	// no limit. The leader sets it, so that the settings of the other replicas do not matter.
+	Budget int64 `cbor:",omitempty"`
 	// Key is the key that the caller presented; nil if none.
 	Key *KeyDigest `cbor:",omitempty"`
 }
--- /dev/null
+++ b/core/model/rounds.go
@@ -0,0 +1,276 @@
+package model
+
+import (
+	"iter"
+	"slices"
+	"unsafe"
+)
+
+// Rounds is the progress of all rounds of a workload. It is immutable. Its memory follows what
+// the runs have left behind: a round that has not begun takes none, nor does one that is long
+// over and of which each task has succeeded in its first run.
+type Rounds struct {
+	list vector[Round]
+	// untouched is a round that has not begun, final one of which each task has succeeded in
+	// its first run.
+	untouched, final Round
+	// complete is the number of rounds that are complete; all before next are.
+	complete, next int
+	// done is the number of tasks that have succeeded, in all rounds together.
+	done int
+	// bytes is the memory that the rounds in list take beyond the list itself.
+	bytes int64
+}
+
+// Round is one repetition of the steps of a workload. It is immutable. Replacing a step copies one
+// block of steps and the list of blocks.
+type Round struct {
+	blocks [][]StepState
+	length int
+	// complete is the number of steps that are complete, done that of the tasks that have
+	// succeeded, in all steps together.
+	complete, done int
+	// bytes is the memory that the progress of the tasks takes.
+	bytes int64
+}
+
+// stepsPerBlock is the number of steps in a block of a round.
+const stepsPerBlock = 32
+
+// NewRound returns a round with the given progress of its steps.
+func NewRound(steps []StepState) Round {
+	r := Round{length: len(steps)}
+	for block := range slices.Chunk(steps, stepsPerBlock) {
+		r.blocks = append(r.blocks, block)
+		for i := range block {
+			r.count(&block[i], 1)
+		}
+	}
+	return r
+}
+
+// count adds a step to the sums n times.
+func (r *Round) count(step *StepState, n int) {
+	if step.Complete() {
+		r.complete += n
+	}
+	r.done += n * step.Done
+	r.bytes += int64(n) * step.Tasks.bytes()
+}
+
+// Len returns the number of steps.
+func (r Round) Len() int { return r.length }
+
+// Step returns one step, which must not be modified.
+func (r Round) Step(i int) *StepState { return &r.blocks[i/stepsPerBlock][i%stepsPerBlock] }
+
+// Steps iterates over the steps, which must not be modified.
+func (r Round) Steps() iter.Seq2[int, *StepState] {
+	return func(yield func(int, *StepState) bool) {
+		for i := range r.length {
+			if !yield(i, r.Step(i)) {
+				return
+			}
+		}
+	}
+}
+
+// withStep returns the round with another state of one step.
+func (r Round) withStep(i int, state StepState) Round {
+	r.count(r.Step(i), -1)
+	r.count(&state, 1)
+	r.blocks = slices.Clone(r.blocks)
+	block := slices.Clone(r.blocks[i/stepsPerBlock])
+	block[i%stepsPerBlock] = state
+	r.blocks[i/stepsPerBlock] = block
+	return r
+}
+
+func (r Round) isComplete() bool { return r.complete == r.length }
+
+// IsFinal reports whether each task has succeeded in its first run and nothing else is left.
+func (r Round) IsFinal() bool {
+	if !r.isComplete() || r.bytes > 0 {
+		return false
+	}
+	for _, step := range r.Steps() {
+		if step.Gang != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// NewRounds returns the progress of n rounds that have not begun, of steps with the given numbers
+// of tasks.
+func NewRounds(n int, tasks []int) *Rounds {
+	untouched, final := make([]StepState, len(tasks)), make([]StepState, len(tasks))
+	for i, count := range tasks {
+		untouched[i] = StepState{Tasks: NewTaskList(count)}
+		final[i] = StepState{Done: count, Tasks: finishedTaskList(count)}
+	}
+	return &Rounds{list: vector[Round]{length: n}, untouched: NewRound(untouched), final: NewRound(final)}
+}
+
+// Len returns the number of rounds.
+func (r *Rounds) Len() int {
+	if r == nil {
+		return 0
+	}
+	return r.list.length
+}
+
+// TaskCounts returns the number of tasks of each step.
+func (r *Rounds) TaskCounts() []int {
+	counts := make([]int, r.untouched.Len())
+	for i := range counts {
+		counts[i] = r.untouched.Step(i).Tasks.Len()
+	}
+	return counts
+}
+
+// At returns one round.
+func (r *Rounds) At(i int) Round { return r.list.at(i, r.untouched, r.final) }
+
+// Step returns one step of one round.
+func (r *Rounds) Step(round, step int) StepState { return *r.At(round).Step(step) }
+
+// WithStep returns the rounds with another state of one step of one round.
+func (r *Rounds) WithStep(i, step int, state StepState) *Rounds {
+	old := r.At(i)
+	return r.with(i, old, old.withStep(step, state))
+}
+
+// with returns the rounds with another state of one round.
+func (r *Rounds) with(i int, old, round Round) *Rounds {
+	next := *r
+	if round.IsFinal() {
+		round = r.final
+	}
+	next.list = r.list.with(i, round, r.untouched, r.final, Round.IsFinal)
+	next.replaced(old, round)
+	return &next
+}
+
+// Restore sets a round that has not begun, in place. It is for rounds that are being read and
+// that nobody else has yet.
+func (r *Rounds) Restore(i int, round Round) {
+	old := r.At(i)
+	if round.IsFinal() {
+		round = r.final
+	}
+	r.list.put(i, round, r.untouched, r.final, Round.IsFinal)
+	r.replaced(old, round)
+}
+
+// Final returns a round of which each task has succeeded in its first run.
+func (r *Rounds) Final() Round { return r.final }
+
+// replaced brings the sums up to date after a round was replaced in the list.
+func (r *Rounds) replaced(old, round Round) {
+	r.bytes += r.bytesOf(round) - r.bytesOf(old)
+	r.done += round.done - old.done
+	if round.isComplete() && !old.isComplete() {
+		r.complete++
+	}
+	for r.next < r.list.length && r.At(r.next).isComplete() {
+		r.next++
+	}
+}
+
+// Complete reports whether all rounds are complete.
+func (r *Rounds) Complete() bool { return r.complete == r.list.length }
+
+// Completed returns the number of rounds that are complete.
+func (r *Rounds) Completed() int { return r.complete }
+
+// FirstUnfinished returns the first round that is not complete.
+func (r *Rounds) FirstUnfinished() int { return r.next }
+
+// Done returns the number of tasks that have succeeded, in all rounds together.
+func (r *Rounds) Done() int { return r.done }
+
+// Unfinished iterates over the rounds that are not complete.
+func (r *Rounds) Unfinished() iter.Seq2[int, Round] {
+	return func(yield func(int, Round) bool) {
+		if r == nil {
+			return
+		}
+		for i := r.next; i < r.list.length; i++ {
+			if round := r.At(i); !round.isComplete() && !yield(i, round) {
+				return
+			}
+		}
+	}
+}
+
+// Touched iterates over the rounds in which a run was started, those that are long over
+// included.
+func (r *Rounds) Touched() iter.Seq2[int, Round] {
+	return func(yield func(int, Round) bool) {
+		for first, leaf := range r.list.leaves(0) {
+			if leaf == nil {
+				continue
+			}
+			for i := first; i < first+r.list.leafSize(first); i++ {
+				if round := r.At(i); !r.isUntouched(round) && !yield(i, round) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Begun iterates over the rounds that hold more than the number of their tasks: those in which a
+// run was started. It leaves out rounds that are long over.
+func (r *Rounds) Begun() iter.Seq2[int, Round] {
+	return func(yield func(int, Round) bool) {
+		if r == nil {
+			return
+		}
+		for first, leaf := range r.list.leaves(0) {
+			for k, round := range leaf {
+				if !r.isShared(round) && !yield(first+k, round) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (r *Rounds) isUntouched(round Round) bool {
+	return unsafe.SliceData(round.blocks) == unsafe.SliceData(r.untouched.blocks)
+}
+
+// isShared reports whether the round has the same memory as all others that have not begun or
+// are final.
+func (r *Rounds) isShared(round Round) bool {
+	return r.isUntouched(round) || unsafe.SliceData(round.blocks) == unsafe.SliceData(r.final.blocks)
+}
+
+// Started reports whether any run was started.
+func (r *Rounds) Started() bool {
+	if r.complete > 0 {
+		return true
+	}
+	for range r.Begun() {
+		return true
+	}
+	return false
+}
+
+// Bytes returns the memory that the progress takes, in bytes.
+func (r *Rounds) Bytes() int64 {
+	if r == nil {
+		return 0
+	}
+	return r.bytes + int64(r.list.stored)*int64(unsafe.Sizeof(Round{}))
+}
+
+// bytesOf returns the memory of a round beyond its place in the list.
+func (r *Rounds) bytesOf(round Round) int64 {
+	if r.isShared(round) {
+		return 0
+	}
+	return int64(round.length)*int64(unsafe.Sizeof(StepState{})) + round.bytes
+}
--- a/core/model/state.go
+++ b/core/model/state.go
@@ -48,6 +48,8 @@
 	// Workloads holds the workloads that have not ended, Finished those in a final
 	// phase.
 	Workloads table.Table[WorkloadID, Workload]
+	// Stored is derived from Workloads. Package command/workload keeps it up to date.
+	Stored StoredWork
 	// AccountRates holds how much of its rate each account has used.
 	AccountRates table.Table[AccountName, AccountRate]
 	Finished     table.Table[WorkloadID, FinishedWorkload]
--- /dev/null
+++ b/core/model/vector.go
@@ -0,0 +1,134 @@
+package model
+
+import (
+	"iter"
+	"slices"
+)
+
+const (
+	// leafLength is the number of values in a leaf of a vector.
+	leafLength = 32
+	// branchLength is the number of leaves in a branch of a vector.
+	branchLength = 32
+)
+
+// vector is an immutable list of fixed length. Replacing a value copies one leaf, one branch and
+// the list of branches, so that the cost hardly depends on the length. Most values of a long list
+// are one of two: untouched, or final. A leaf that holds only such values of one kind takes no
+// memory.
+type vector[T any] struct {
+	length   int
+	branches [][][]T
+	// stored is the number of values in leaves that take memory.
+	stored int
+}
+
+// isFinalLeaf reports whether each value of the leaf is final. A nil leaf has only untouched ones.
+func isFinalLeaf[T any](leaf []T) bool { return leaf != nil && len(leaf) == 0 }
+
+func (v *vector[T]) leaf(i int) []T {
+	if v.branches == nil {
+		return nil
+	}
+	branch := v.branches[i/(leafLength*branchLength)]
+	if branch == nil {
+		return nil
+	}
+	return branch[i/leafLength%branchLength]
+}
+
+// at returns the value at a position. The arguments are the values that take no memory.
+func (v *vector[T]) at(i int, untouched, final T) T {
+	switch leaf := v.leaf(i); {
+	case leaf == nil:
+		return untouched
+	case isFinalLeaf(leaf):
+		return final
+	default:
+		return leaf[i%leafLength]
+	}
+}
+
+// leafSize returns the number of values of the leaf that holds the position.
+func (v *vector[T]) leafSize(i int) int { return min(leafLength, v.length-i/leafLength*leafLength) }
+
+// with returns the vector with another value at a position.
+func (v vector[T]) with(i int, value, untouched, final T, isFinal func(T) bool) vector[T] {
+	if v.branches != nil {
+		b, l := i/(leafLength*branchLength), i/leafLength%branchLength
+		v.branches = slices.Clone(v.branches)
+		if branch := slices.Clone(v.branches[b]); branch != nil {
+			branch[l] = slices.Clone(branch[l])
+			v.branches[b] = branch
+		}
+	}
+	v.put(i, value, untouched, final, isFinal)
+	return v
+}
+
+// put replaces the value at a position in place. isFinal tells final values.
+func (v *vector[T]) put(i int, value, untouched, final T, isFinal func(T) bool) {
+	b, l := i/(leafLength*branchLength), i/leafLength%branchLength
+	leaves := (v.length + leafLength - 1) / leafLength
+	if v.branches == nil {
+		v.branches = make([][][]T, (leaves+branchLength-1)/branchLength)
+	}
+	if v.branches[b] == nil {
+		v.branches[b] = make([][]T, min(branchLength, leaves-b*branchLength))
+	}
+	leaf := v.branches[b][l]
+	if len(leaf) == 0 {
+		common := untouched
+		if isFinalLeaf(leaf) {
+			common = final
+		}
+		leaf = make([]T, v.leafSize(i))
+		fill(leaf, common)
+		v.stored += len(leaf)
+	}
+	leaf[i%leafLength] = value
+	if isFinal(value) && all(leaf, isFinal) {
+		v.stored -= len(leaf)
+		leaf = []T{}
+	}
+	v.branches[b][l] = leaf
+}
+
+// allFinal returns a vector of final values.
+func allFinal[T any](length int) vector[T] {
+	v := vector[T]{length: length}
+	leaves := (length + leafLength - 1) / leafLength
+	for first := 0; first < leaves; first += branchLength {
+		branch := make([][]T, min(branchLength, leaves-first))
+		fill(branch, []T{})
+		v.branches = append(v.branches, branch)
+	}
+	return v
+}
+
+// leaves iterates over the leaves from the one that holds a position on, with the position of
+// their first value.
+func (v *vector[T]) leaves(from int) iter.Seq2[int, []T] {
+	return func(yield func(int, []T) bool) {
+		for i := from / leafLength * leafLength; i < v.length; i += leafLength {
+			if !yield(i, v.leaf(i)) {
+				return
+			}
+		}
+	}
+}
+
+func fill[T any](list []T, value T) {
+	for i := range list {
+		list[i] = value
+	}
+}
+
+func all[T any](list []T, is func(T) bool) bool {
+	for _, value := range list {
+		if !is(value) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -36,8 +36,8 @@
 	// times Interval. If FirstDue is 0, all rounds are due at once.
 	FirstDue Timestamp
 	Interval time.Duration
-	// Rounds holds the progress of each repetition of the steps.
-	Rounds      []Round
+	// Rounds holds the progress of each repetition of the steps; nil in a submission.
+	Rounds      *Rounds
 	MaxFailures int
 	AcceptedAt  Timestamp
 }
@@ -90,14 +90,11 @@
 	return s.Need
 }
 
-// Round is one repetition of the steps of a workload.
-type Round struct{ Steps []StepState }
-
 // StepState is the progress of a step in one round.
 type StepState struct {
 	// Done is the number of tasks that have succeeded so far.
 	Done  int
-	Tasks []Task
+	Tasks TaskList
 	// Gang is the progress of a gang as a whole; nil if there is none yet. It is a
 	// pointer because planning copies the steps of all workloads.
 	Gang *GangProgress `cbor:",omitempty"`
@@ -124,7 +121,27 @@
 }
 
 // Complete reports whether all tasks have succeeded.
-func (s StepState) Complete() bool { return s.Done == len(s.Tasks) }
+func (s *StepState) Complete() bool { return s.Done == s.Tasks.Len() }
+
+// Waiting returns the number of tasks that have not succeeded and have no active run.
+func (s *StepState) Waiting() int { return s.Tasks.Len() - s.Done - s.Tasks.Active() }
+
+// Restore sets the progress of a task that no run was started of, in place; see TaskList.Restore.
+func (s *StepState) Restore(i int, task Task) {
+	if task.Done {
+		s.Done++
+	}
+	s.Tasks.Restore(i, task)
+}
+
+// WithTask returns the step with another progress of one task.
+func (s StepState) WithTask(i int, task Task) StepState {
+	if task.Done && !s.Tasks.At(i).Done {
+		s.Done++
+	}
+	s.Tasks = s.Tasks.With(i, task)
+	return s
+}
 
 // Task is the progress of one task.
 type Task struct {
@@ -226,12 +243,7 @@
 
 // Started reports whether any run of any task was ever started.
 func (w Workload) Started() bool {
-	for _, t := range w.Tasks() {
-		if t.LastRun > 0 {
-			return true
-		}
-	}
-	return false
+	return w.Rounds.Started()
 }
 
 // Due returns the earliest time at which the round may start.
@@ -242,16 +254,28 @@
 	return w.FirstDue.Add(time.Duration(round) * w.Interval)
 }
 
+// DueBy returns the number of rounds that are due at the given time. Rounds become due in order.
+func (w Workload) DueBy(t Timestamp) int {
+	switch n := w.Rounds.Len(); {
+	case w.Due(0) > t:
+		return 0
+	case w.FirstDue == 0 || w.Interval <= 0:
+		return n
+	default:
+		return int(min(int64(t.Sub(w.FirstDue)/w.Interval)+1, int64(n)))
+	}
+}
+
 // Task returns the task at the given position; false if there is none.
 func (w Workload) Task(ref TaskRef) (Task, bool) {
-	if ref.Round < 0 || ref.Round >= len(w.Rounds) || ref.Step < 0 || ref.Step >= len(w.Steps) {
+	if ref.Round < 0 || ref.Round >= w.Rounds.Len() || ref.Step < 0 || ref.Step >= len(w.Steps) {
 		return Task{}, false
 	}
-	tasks := w.Rounds[ref.Round].Steps[ref.Step].Tasks
-	if ref.Index < 0 || ref.Index >= len(tasks) {
+	tasks := w.Rounds.Step(ref.Round, ref.Step).Tasks
+	if ref.Index < 0 || ref.Index >= tasks.Len() {
 		return Task{}, false
 	}
-	return tasks[ref.Index], true
+	return tasks.At(ref.Index), true
 }
 
 // ResumeFrom returns the checkpoint that the next run of the task resumes from; empty if
@@ -261,11 +285,11 @@
 	if !ok || !w.Steps[ref.Step].Gang {
 		return task.Checkpoint
 	}
-	step := w.Rounds[ref.Round].Steps[ref.Step]
+	step := w.Rounds.Step(ref.Round, ref.Step)
 	if checkpoint := step.GangProgress().Checkpoint; checkpoint != "" {
 		return checkpoint
 	}
-	for _, member := range step.Tasks {
+	for _, member := range step.Tasks.Begun() {
 		if member.Checkpoint != "" {
 			return member.Checkpoint
 		}
@@ -279,20 +303,17 @@
 	if !w.Has(run.Task) || !w.Steps[run.Task.Step].Gang {
 		return false
 	}
-	for _, member := range w.Rounds[run.Task.Round].Steps[run.Task.Step].Tasks {
-		if !slices.ContainsFunc(member.Active, func(r Run) bool { return r.Number == run.Number }) {
-			return true
-		}
-	}
-	return false
+	members := w.Rounds.Step(run.Task.Round, run.Task.Step).Tasks
+	task := members.At(run.Task.Index)
+	return members.Active() < members.Len() || !slices.ContainsFunc(task.Active, func(r Run) bool { return r.Number == run.Number })
 }
 
 // Tasks iterates over all tasks with their positions.
 func (w Workload) Tasks() iter.Seq2[TaskRef, Task] {
 	return func(yield func(TaskRef, Task) bool) {
-		for i, round := range w.Rounds {
-			for j, step := range round.Steps {
-				for k, task := range step.Tasks {
+		for i := range w.Rounds.Len() {
+			for j, step := range w.Rounds.At(i).Steps() {
+				for k, task := range step.Tasks.All() {
 					if !yield(TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}, task) {
 						return
 					}
@@ -302,6 +323,34 @@
 	}
 }
 
+// Begun iterates over the tasks with progress, with their positions. It leaves out most of
+// those that have succeeded in their first run.
+func (w *Workload) Begun() iter.Seq2[TaskRef, Task] {
+	return func(yield func(TaskRef, Task) bool) {
+		for i, round := range w.Rounds.Begun() {
+			for j, step := range round.Steps() {
+				for k, task := range step.Tasks.Begun() {
+					if !yield(TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}, task) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// Open iterates over the rounds that are due and not complete.
+func (w *Workload) Open(now Timestamp) iter.Seq2[int, Round] {
+	return func(yield func(int, Round) bool) {
+		due := w.DueBy(now)
+		for i, round := range w.Rounds.Unfinished() {
+			if i >= due || !yield(i, round) {
+				return
+			}
+		}
+	}
+}
+
 // Has reports whether there is a task at the given position.
 func (w Workload) Has(ref TaskRef) bool {
 	_, ok := w.Task(ref)
@@ -312,7 +361,7 @@
 // the round.
 func (w Workload) StepReady(round, step int) bool {
 	for _, before := range w.Steps[step].After {
-		if !w.Rounds[round].Steps[before].Complete() {
+		if state := w.Rounds.Step(round, before); !state.Complete() {
 			return false
 		}
 	}
--- a/core/query/account_shares.go
+++ b/core/query/account_shares.go
@@ -63,12 +63,9 @@
 // addWorkload adds a workload to the view of its account.
 func (v *AccountShare) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
 	waits, held := false, true
-	for i := range w.Rounds {
-		if w.Due(i) > now {
-			break
-		}
+	for i, round := range w.Open(now) {
 		for j, spec := range w.Steps {
-			if !w.StepReady(i, j) || !hasWaitingTask(w.Rounds[i].Steps[j]) {
+			if !w.StepReady(i, j) || round.Step(j).Waiting() == 0 {
 				continue
 			}
 			runs := 1
@@ -92,7 +89,3 @@
 		v.OldestWait = max(v.OldestWait, now.Sub(w.Due(0)))
 	}
 }
-
-func hasWaitingTask(step model.StepState) bool {
-	return slices.ContainsFunc(step.Tasks, func(t model.Task) bool { return !t.Done && len(t.Active) == 0 })
-}
--- a/core/query/account_shares_test.go
+++ b/core/query/account_shares_test.go
@@ -17,13 +17,13 @@
 		{Name: "b", Weight: 1}, {Name: "a", Weight: 3, Rate: 2, Cap: model.Resources{MilliCPU: 3000}},
 	}}}
 	add := func(id model.WorkloadID, account model.AccountName, beyond bool, active int) {
-		tasks := make([]model.Task, 2)
+		rounds := model.NewRounds(1, []int{2})
 		for i := range active {
-			tasks[i] = model.Task{LastRun: 1, Active: []model.Run{{Number: 1}}}
+			rounds = rounds.WithStep(0, 0, rounds.Step(0, 0).WithTask(i, model.Task{LastRun: 1, Active: []model.Run{{Number: 1}}}))
 		}
 		s.Workloads = s.Workloads.Set(id, model.Workload{
 			ID: id, Account: account, BeyondRate: beyond, AcceptedAt: 1000, Steps: []model.Step{{Count: 2, Need: model.Resources{MilliCPU: 1000}}},
-			Rounds: []model.Round{{Steps: []model.StepState{{Tasks: tasks}}}},
+			Rounds: rounds,
 		})
 	}
 	add("1", "a", false, 2)
--- a/core/query/accounts.go
+++ b/core/query/accounts.go
@@ -115,11 +115,9 @@
 		}
 		a.waiting++
 	}
-	for _, round := range w.Rounds {
-		for _, step := range round.Steps {
-			for _, t := range step.Tasks {
-				a.runs += len(t.Active)
-			}
+	for _, round := range w.Rounds.Begun() {
+		for _, step := range round.Steps() {
+			a.runs += step.Tasks.Runs()
 		}
 	}
 }
--- a/core/query/critical_path.go
+++ b/core/query/critical_path.go
@@ -16,8 +16,8 @@
 // RemainingCriticalPath returns the estimated run time of the critical path of the
 // incomplete steps in the first unfinished round; 0 if all rounds are complete.
 func RemainingCriticalPath(w model.Workload) time.Duration {
-	for _, r := range w.Rounds {
-		if left := criticalPath(w, func(step int) bool { return !r.Steps[step].Complete() }); left > 0 {
+	for _, r := range w.Rounds.Unfinished() {
+		if left := criticalPath(w, func(step int) bool { return !r.Step(step).Complete() }); left > 0 {
 			return left
 		}
 	}
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -31,11 +31,8 @@
 			continue
 		}
 		d := out[q.Pool]
-		for i, round := range w.Rounds {
-			if w.Due(i) > now {
-				break
-			}
-			for j, state := range round.Steps {
+		for i, round := range w.Open(now) {
+			for j, state := range round.Steps() {
 				if !state.Complete() && w.StepReady(i, j) {
 					d.add(w.Steps[j], state, clearing)
 				}
@@ -46,22 +43,16 @@
 	return out
 }
 
-func (d *Demand) add(step model.Step, state model.StepState, clearing time.Duration) {
-	active := int64(0)
-	for _, t := range state.Tasks {
-		if len(t.Active) > 0 {
-			active++
-		}
-	}
+func (d *Demand) add(step model.Step, state *model.StepState, clearing time.Duration) {
 	one := step.Reserved()
-	d.Running = d.Running.Add(one.Scale(float64(active)))
+	d.Running = d.Running.Add(one.Scale(float64(state.Tasks.Active())))
 	weight := 1.0
 	if clearing > 0 && !step.Lasting && !step.Gang {
 		weight = min(1, float64(step.Estimate)/float64(clearing))
 	}
-	d.Waiting = d.Waiting.Add(one.Scale(weight * float64(int64(len(state.Tasks)-state.Done)-active)))
+	d.Waiting = d.Waiting.Add(one.Scale(weight * float64(state.Waiting())))
 	if step.Lasting {
-		d.Lasting = d.Lasting.Add(one.Scale(float64(len(state.Tasks) - state.Done)))
+		d.Lasting = d.Lasting.Add(one.Scale(float64(state.Tasks.Len() - state.Done)))
 	}
 	if step.Lasting && step.MaxPerWorker > 0 {
 		d.MinWorkers = max(d.MinWorkers, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -10,6 +10,9 @@
 // incarnation for a worker.
 const maxNamedRuns = 10
 
+// maxNamedRounds is the maximum number of rounds listed in an explanation.
+const maxNamedRounds = 20
+
 // workload explains a workload that has not ended: the progress of its steps and
 // the workers of its active runs.
 func (e *Explanation) workload(s model.State, w model.Workload) {
@@ -25,10 +28,15 @@
 		e.addReason("it should have been complete %s ago", e.elapsed(due))
 	}
 	named := 0
-	for i, round := range w.Rounds {
-		for j, step := range round.Steps {
-			e.step(w, i, j, step)
-			named += e.runs(w, i, j, step, maxNamedRuns-named)
+	first := 0
+	if w.Rounds.Len() > maxNamedRounds {
+		first = min(w.Rounds.FirstUnfinished(), w.Rounds.Len()-maxNamedRounds)
+		e.addReason("%d of %d rounds are complete; the rounds %d to %d follow", w.Rounds.Completed(), w.Rounds.Len(), first, first+maxNamedRounds-1)
+	}
+	for i := first; i < min(first+maxNamedRounds, w.Rounds.Len()); i++ {
+		for j, step := range w.Rounds.At(i).Steps() {
+			e.step(w, i, j, *step)
+			named += e.runs(w, i, j, *step, maxNamedRuns-named)
 		}
 	}
 }
@@ -52,21 +60,17 @@
 				where, wait.Tasks, wait.Rack, max(0, wait.Expected.Sub(e.now)), max(0, wait.Until.Sub(e.now)))
 		}
 	}
-	running, waiting, failures := 0, 0, state.GangProgress().FailedRuns
-	for _, t := range state.Tasks {
-		running += len(t.Active)
+	failures := state.GangProgress().FailedRuns
+	for _, t := range state.Tasks.Begun() {
 		failures += t.Failures
-		if !t.Done && len(t.Active) == 0 {
-			waiting++
-		}
 	}
 	e.addReason("%s: %d of %d tasks are done, %d runs are active, %d tasks wait for room for %s, %d runs have failed (%d of one task end the workload)",
-		where, state.Done, len(state.Tasks), running, waiting, Capacity(w.Steps[step].Reserved()), failures, w.MaxFailures)
+		where, state.Done, state.Tasks.Len(), state.Tasks.Runs(), state.Waiting(), Capacity(w.Steps[step].Reserved()), failures, w.MaxFailures)
 }
 
 // runs lists up to limit active runs of a step and returns the number listed.
 func (e *Explanation) runs(w model.Workload, round, step int, state model.StepState, limit int) (named int) {
-	for index, t := range state.Tasks {
+	for index, t := range state.Tasks.Begun() {
 		for _, run := range t.Active {
 			if named == limit {
 				return named
--- a/core/query/inflow.go
+++ b/core/query/inflow.go
@@ -46,51 +46,50 @@
 			continue
 		}
 		f := out[q.Pool]
-		for i := range w.Rounds {
-			if w.Due(i) > now.Add(t.Lead) {
-				break
-			}
-			f.addRound(w, i, now, t)
-		}
+		f.addWaiting(w, now.Add(t.Lead), t)
+		f.addArrivals(w, now, t)
 		out[q.Pool] = f
 	}
 	return out
 }
 
-func (f *Inflow) addRound(w model.Workload, round int, now model.Timestamp, t InflowWindows) {
-	var waiting, total Work
-	for j, state := range w.Rounds[round].Steps {
-		step := &w.Steps[j]
-		if step.Lasting {
-			continue
+// addWaiting adds the work of the rounds that are due by the given time and not complete.
+func (f *Inflow) addWaiting(w model.Workload, until model.Timestamp, t InflowWindows) {
+	for _, round := range w.Open(until) {
+		for j, state := range round.Steps() {
+			f.Waiting.add(workOf(w.Steps[j], state.Waiting(), t))
+		}
+	}
+}
+
+// addArrivals adds the work of the rounds that became due in one of the windows.
+func (f *Inflow) addArrivals(w model.Workload, now model.Timestamp, t InflowWindows) {
+	due, before, earlier := w.DueBy(now), w.DueBy(now.Add(-t.Window)), w.DueBy(now.Add(-2*t.Window))
+	if due == earlier {
+		return
+	}
+	var round Work
+	for _, step := range w.Steps {
+		round.add(workOf(step, step.Count, t))
+		if !step.Lasting {
+			round.Rounds = 1
 		}
-		one, seconds := step.Reserved(), (step.Estimate + t.PerRun).Seconds()
-		total.Seconds = total.Seconds.Add(one.Scale(seconds * float64(len(state.Tasks))))
-		waiting.Seconds = waiting.Seconds.Add(one.Scale(seconds * float64(withoutRun(state))))
-		total.Rounds = 1
 	}
-	f.Waiting.add(waiting)
-	switch age := now.Sub(w.Due(round)); {
-	case age < 0:
-	case age < t.Window:
-		f.Recent.add(total)
-	case age < 2*t.Window:
-		f.Earlier.add(total)
+	f.Recent.add(round.times(due - before))
+	f.Earlier.add(round.times(before - earlier))
+}
+
+// workOf returns the work of so many tasks of a step.
+func workOf(step model.Step, tasks int, t InflowWindows) Work {
+	if step.Lasting {
+		return Work{}
 	}
+	return Work{Seconds: step.Reserved().Scale((step.Estimate + t.PerRun).Seconds() * float64(tasks))}
 }
 
+func (w Work) times(n int) Work { return Work{w.Seconds.Times(n), w.Rounds * n} }
+
 func (w *Work) add(o Work) {
 	w.Seconds = w.Seconds.Add(o.Seconds)
 	w.Rounds += o.Rounds
 }
-
-// withoutRun returns the number of tasks that are not done and have no active run.
-func withoutRun(s model.StepState) int {
-	n := 0
-	for i := range s.Tasks {
-		if !s.Tasks[i].Done && len(s.Tasks[i].Active) == 0 {
-			n++
-		}
-	}
-	return n
-}
--- a/core/query/workload_views.go
+++ b/core/query/workload_views.go
@@ -47,17 +47,17 @@
 func workloadEntry(s model.State, w model.Workload) WorkloadEntry {
 	q, _ := s.Catalog.QueueOf(w)
 	e := WorkloadEntry{ID: string(w.ID), Queue: string(w.Queue), Pool: string(q.Pool), Phase: workloadPhase(w).String(), AcceptedAt: utcTime(w.AcceptedAt)}
-	for _, round := range w.Rounds {
-		for _, step := range round.Steps {
-			e.Failures += step.GangProgress().FailedRuns
-		}
+	for _, step := range w.Steps {
+		e.Tasks += step.Count * w.Rounds.Len()
 	}
-	for _, t := range w.Tasks() {
-		e.Tasks++
-		e.Running += len(t.Active)
-		e.Failures += t.Failures
-		if t.Done {
-			e.Done++
+	e.Done = w.Rounds.Done()
+	for _, round := range w.Rounds.Begun() {
+		for _, step := range round.Steps() {
+			e.Failures += step.GangProgress().FailedRuns
+			e.Running += step.Tasks.Runs()
+			for _, t := range step.Tasks.Begun() {
+				e.Failures += t.Failures
+			}
 		}
 	}
 	return e
--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -148,6 +148,9 @@
 	batch := raftBatch{results: make([]result.Result, len(req.Msg.Envelopes))}
 	for i, data := range req.Msg.Envelopes {
 		env, err := codec.DecodeEnvelope(data)
+		if _, submission := env.Command.(model.SubmitWorkload); submission && err == nil {
+			data, env, err = codec.EncodeForLog(c.r.withBudget(env))
+		}
 		batch.add(i, raft.Command{Data: data, Value: env}, err)
 	}
 	resp := &replicav1.ProposeResponse{}
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -30,12 +30,21 @@
 	batch := raftBatch{results: make([]result.Result, len(envelopes))}
 	for i, env := range envelopes {
 		env.Time = 0 // the leader sets the time on the log entry, outside of the encoded command
-		data, decoded, err := codec.EncodeForLog(env)
+		data, decoded, err := codec.EncodeForLog(r.withBudget(env))
 		batch.add(i, raft.Command{Data: data, Value: decoded}, err)
 	}
 	return batch.propose(ctx, r), nil
 }
 
+// withBudget returns the envelope with the budget of this replica, if it is a submission.
+func (r *Replica) withBudget(env model.Envelope) model.Envelope {
+	if submission, ok := env.Command.(model.SubmitWorkload); ok {
+		submission.Budget = r.settings.WorkloadBudget
+		env.Command = submission
+	}
+	return env
+}
+
 // raftBatch holds the commands of a batch that can be appended to the log, and the
 // results of the others.
 type raftBatch struct {
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -63,6 +63,9 @@
 	// TargetVoters is the number of voters up to which replicas with new names are
 	// admitted without an operator's command; 0 admits none.
 	TargetVoters int
+	// WorkloadBudget is the memory that all workloads may take on a replica, in bytes, while this
+	// replica leads; 0 means no limit.
+	WorkloadBudget int64
 	// SnapshotEvery is the number of log entries between snapshots; 8192 if zero.
 	SnapshotEvery int
 	// KeepEntries is the number of log entries kept before the index of a snapshot,
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -92,9 +92,9 @@
 		if !ok || !q.Advised {
 			continue
 		}
-		for i, round := range w.Rounds {
-			for j, state := range round.Steps {
-				if w.Due(i) <= model.TimestampOf(now) && w.StepReady(i, j) && hasWaitingTask(state) && m.callAdvisor(now, stepKey{w.ID, i, j}, q.Pool) {
+		for i, round := range w.Open(model.TimestampOf(now)) {
+			for j, state := range round.Steps() {
+				if w.StepReady(i, j) && state.Waiting() > 0 && m.callAdvisor(now, stepKey{w.ID, i, j}, q.Pool) {
 					return
 				}
 			}
@@ -102,15 +102,6 @@
 	}
 }
 
-func hasWaitingTask(s model.StepState) bool {
-	for _, t := range s.Tasks {
-		if !t.Done && len(t.Active) == 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // callAdvisor starts a call about the workers of the pool that lack an answer; false
 // if there are none.
 func (m *Machine) callAdvisor(now time.Time, key stepKey, pool model.PoolName) bool {
--- a/replica/schedule/failures.go
+++ b/replica/schedule/failures.go
@@ -36,7 +36,7 @@
 		return false
 	}
 	a, _ := s.Assignments.Get(id)
-	step := w.Rounds[run.Task.Round].Steps[run.Task.Step]
+	step := w.Rounds.Step(run.Task.Round, run.Task.Step)
 	return slices.Contains(a.Runs, run) && !(w.Steps[run.Task.Step].Gang && run.Number <= step.GangProgress().LastFailedRun)
 }
 
--- a/replica/schedule/failures_test.go
+++ b/replica/schedule/failures_test.go
@@ -38,7 +38,7 @@
 		assert.Equal(t, h.suspected(), 0)
 		w, active := h.replica.View().State.Workloads.Get(id)
 		assert.Assert(t, active)
-		assert.Equal(t, w.Rounds[0].Steps[0].GangProgress().FailedRuns, 1)
+		assert.Equal(t, w.Rounds.Step(0, 0).GangProgress().FailedRuns, 1)
 		assert.Equal(t, len(h.mustReport("b", 1, nil).Start), 4)
 	})
 }
--- a/replica/schedule/near.go
+++ b/replica/schedule/near.go
@@ -113,7 +113,7 @@
 	spec := workload.Steps[t.Step]
 	var sum time.Duration
 	runs := 0
-	for k, task := range workload.Rounds[t.Round].Steps[t.Step].Tasks {
+	for k, task := range workload.Rounds.Step(t.Round, t.Step).Tasks.Begun() {
 		for _, active := range task.Active {
 			w := m.workers[active.Worker]
 			if w == nil || now.Before(w.suspectUntil) {
--- a/replica/schedule/room_test.go
+++ b/replica/schedule/room_test.go
@@ -49,7 +49,7 @@
 		time.Sleep(planInterval)
 		assert.Equal(t, len(h.mustReport("a", 1, nil).Start), 1)
 		w, _ := h.replica.View().State.Workloads.Get(id)
-		assert.Equal(t, w.Rounds[0].Steps[0].Done, 1)
+		assert.Equal(t, w.Rounds.Step(0, 0).Done, 1)
 	})
 }
 
--- a/replica/storage/release_test.go
+++ b/replica/storage/release_test.go
@@ -20,6 +20,16 @@
 // that release after each command.
 const releaseFolder = "testdata/release-1"
 
+// The folders in testdata/release-2 were written by the release before snapshots list only tasks
+// with progress (commit 9a175d8), in the same way.
+const secondReleaseFolder = "testdata/release-2"
+
+// Workloads of the second release.
+const (
+	scheduledWork = model.WorkloadID("00000000000000c1") // of 40 rounds, the first, second and fourth are complete, the third runs
+	wideWork      = model.WorkloadID("00000000000000c3") // of 70 tasks two have failed once, all have succeeded; its second step has one copy
+)
+
 // Workloads of the folders.
 const (
 	halfFailedGang = model.WorkloadID("00000000000000a2") // two of four members have failed in the first run; fails after four failed runs
@@ -30,10 +40,10 @@
 
 // readRelease opens a copy of a folder and returns the state that a replica has after it
 // has applied the log. It checks the digest after each command.
-func readRelease(t *testing.T, name string) model.State {
+func readRelease(t *testing.T, release, name string) model.State {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "data")
-	assert.NilError(t, os.CopyFS(path, os.DirFS(filepath.Join(releaseFolder, name))))
+	assert.NilError(t, os.CopyFS(path, os.DirFS(filepath.Join(release, name))))
 	folder, err := OpenFolder(path)
 	assert.NilError(t, err)
 	store, r, err := Open(WithoutStamps(folder), "r1", "a")
@@ -43,20 +53,20 @@
 	if r.State != nil {
 		s, err = codec.DecodeState(r.State)
 		assert.NilError(t, err)
-		checkDigest(t, s)
+		checkDigest(t, release, s)
 	}
 	for _, e := range r.Entries {
 		env := e.Value.(model.Envelope)
 		env.Time = e.Time
 		s, _ = command.Apply(s, e.Index, e.Term, env)
-		checkDigest(t, s)
+		checkDigest(t, release, s)
 	}
 	return s
 }
 
-func checkDigest(t *testing.T, s model.State) {
+func checkDigest(t *testing.T, release string, s model.State) {
 	t.Helper()
-	data, err := os.ReadFile(filepath.Join(releaseFolder, "digests.json"))
+	data, err := os.ReadFile(filepath.Join(release, "digests.json"))
 	assert.NilError(t, err)
 	var recorded []struct {
 		Index  model.Index
@@ -74,7 +84,7 @@
 func TestStateOfLastReleaseIsRead(t *testing.T) {
 	for _, name := range []string{"log", "snapshot"} {
 		t.Run(name, func(t *testing.T) {
-			s := readRelease(t, name)
+			s := readRelease(t, releaseFolder, name)
 			assert.Equal(t, s.Index, model.Index(15))
 			assert.Equal(t, s.Workloads.Len(), 3)
 			f, ok := s.Finished.Get(failedGang)
@@ -82,7 +92,26 @@
 			assert.Equal(t, f.Phase, model.WorkloadFailed)
 			assert.Equal(t, f.Reason, "task 3 of step 0 in round 0 has failed 4 times")
 			w, _ := s.Workloads.Get(checkpointed)
-			assert.Equal(t, w.Rounds[0].Steps[1].Tasks[0].Checkpoint, "00000bb87a21d94b")
+			assert.Equal(t, w.Rounds.Step(0, 1).Tasks.At(0).Checkpoint, "00000bb87a21d94b")
+		})
+	}
+}
+
+// Guards against progress of scheduled, wide and gang workloads that is lost or read otherwise
+// than the release that wrote each task of each round had it.
+func TestProgressOfSecondReleaseIsRead(t *testing.T) {
+	for _, name := range []string{"log", "snapshot"} {
+		t.Run(name, func(t *testing.T) {
+			s := readRelease(t, secondReleaseFolder, name)
+			assert.Equal(t, s.Index, model.Index(15))
+			scheduled, _ := s.Workloads.Get(scheduledWork)
+			assert.Equal(t, scheduled.Rounds.Len(), 40)
+			assert.Equal(t, scheduled.Rounds.Completed(), 3)
+			assert.Equal(t, scheduled.Rounds.FirstUnfinished(), 2)
+			wide, _ := s.Workloads.Get(wideWork)
+			assert.Equal(t, wide.Rounds.Step(0, 0).Tasks.At(65).Failures, 1)
+			assert.Equal(t, wide.Rounds.Done(), 71)
+			assert.Equal(t, s.Assignments.Len(), 1)
 		})
 	}
 }
@@ -101,7 +130,7 @@
 // Guards against a gang that fails too early or too late after an upgrade, because its
 // failures are counted for each member before it and for each run after it.
 func TestGangOfLastReleaseFailsAfterItsAttempts(t *testing.T) {
-	s := readRelease(t, "snapshot")
+	s := readRelease(t, releaseFolder, "snapshot")
 	for number := 2; number <= 4; number++ { // with the first, which the last release has counted, these are four
 		var p model.RecordProgress
 		for i := range 4 {
@@ -127,7 +156,7 @@
 func TestWorkloadOfLastReleaseKeepsItsQueue(t *testing.T) {
 	for _, name := range []string{"log", "snapshot"} {
 		t.Run(name, func(t *testing.T) {
-			s := readRelease(t, name)
+			s := readRelease(t, releaseFolder, name)
 			c := *s.Catalog
 			c.Version++
 			c.Queues = slices.Clone(c.Queues)
