A list of ends that may be cut ends no run and repeats no start order

Cause: a worker lists 500 ends in a heartbeat. A run whose end was not listed yet counted as not started: it was ordered again with each answer, given up after five orders and 2 s, and ended as interrupted with the next report.

Change: a heartbeat with 500 ends says that there may be more (Report.MoreEnds). Nothing is concluded from a run that such a report leaves out: it is neither ordered again nor counted, and does not end. The next report is due after 50 ms.

--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -98,8 +98,9 @@
 		}
 		for _, run := range a.Runs {
 			// A run that the worker does not list never started there: the start order
-			// was lost, or not sent because the run is to be stopped.
-			if m.stopping[run] && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) && !m.mayBeInherited(now, p.report.Worker, run) {
+			// was lost, or not sent because the run is to be stopped. A list that may be cut
+			// shows nothing.
+			if m.stopping[run] && !p.report.MoreEnds && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) && !m.mayBeInherited(now, p.report.Worker, run) {
 				causes[run] = causeUnstarted
 				out = append(out, model.RunEnd{Run: run, Worker: p.report.Worker, Outcome: model.RunInterrupted})
 			}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -21,6 +21,9 @@
 	// end of a run is reported at once.
 	idleInterval = 200 * time.Millisecond
 	busyInterval = 500 * time.Millisecond
+	// moreEndsInterval is the time between two reports of a worker with ends that it has not
+	// listed: it gets no start orders until it has.
+	moreEndsInterval = 50 * time.Millisecond
 	// reportSlack is how much later than expected a report may arrive until its worker
 	// counts as silent.
 	reportSlack = 200 * time.Millisecond
@@ -78,6 +81,7 @@
 		case m.stopping[run]:
 			o.Stop = append(o.Stop, run)
 		case listed:
+		case p.report.MoreEnds: // it may have ended; the next reports list its end
 		case p.worker.mayRun(now, run, m.lease()):
 		case p.worker.ignores(now, run) && !m.mayBeInherited(now, p.report.Worker, run):
 			m.abandonStart(now, p.worker, run)
@@ -86,9 +90,13 @@
 			o.Start = append(o.Start, m.startOrder(now, state, run, p.report.Worker))
 		}
 	}
-	p.worker.recordOrdered(now, o.Start)
+	if p.report.MoreEnds {
+		o.NextReport = moreEndsInterval
+	} else {
+		p.worker.recordOrdered(now, o.Start)
+	}
 	o.Throttle = p.worker.throttleOrders(now, state)
-	if free := p.worker.free(state); free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
+	if free := p.worker.free(state); !p.report.MoreEnds && free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
 		o.NextReport = m.reportInterval(idleInterval)
 	}
 	p.worker.leaseUntil = compare.Later(p.worker.leaseUntil, leaseEnd(now, o.Lease))
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -27,6 +27,9 @@
 	Draining bool
 	Running  []Running
 	Ended    []Ended
+	// MoreEnds is set if the worker may have further ends that it does not list yet. A run that
+	// the report does not list may then have ended.
+	MoreEnds bool
 }
 
 // check returns the first reason to refuse the report, or OK: a name in it must not
--- a/replica/schedule/simulation_test.go
+++ b/replica/schedule/simulation_test.go
@@ -29,7 +29,7 @@
 // TestRandomSchedulesKeepTheRules guards against two runs of a task at once, a start beyond
 // the room of its worker, beyond the attempts of its task or on the wrong pool, members of a
 // gang with different checkpoints, and an accepted workload that never ends. Workers crash,
-// start again, fall silent, fail everything or ignore orders; answers are lost; other
+// start again, fall silent, fail everything, ignore orders or list their ends in parts; answers are lost; other
 // writers send heartbeats and departures; workloads are cancelled, queues renamed, and
 // leaders replaced.
 func TestRandomSchedulesKeepTheRules(t *testing.T) {
@@ -92,13 +92,15 @@
 	version    model.CatalogVersion
 	term       model.Term
 	calm       bool
+	// listedEnds is the number of ends that a worker lists in one heartbeat at most.
+	listedEnds int
 }
 
 func newSimulation(h *harness, seed uint64) *simulation {
 	s := &simulation{
 		h: h, rng: rand.New(rand.NewPCG(seed, 20261205)), failed: map[model.TaskRef]map[int]bool{}, noted: map[model.TaskRef]map[int]bool{}, done: map[model.TaskRef]bool{},
 		poolOf: map[model.WorkloadID]model.PoolName{}, specs: map[model.WorkloadID][]model.Step{}, cancelled: map[model.WorkloadID]bool{},
-		checkpoint: map[model.RunRef]string{}, version: 1, term: 1,
+		checkpoint: map[model.RunRef]string{}, version: 1, term: 1, listedEnds: []int{500, 1, 2, 4}[seed%4],
 	}
 	s.publish()
 	for i := range 8 {
@@ -346,8 +348,10 @@
 	w.sequence++
 	r := Report{
 		Worker: model.MakeWorkerID(w.name, w.born), Name: w.name, StartedAt: w.born, Address: "10.0.0.1:" + w.name, Instance: w.instance, Pool: w.pool,
-		Capacity: model.Resources{MilliCPU: simCapacity, MemoryMB: 4000}, Sequence: w.sequence, Ended: slices.Clone(w.ended),
+		Capacity: model.Resources{MilliCPU: simCapacity, MemoryMB: 4000}, Sequence: w.sequence,
+		Ended: slices.Clone(w.ended[:min(len(w.ended), s.listedEnds)]),
 	}
+	r.MoreEnds = len(r.Ended) == s.listedEnds
 	for _, run := range w.runs {
 		r.Running = append(r.Running, Running{Run: run.ref, Checkpoint: run.checkpoint, Percent: int(100 * run.worked / (run.spec.Estimate + 1))})
 	}
