--- a/core/command/maintain/maintain.go
+++ b/core/command/maintain/maintain.go
@@ -62,7 +62,7 @@
 // Decide returns the next actions of all orders. Earlier orders are served first
 // where a pool's limit does not allow all of them.
 func Decide(in Input) Decision {
-	p := &planner{Input: in, byID: map[model.InstanceID]model.WorkerObservation{}, draining: map[model.PoolName]int{}, size: map[model.PoolName]int{}}
+	p := &planner{Input: in, byID: map[model.InstanceID]model.WorkerObservation{}, draining: map[model.PoolName]int{}, size: map[model.PoolName]int{}, limits: StopLimits{Serving: in.Serving}}
 	for _, i := range in.Instances {
 		p.byID[i.ID] = i
 		p.size[i.Pool]++
@@ -80,7 +80,7 @@
 	draining map[model.PoolName]int // instances of a pool that are being drained or down
 	size     map[model.PoolName]int
 	out      Decision
-	stopping []model.TaskRef // tasks whose runs this decision stops
+	limits   StopLimits
 }
 
 // advance adds the next actions of one order to the decision.
@@ -172,7 +172,7 @@
 }
 
 func (p *planner) stop(r model.ObservedRun) {
-	p.stopping = append(p.stopping, r.Run.Task)
+	p.limits.Stopped(r.Run.Task)
 	p.out.Stop = append(p.out.Stop, r.Run)
 }
 
@@ -180,21 +180,5 @@
 // stops count as unavailable.
 func (p *planner) mayStop(r model.ObservedRun) bool {
 	tasks, missable := p.StopLimit(r.Run.Task)
-	return MayStop(r.Run.Task, tasks, missable, func(other model.TaskRef) bool { return p.Serving(other) && !slices.Contains(p.stopping, other) })
-}
-
-// MayStop reports whether a long-running task may be stopped by the system: the number of
-// the other tasks of its step that do not serve is below the step's limit. A limit of 0
-// counts as 1. Everything that stops long-running tasks has to ask it, because the limit
-// holds for all reasons together.
-func MayStop(task model.TaskRef, tasks, missable int, serving func(model.TaskRef) bool) bool {
-	unavailable := 0
-	for k := range tasks {
-		other := task
-		other.Index = k
-		if other != task && !serving(other) {
-			unavailable++
-		}
-	}
-	return unavailable < max(missable, 1)
+	return p.limits.MayStop(r.Run.Task, tasks, missable)
 }
--- a/core/command/place/fair_test.go
+++ b/core/command/place/fair_test.go
@@ -49,7 +49,7 @@
 func (f *fleet) plan() {
 	used := map[model.WorkerID]int64{}
 	for _, a := range f.s.Assignments.All() {
-		for _, run := range a.Runs {
+		for run := range a.Runs.All() {
 			used[a.Worker] += f.need(run)
 		}
 	}
--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -102,7 +102,7 @@
 		}
 	}
 	a, _ := p.state.Assignments.Get(w.ID)
-	for _, run := range a.Runs {
+	for run := range a.Runs.All() {
 		add(run, func(workload model.Workload) time.Duration { return p.timeLeft(workload, run, w.ID, w.Rack) })
 	}
 	for _, start := range p.starts {
@@ -218,17 +218,20 @@
 func (p *planner) waitingMilliCPU(c *candidate, enough int64) int64 {
 	var sum int64
 	w := c.workload
-	for i, round := range w.Open(p.options.Now) {
+	add := func(round model.Round, times int) {
 		for j, step := range round.Steps() {
-			if step.Complete() || !w.StepReady(i, j) || !c.account.MayStart(w.Steps[j].Need, 1) {
-				continue
-			}
-			sum += int64(step.Waiting()) * w.Steps[j].Reserved().MilliCPU
-			if sum > enough {
-				return sum
+			if step.Waiting() > 0 && w.Steps[j].ReadyIn(round) && c.account.MayStart(w.Steps[j].Need, 1) {
+				sum += int64(times) * int64(step.Waiting()) * w.Steps[j].Reserved().MilliCPU
 			}
 		}
 	}
+	add(w.Rounds.Untouched(), w.Waiting(p.options.Now))
+	for _, round := range w.InProgress(p.options.Now) {
+		if sum > enough {
+			break
+		}
+		add(round, 1)
+	}
 	return sum
 }
 
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -60,6 +60,7 @@
 	for _, w := range on {
 		c.account.Undo(spec.Need)
 		w.Free = w.Free.Add(spec.Reserved())
+		w.Runs--
 		w.FillerMilliCPU += spec.Need.MilliCPU
 		if countsRuns(spec) {
 			p.runCounts[w.ID][stepOf(ref)]--
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -27,6 +27,11 @@
 	late     bool
 	// beyondRate is set if its account submitted the workload beyond its rate.
 	beyondRate bool
+	// stepRuns is the number of active runs of the step that is being placed, those that the plan
+	// starts included.
+	stepRuns int
+	// full holds the steps of which no task fits any more, whatever its round.
+	full map[int]bool
 	// turn is nil if all of the workload is placed at once.
 	turn *turn
 }
@@ -82,6 +87,30 @@
 	return c
 }
 
+// markFull records that no task of the step fits any more.
+func (c *candidate) markFull(step int) {
+	if c.workload.Rounds.Len() == 1 {
+		return
+	}
+	if c.full == nil {
+		c.full = map[int]bool{}
+	}
+	c.full[step] = true
+}
+
+// firstStepsFull reports whether no step fits any more that waits for no other step.
+func (c *candidate) firstStepsFull() bool {
+	if c.full == nil {
+		return false
+	}
+	for j := range c.workload.Steps {
+		if len(c.workload.Steps[j].After) == 0 && !c.full[j] {
+			return false
+		}
+	}
+	return true
+}
+
 func compareCandidates(a, b *candidate) int {
 	return cmp.Or(compareClasses(a, b), compare.TrueFirst(b.late, a.late),
 		cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.workload.ID, b.workload.ID))
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -34,6 +34,9 @@
 	// Retiring is set for a surplus worker of its pool that should become empty. It
 	// gets work only if no other worker has enough free capacity.
 	Retiring bool
+	// Runs is the number of runs on the worker, those included that are not assigned to it any
+	// more.
+	Runs int
 	// UpkeepDue is set for a worker whose instance is to be emptied for upkeep. It gets
 	// lasting tasks only if no other worker can take them, because they would have to
 	// leave it again.
@@ -73,6 +76,9 @@
 	// not known from its progress. If it is nil or false, the start of the run and its
 	// expected run time count.
 	TimeLeft func(model.RunRef, model.WorkerID) (time.Duration, bool)
+	// MaxStarts is the number of runs after which the plan ends, so that neither the plan nor what
+	// follows from it holds up other work. The next plan goes on. A gang is not split. 0 means no limit.
+	MaxStarts int
 	// Arrivals lists workers that are expected to take work soon.
 	Arrivals []Arrival
 }
@@ -126,45 +132,75 @@
 	}
 }
 
+// isFull reports whether the plan has MaxStarts runs.
+func (p *planner) isFull() bool {
+	return p.options.MaxStarts > 0 && len(p.starts) >= p.options.MaxStarts
+}
+
 // place starts as many tasks of the workload's open steps as fit, in rounds that
-// are due.
+// are due. Once no first step fits any more, it goes on with the rounds that have begun.
 func (p *planner) place(c *candidate) {
+	c.full = nil
+	last := -1
 	for i, round := range c.workload.Open(p.options.Now) {
-		for j, step := range round.Steps() {
-			if step.Complete() || !c.workload.StepReady(i, j) || c.turn.placed(i, j) {
-				continue
-			}
-			if c.turn.pauseIfUsedUp(i, j, 0) {
-				return
-			}
-			spec := c.workload.Steps[j]
-			if spec.Gang {
-				p.placeGang(c, i, j)
-				continue
-			}
-			p.placeTasks(c, i, j)
+		if !p.placeRound(c, i, round) {
+			return
+		}
+		if last = i; c.firstStepsFull() {
+			break
+		}
+	}
+	if !c.firstStepsFull() {
+		return
+	}
+	for i, round := range c.workload.InProgress(p.options.Now) {
+		if i > last && !p.placeRound(c, i, round) {
+			return
 		}
 	}
 }
 
-// placeTasks starts the tasks of the step that need a run and fit on a worker.
-func (p *planner) placeTasks(c *candidate, round, step int) {
+// placeRound starts tasks of one round. It reports whether the next round has its turn.
+func (p *planner) placeRound(c *candidate, i int, round model.Round) bool {
+	for j, step := range round.Steps() {
+		if step.Complete() || !c.workload.StepReady(i, j) || c.turn.placed(i, j) || c.full[j] {
+			continue
+		}
+		if p.isFull() || c.turn.pauseIfUsedUp(i, j, 0) {
+			return false
+		}
+		spec := c.workload.Steps[j]
+		if spec.Gang {
+			p.placeGang(c, i, j)
+			continue
+		}
+		if fits := p.placeTasks(c, i, j); !fits && p.rackOf(c, &spec) == nil {
+			c.markFull(j)
+		}
+	}
+	return true
+}
+
+// placeTasks starts the tasks of the step that need a run and fit on a worker. It reports
+// whether further tasks of the step may fit, in other rounds.
+func (p *planner) placeTasks(c *candidate, round, step int) (fits bool) {
 	spec := c.workload.Steps[step]
 	tasks := c.workload.Rounds.Step(round, step).Tasks
+	c.stepRuns = tasks.Runs()
 	for k, task := range tasks.NotDone(c.turn.firstTask(round, step)) {
 		ref := model.TaskRef{Workload: c.workload.ID, Round: round, Step: step, Index: k}
 		if !p.needsRun(spec, ref, task) {
 			continue
 		}
 		if !c.account.MayStart(spec.Need, 1) {
-			return
+			return false
 		}
 		if !p.pools[c.pool].mayFit(spec.Reserved()) {
 			p.leaveAhead(c, &spec, ref)
-			return
+			return false
 		}
-		if c.turn.pauseIfUsedUp(round, step, k) {
-			return
+		if p.isFull() || c.turn.pauseIfUsedUp(round, step, k) {
+			return true
 		}
 		w, waits := p.chooseOrWait(c, spec, ref, task.Active)
 		if waits {
@@ -173,13 +209,15 @@
 		if w == nil {
 			if !p.options.avoidsAny(ref) { // no worker can take another task of the step
 				p.leaveAhead(c, &spec, ref)
-				return
+				return false
 			}
 			continue
 		}
 		p.start(w, c, spec, ref, task.LastRun+1)
+		c.stepRuns++
 		p.forecastStart(w, spec, ref)
 	}
+	return true
 }
 
 // avoidsAny reports whether the task has workers to avoid. If such a task does not
@@ -231,6 +269,14 @@
 	return best
 }
 
+const (
+	// maxRuns is the number of runs on a worker above which it gets no more of a wide step. A
+	// worker lists all its runs in each heartbeat, so that the leader's work grows with them.
+	maxRuns = 2000
+	// wideStep is the number of active runs from which a step counts as wide.
+	wideStep = 32
+)
+
 // mayRun reports whether a worker with enough free capacity may run a task of the step.
 func (p *planner) mayRun(c *candidate, w *Worker, spec model.Step, ref model.TaskRef) bool {
 	if spec.Filler && spec.Need.MilliCPU > w.FillerMilliCPU {
@@ -239,6 +285,9 @@
 	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
 		return false
 	}
+	if w.Runs >= maxRuns && c.stepRuns >= wideStep && !spec.Gang {
+		return false
+	}
 	if spec.MaxPerWorker > 0 && p.countRuns(w, stepOf(ref)) >= spec.MaxPerWorker {
 		return false
 	}
@@ -285,7 +334,7 @@
 	if !ok {
 		counts = map[stepRef]int{}
 		a, _ := p.state.Assignments.Get(w.ID)
-		for _, run := range a.Runs {
+		for run := range a.Runs.All() {
 			counts[stepOf(run.Task)]++
 		}
 		for _, run := range w.Unassigned {
@@ -307,6 +356,7 @@
 	c.account.Start(spec.Need)
 	c.turn.started()
 	w.Free = w.Free.Sub(spec.Reserved())
+	w.Runs++
 	w.FillerMilliCPU -= spec.Need.MilliCPU
 	p.starts = append(p.starts, model.RunStart{Run: model.RunRef{Task: ref, Number: number}, Worker: w.ID})
 }
--- a/core/command/place/preempt.go
+++ b/core/command/place/preempt.go
@@ -98,7 +98,7 @@
 func (p *planner) victimsOn(w *Worker, priority int, need model.Resources) []model.RunRef {
 	var list []victim
 	a, _ := p.state.Assignments.Get(w.ID)
-	for _, run := range a.Runs {
+	for run := range a.Runs.All() {
 		if v, ok := p.victim(run); ok && v.priority > priority {
 			list = append(list, v)
 		}
--- a/core/command/place/turn.go
+++ b/core/command/place/turn.go
@@ -62,6 +62,9 @@
 func (p *planner) placeAll(list []*candidate) {
 	if p.shares == nil {
 		for _, c := range list {
+			if p.isFull() {
+				return
+			}
 			p.placeIfRoom(c)
 		}
 		return
@@ -90,7 +93,7 @@
 	for i, c := range class {
 		c.turn = &progress[i]
 	}
-	for c, ok := turns.Next(); ok; c, ok = turns.Next() {
+	for c, ok := turns.Next(); ok && !p.isFull(); c, ok = turns.Next() {
 		c.turn.begin()
 		p.placeIfRoom(c)
 		turns.End(!c.turn.paused)
--- a/core/command/workload/assign.go
+++ b/core/command/workload/assign.go
@@ -1,35 +1,22 @@
 package workload
 
-import (
-	"slices"
-
-	"lacewingturn.example/core/model"
-)
+import "lacewingturn.example/core/model"
 
 // assign adds a run to the runs of its worker.
 func assign(s *model.State, start model.RunStart) {
 	a, _ := s.Assignments.Get(start.Worker)
 	a.Worker = start.Worker
-	a.Runs = append(slices.Clone(a.Runs), start.Run)
+	a.Runs = a.Runs.Add(start.Run)
 	s.Assignments = s.Assignments.Set(start.Worker, a)
 }
 
-// unassign removes all runs of a workload from a worker.
-func unassign(s *model.State, worker model.WorkerID, id model.WorkloadID) {
-	dropRuns(s, worker, func(r model.RunRef) bool { return r.Task.Workload == id })
-}
-
-func unassignRun(s *model.State, worker model.WorkerID, run model.RunRef) {
-	dropRuns(s, worker, func(r model.RunRef) bool { return r == run })
-}
-
-func dropRuns(s *model.State, worker model.WorkerID, drop func(model.RunRef) bool) {
+// unassign removes a run from the runs of its worker.
+func unassign(s *model.State, worker model.WorkerID, run model.RunRef) {
 	a, ok := s.Assignments.Get(worker)
 	if !ok {
 		return
 	}
-	a.Runs = slices.DeleteFunc(slices.Clone(a.Runs), drop)
-	if len(a.Runs) == 0 {
+	if a.Runs = a.Runs.Remove(run); a.Runs.Len() == 0 {
 		s.Assignments = s.Assignments.Delete(worker)
 		return
 	}
@@ -46,7 +33,7 @@
 			for _, run := range task.Active {
 				a := byWorker[run.Worker]
 				a.Worker = run.Worker
-				a.Runs = append(a.Runs, model.RunRef{Task: ref, Number: run.Number})
+				a.Runs = a.Runs.Add(model.RunRef{Task: ref, Number: run.Number})
 				byWorker[run.Worker] = a
 			}
 		}
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -133,7 +133,7 @@
 	if step.Gang && rules != model.FirstRules {
 		w = recordGangEnd(w, end)
 	}
-	unassignRun(s, end.Worker, end.Run)
+	unassign(s, end.Worker, end.Run)
 	held := heldBy(&w) // includes copies and gang members, which markDone unassigns
 	if end.Outcome == model.RunDone && !step.Lasting {
 		w = markDone(s, w, ref, step.Gang)
@@ -178,7 +178,7 @@
 		member.Index = i
 		w = changeTask(w, member, func(t *model.Task) {
 			for _, run := range t.Active {
-				unassignRun(s, run.Worker, model.RunRef{Task: member, Number: run.Number})
+				unassign(s, run.Worker, model.RunRef{Task: member, Number: run.Number})
 			}
 			t.Done, t.Active, t.Checkpoint = true, nil, ""
 		})
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -141,9 +141,9 @@
 // finish moves a workload to its final phase. Above finishedPruneThreshold outcomes it drops
 // those that are older than Retention.
 func finish(s *model.State, w model.Workload, phase model.WorkloadPhase, reason string, held *model.Resources) {
-	for _, task := range w.Begun() {
+	for ref, task := range w.Begun() {
 		for _, run := range task.Active {
-			unassign(s, run.Worker, w.ID)
+			unassign(s, run.Worker, model.RunRef{Task: ref, Number: run.Number})
 		}
 	}
 	remove(s, w.ID)
--- a/core/command/workload/workload_test.go
+++ b/core/command/workload/workload_test.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -312,5 +313,14 @@
 	restored := w.s
 	restored.Assignments = model.State{}.Assignments
 	restored = RebuildDerived(restored)
-	assert.DeepEqual(t, restored.Assignments.Values(), w.s.Assignments.Values())
+	assert.DeepEqual(t, runsByWorker(restored), runsByWorker(w.s))
+	assert.Equal(t, len(runsByWorker(w.s)), w.s.Assignments.Len())
+}
+
+func runsByWorker(s model.State) map[model.WorkerID][]model.RunRef {
+	out := map[model.WorkerID][]model.RunRef{}
+	for id, a := range s.Assignments.All() {
+		out[id] = slices.Collect(a.Runs.All())
+	}
+	return out
 }
--- a/core/model/rounds.go
+++ b/core/model/rounds.go
@@ -16,6 +16,8 @@
 	untouched, final Round
 	// complete is the number of rounds that are complete; all before next are.
 	complete, next int
+	// begun is the number of rounds that are not complete and in which a run was started.
+	begun int
 	// done is the number of tasks that have succeeded, in all rounds together.
 	done int
 	// bytes is the memory that the rounds in list take beyond the list itself.
@@ -25,6 +27,8 @@
 // Round is one repetition of the steps of a workload. It is immutable. Replacing a step copies one
 // block of steps and the list of blocks.
 type Round struct {
+	// first holds the first stepsPerBlock steps, blocks the others.
+	first  []StepState
 	blocks [][]StepState
 	length int
 	// complete is the number of steps that are complete, done that of the tasks that have
@@ -39,12 +43,10 @@
 
 // NewRound returns a round with the given progress of its steps.
 func NewRound(steps []StepState) Round {
-	r := Round{length: len(steps)}
-	for block := range slices.Chunk(steps, stepsPerBlock) {
-		r.blocks = append(r.blocks, block)
-		for i := range block {
-			r.count(&block[i], 1)
-		}
+	r := Round{first: steps[:min(len(steps), stepsPerBlock):len(steps)], length: len(steps)}
+	r.blocks = slices.Collect(slices.Chunk(steps[len(r.first):], stepsPerBlock))
+	for i := range steps {
+		r.count(&steps[i], 1)
 	}
 	return r
 }
@@ -62,7 +64,13 @@
 func (r Round) Len() int { return r.length }
 
 // Step returns one step, which must not be modified.
-func (r Round) Step(i int) *StepState { return &r.blocks[i/stepsPerBlock][i%stepsPerBlock] }
+func (r Round) Step(i int) *StepState {
+	if i < len(r.first) {
+		return &r.first[i]
+	}
+	i -= len(r.first)
+	return &r.blocks[i/stepsPerBlock][i%stepsPerBlock]
+}
 
 // Steps iterates over the steps, which must not be modified.
 func (r Round) Steps() iter.Seq2[int, *StepState] {
@@ -79,10 +87,15 @@
 func (r Round) withStep(i int, state StepState) Round {
 	r.count(r.Step(i), -1)
 	r.count(&state, 1)
+	if i < len(r.first) {
+		r.first = slices.Clone(r.first)
+		r.first[i] = state
+		return r
+	}
+	b, k := (i-len(r.first))/stepsPerBlock, (i-len(r.first))%stepsPerBlock
 	r.blocks = slices.Clone(r.blocks)
-	block := slices.Clone(r.blocks[i/stepsPerBlock])
-	block[i%stepsPerBlock] = state
-	r.blocks[i/stepsPerBlock] = block
+	r.blocks[b] = slices.Clone(r.blocks[b])
+	r.blocks[b][k] = state
 	return r
 }
 
@@ -170,6 +183,12 @@
 func (r *Rounds) replaced(old, round Round) {
 	r.bytes += r.bytesOf(round) - r.bytesOf(old)
 	r.done += round.done - old.done
+	if r.isBegun(old) {
+		r.begun--
+	}
+	if r.isBegun(round) {
+		r.begun++
+	}
 	if round.isComplete() && !old.isComplete() {
 		r.complete++
 	}
@@ -196,9 +215,14 @@
 		if r == nil {
 			return
 		}
-		for i := r.next; i < r.list.length; i++ {
-			if round := r.At(i); !round.isComplete() && !yield(i, round) {
-				return
+		for first, leaf := range r.list.leaves(r.next) {
+			if isFinalLeaf(leaf) {
+				continue
+			}
+			for i := max(first, r.next); i < first+r.list.leafSize(first); i++ {
+				if round := r.At(i); !round.isComplete() && !yield(i, round) {
+					return
+				}
 			}
 		}
 	}
@@ -239,24 +263,30 @@
 }
 
 func (r *Rounds) isUntouched(round Round) bool {
-	return unsafe.SliceData(round.blocks) == unsafe.SliceData(r.untouched.blocks)
+	return isSame(round, r.untouched)
+}
+
+// isBegun reports whether the round is not complete and a run was started in it.
+func (r *Rounds) isBegun(round Round) bool { return !round.isComplete() && !r.isUntouched(round) }
+
+// Untouched returns a round that has not begun.
+func (r *Rounds) Untouched() Round { return r.untouched }
+
+// isSame reports whether two rounds have the same memory. If a step beyond the first block was
+// replaced, the list of blocks is another one.
+func isSame(a, b Round) bool {
+	return unsafe.SliceData(a.first) == unsafe.SliceData(b.first) && unsafe.SliceData(a.blocks) == unsafe.SliceData(b.blocks)
 }
 
 // isShared reports whether the round has the same memory as all others that have not begun or
 // are final.
 func (r *Rounds) isShared(round Round) bool {
-	return r.isUntouched(round) || unsafe.SliceData(round.blocks) == unsafe.SliceData(r.final.blocks)
+	return r.isUntouched(round) || isSame(round, r.final)
 }
 
 // Started reports whether any run was started.
 func (r *Rounds) Started() bool {
-	if r.complete > 0 {
-		return true
-	}
-	for range r.Begun() {
-		return true
-	}
-	return false
+	return r != nil && r.complete+r.begun > 0
 }
 
 // Bytes returns the memory that the progress takes, in bytes.
--- a/core/model/vector.go
+++ b/core/model/vector.go
@@ -17,7 +17,9 @@
 // are one of two: untouched, or final. A leaf that holds only such values of one kind takes no
 // memory.
 type vector[T any] struct {
-	length   int
+	length int
+	// only is the leaf of a list of at most leafLength values; longer ones have branches.
+	only     []T
 	branches [][][]T
 	// stored is the number of values in leaves that take memory.
 	stored int
@@ -26,9 +28,10 @@
 // isFinalLeaf reports whether each value of the leaf is final. A nil leaf has only untouched ones.
 func isFinalLeaf[T any](leaf []T) bool { return leaf != nil && len(leaf) == 0 }
 
+// leaf returns the leaf that holds the position.
 func (v *vector[T]) leaf(i int) []T {
 	if v.branches == nil {
-		return nil
+		return v.only
 	}
 	branch := v.branches[i/(leafLength*branchLength)]
 	if branch == nil {
@@ -37,6 +40,39 @@
 	return branch[i/leafLength%branchLength]
 }
 
+// setLeaf replaces the leaf that holds the position, in place.
+func (v *vector[T]) setLeaf(i int, leaf []T) {
+	if v.length <= leafLength {
+		v.only = leaf
+		return
+	}
+	b, leaves := i/(leafLength*branchLength), (v.length+leafLength-1)/leafLength
+	if v.branches == nil {
+		v.branches = make([][][]T, (leaves+branchLength-1)/branchLength)
+	}
+	if v.branches[b] == nil {
+		v.branches[b] = make([][]T, min(branchLength, leaves-b*branchLength))
+	}
+	v.branches[b][i/leafLength%branchLength] = leaf
+}
+
+// cloneTo clones what leads to the leaf that holds the position, and the leaf.
+func (v *vector[T]) cloneTo(i int) {
+	if v.length <= leafLength {
+		v.only = slices.Clone(v.only)
+		return
+	}
+	if v.branches == nil {
+		return
+	}
+	b, l := i/(leafLength*branchLength), i/leafLength%branchLength
+	v.branches = slices.Clone(v.branches)
+	if branch := slices.Clone(v.branches[b]); branch != nil {
+		branch[l] = slices.Clone(branch[l])
+		v.branches[b] = branch
+	}
+}
+
 // at returns the value at a position. The arguments are the values that take no memory.
 func (v *vector[T]) at(i int, untouched, final T) T {
 	switch leaf := v.leaf(i); {
@@ -54,29 +90,14 @@
 
 // with returns the vector with another value at a position.
 func (v vector[T]) with(i int, value, untouched, final T, isFinal func(T) bool) vector[T] {
-	if v.branches != nil {
-		b, l := i/(leafLength*branchLength), i/leafLength%branchLength
-		v.branches = slices.Clone(v.branches)
-		if branch := slices.Clone(v.branches[b]); branch != nil {
-			branch[l] = slices.Clone(branch[l])
-			v.branches[b] = branch
-		}
-	}
+	v.cloneTo(i)
 	v.put(i, value, untouched, final, isFinal)
 	return v
 }
 
 // put replaces the value at a position in place. isFinal tells final values.
 func (v *vector[T]) put(i int, value, untouched, final T, isFinal func(T) bool) {
-	b, l := i/(leafLength*branchLength), i/leafLength%branchLength
-	leaves := (v.length + leafLength - 1) / leafLength
-	if v.branches == nil {
-		v.branches = make([][][]T, (leaves+branchLength-1)/branchLength)
-	}
-	if v.branches[b] == nil {
-		v.branches[b] = make([][]T, min(branchLength, leaves-b*branchLength))
-	}
-	leaf := v.branches[b][l]
+	leaf := v.leaf(i)
 	if len(leaf) == 0 {
 		common := untouched
 		if isFinalLeaf(leaf) {
@@ -91,17 +112,14 @@
 		v.stored -= len(leaf)
 		leaf = []T{}
 	}
-	v.branches[b][l] = leaf
+	v.setLeaf(i, leaf)
 }
 
 // allFinal returns a vector of final values.
 func allFinal[T any](length int) vector[T] {
 	v := vector[T]{length: length}
-	leaves := (length + leafLength - 1) / leafLength
-	for first := 0; first < leaves; first += branchLength {
-		branch := make([][]T, min(branchLength, leaves-first))
-		fill(branch, []T{})
-		v.branches = append(v.branches, branch)
+	for i := 0; i < length; i += leafLength {
+		v.setLeaf(i, []T{})
 	}
 	return v
 }
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -1,10 +1,13 @@
 package model
 
 import (
+	"cmp"
 	"fmt"
 	"iter"
 	"slices"
 	"time"
+
+	"lacewingturn.example/core/table"
 )
 
 // WorkloadID identifies a workload. The caller chooses it; it has 16 hexadecimal
@@ -188,10 +191,20 @@
 	Number int
 }
 
+// Compare orders tasks by workload, round, step and index.
+func (t TaskRef) Compare(o TaskRef) int {
+	return cmp.Or(cmp.Compare(t.Workload, o.Workload), cmp.Compare(t.Round, o.Round), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
+// Compare orders runs by task and number.
+func (r RunRef) Compare(o RunRef) int {
+	return cmp.Or(r.Task.Compare(o.Task), cmp.Compare(r.Number, o.Number))
+}
+
 // Assignment lists the runs that are assigned to one worker.
 type Assignment struct {
 	Worker WorkerID
-	Runs   []RunRef
+	Runs   table.Set[RunRef]
 }
 
 // WorkloadPhase is the state of a workload.
@@ -254,6 +267,24 @@
 	return w.FirstDue.Add(time.Duration(round) * w.Interval)
 }
 
+// InProgress iterates over the rounds that are due and not complete, and in which a run was
+// started.
+func (w *Workload) InProgress(now Timestamp) iter.Seq2[int, Round] {
+	return func(yield func(int, Round) bool) {
+		due := w.DueBy(now)
+		for i, round := range w.Rounds.Begun() {
+			if i >= due || !round.isComplete() && !yield(i, round) {
+				return
+			}
+		}
+	}
+}
+
+// Waiting returns the number of rounds that are due and have not begun.
+func (w *Workload) Waiting(now Timestamp) int {
+	return max(0, w.DueBy(now)-w.Rounds.complete-w.Rounds.begun)
+}
+
 // DueBy returns the number of rounds that are due at the given time. Rounds become due in order.
 func (w Workload) DueBy(t Timestamp) int {
 	switch n := w.Rounds.Len(); {
@@ -268,14 +299,10 @@
 
 // Task returns the task at the given position; false if there is none.
 func (w Workload) Task(ref TaskRef) (Task, bool) {
-	if ref.Round < 0 || ref.Round >= w.Rounds.Len() || ref.Step < 0 || ref.Step >= len(w.Steps) {
-		return Task{}, false
-	}
-	tasks := w.Rounds.Step(ref.Round, ref.Step).Tasks
-	if ref.Index < 0 || ref.Index >= tasks.Len() {
+	if !w.Has(ref) {
 		return Task{}, false
 	}
-	return tasks.At(ref.Index), true
+	return w.Rounds.At(ref.Round).Step(ref.Step).Tasks.At(ref.Index), true
 }
 
 // ResumeFrom returns the checkpoint that the next run of the task resumes from; empty if
@@ -353,15 +380,19 @@
 
 // Has reports whether there is a task at the given position.
 func (w Workload) Has(ref TaskRef) bool {
-	_, ok := w.Task(ref)
-	return ok
+	return ref.Round >= 0 && ref.Round < w.Rounds.Len() && ref.Step >= 0 && ref.Step < len(w.Steps) && ref.Index >= 0 && ref.Index < w.Steps[ref.Step].Count
 }
 
 // StepReady reports whether all steps that the given step depends on are complete in
 // the round.
 func (w Workload) StepReady(round, step int) bool {
-	for _, before := range w.Steps[step].After {
-		if state := w.Rounds.Step(round, before); !state.Complete() {
+	return len(w.Steps[step].After) == 0 || w.Steps[step].ReadyIn(w.Rounds.At(round))
+}
+
+// ReadyIn reports whether all steps that the step depends on are complete in the round.
+func (s *Step) ReadyIn(round Round) bool {
+	for _, before := range s.After {
+		if !round.Step(before).Complete() {
 			return false
 		}
 	}
--- a/core/query/account_shares.go
+++ b/core/query/account_shares.go
@@ -63,9 +63,10 @@
 // addWorkload adds a workload to the view of its account.
 func (v *AccountShare) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
 	waits, held := false, true
-	for i, round := range w.Open(now) {
-		for j, spec := range w.Steps {
-			if !w.StepReady(i, j) || round.Step(j).Waiting() == 0 {
+	add := func(round model.Round) {
+		for j := range w.Steps {
+			spec := &w.Steps[j]
+			if round.Step(j).Waiting() == 0 || !spec.ReadyIn(round) {
 				continue
 			}
 			runs := 1
@@ -75,6 +76,12 @@
 			waits, held = true, held && !account.MayStart(spec.Need, runs)
 		}
 	}
+	if w.Waiting(now) > 0 {
+		add(w.Rounds.Untouched())
+	}
+	for _, round := range w.InProgress(now) {
+		add(round)
+	}
 	if !waits {
 		return
 	}
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -31,28 +31,37 @@
 			continue
 		}
 		d := out[q.Pool]
-		for i, round := range w.Open(now) {
-			for j, state := range round.Steps() {
-				if !state.Complete() && w.StepReady(i, j) {
-					d.add(w.Steps[j], state, clearing)
-				}
-			}
+		d.addRound(&w, w.Rounds.Untouched(), w.Waiting(now), clearing)
+		for _, round := range w.InProgress(now) {
+			d.addRound(&w, round, 1, clearing)
 		}
 		out[q.Pool] = d
 	}
 	return out
 }
 
-func (d *Demand) add(step model.Step, state *model.StepState, clearing time.Duration) {
+// addRound adds so many rounds in the same state.
+func (d *Demand) addRound(w *model.Workload, round model.Round, times int, clearing time.Duration) {
+	if times == 0 {
+		return
+	}
+	for j, state := range round.Steps() {
+		if !state.Complete() && w.Steps[j].ReadyIn(round) {
+			d.add(w.Steps[j], state, times, clearing)
+		}
+	}
+}
+
+func (d *Demand) add(step model.Step, state *model.StepState, times int, clearing time.Duration) {
 	one := step.Reserved()
-	d.Running = d.Running.Add(one.Scale(float64(state.Tasks.Active())))
+	d.Running = d.Running.Add(one.Times(state.Tasks.Active() * times))
 	weight := 1.0
 	if clearing > 0 && !step.Lasting && !step.Gang {
 		weight = min(1, float64(step.Estimate)/float64(clearing))
 	}
-	d.Waiting = d.Waiting.Add(one.Scale(weight * float64(state.Waiting())))
+	d.Waiting = d.Waiting.Add(one.Scale(weight * float64(state.Waiting())).Times(times))
 	if step.Lasting {
-		d.Lasting = d.Lasting.Add(one.Scale(float64(state.Tasks.Len() - state.Done)))
+		d.Lasting = d.Lasting.Add(one.Times((state.Tasks.Len() - state.Done) * times))
 	}
 	if step.Lasting && step.MaxPerWorker > 0 {
 		d.MinWorkers = max(d.MinWorkers, (step.Count+step.MaxPerWorker-1)/step.MaxPerWorker)
--- a/core/query/explain_workload.go
+++ b/core/query/explain_workload.go
@@ -95,8 +95,12 @@
 func (e *Explanation) worker(list []model.Assignment) {
 	e.Condition = fmt.Sprintf("%d incarnations have runs", len(list))
 	for _, a := range list {
-		e.addReason("%s has %d runs", a.Worker, len(a.Runs))
-		for _, run := range a.Runs[:min(len(a.Runs), maxNamedRuns)] {
+		e.addReason("%s has %d runs", a.Worker, a.Runs.Len())
+		named := 0
+		for run := range a.Runs.All() {
+			if named++; named > maxNamedRuns {
+				break
+			}
 			e.addReason("%s: run %d of task %d of step %d in round %d of workload %s", a.Worker, run.Number, run.Task.Index, run.Task.Step, run.Task.Round, run.Task.Workload)
 		}
 	}
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -140,23 +140,35 @@
 // time.
 const applyBatch = 64
 
+// applyBytes is the size of the commands, in bytes, after which a flush applies no more: the time
+// that a command takes grows with its size.
+const applyBytes = 128 << 10
+
 // Flush implements loop.StateMachine.
 func (m *machine) Flush(now time.Time) {
 	m.flushedAt = now
 	m.step(now, raft.Flush{})
-	n := min(len(m.backlog), applyBatch)
-	for _, e := range m.backlog[:n] {
-		m.apply(e)
-	}
-	if m.backlog = m.backlog[n:]; len(m.backlog) == 0 {
-		m.backlog = nil
-	}
+	m.applyBacklog()
 	m.startWrite()
 	m.startSnapshot()
 	m.publish(now)
 	m.deliverResults(now)
 }
 
+// applyBacklog applies entries of the backlog, at least one and as many as applyBatch and
+// applyBytes allow.
+func (m *machine) applyBacklog() {
+	n, size := 0, 0
+	for n < min(len(m.backlog), applyBatch) && size < applyBytes {
+		size += len(m.backlog[n].Data)
+		m.apply(m.backlog[n])
+		n++
+	}
+	if m.backlog = m.backlog[n:]; len(m.backlog) == 0 {
+		m.backlog = nil
+	}
+}
+
 // step passes one input to the protocol and carries out the effects.
 func (m *machine) step(now time.Time, in raft.Input) *raft.Proposed {
 	var out raft.Effects
--- a/replica/schedule/bench_test.go
+++ b/replica/schedule/bench_test.go
@@ -23,7 +23,7 @@
 			m, r := loadedMachine(b, workers)
 			reports := make([]Report, workers)
 			for i := range reports {
-				reports[i] = fullReport(r, fmt.Sprint(i))
+				reports[i] = fullReport(r, fmt.Sprint(i)).indexed() // as Machine.Report does on the goroutine of the call
 			}
 			now := time.Now()
 			send := func(report *Report) {
@@ -88,7 +88,7 @@
 		Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000},
 	}
 	a, _ := r.View().State.Assignments.Get(id)
-	for _, run := range a.Runs {
+	for run := range a.Runs.All() {
 		report.Running = append(report.Running, Running{Run: run, Percent: 50})
 	}
 	return report
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -24,11 +24,28 @@
 	startedAt time.Time
 	before    model.State // state on which the cycle was decided
 	progress  model.RecordProgress
-	parts     []model.RecordProgress  // the progress as it is proposed, one command each
+	parts     []model.RecordProgress  // the progress as it is being proposed, one command each
+	settled   []settledPart           // parts that were committed or refused
 	causes    map[model.RunRef]string // why each run ended
 	pending   []pendingReport         // reports that are answered once the cycle is committed
 }
 
+// settledPart is a part of a cycle with its result.
+type settledPart struct {
+	progress model.RecordProgress
+	result   result.Result
+}
+
+const (
+	// maxCycleEnds and maxCycleStarts bound the ends and starts of one cycle, so that the control
+	// loop, which also sends and answers the heartbeats of the replicas, is not held up by them.
+	// The next cycle goes on.
+	maxCycleEnds   = 2000
+	maxCycleStarts = 1000
+	// maxEntryItems is the number of ends and starts in one entry of the log. A gang is not split.
+	maxEntryItems = 250
+)
+
 // runCycle collects the ends of runs, plans starts on workers with free capacity
 // and commits both. If there is nothing to commit, it answers the pending reports
 // at once.
@@ -64,7 +81,7 @@
 	}
 	m.committing = &cycle{startedAt: now, before: state, progress: progress, causes: causes, pending: m.pending}
 	m.pending = nil
-	m.commit([]model.RecordProgress{progress})
+	m.commit(splitProgress(state, progress, maxEntryItems))
 }
 
 // pruneInterval is the time between two passes that discard ended workers.
@@ -85,22 +102,31 @@
 }
 
 // reportedEnds lists the reported ends of runs that are recorded as active, and
-// the runs that are to be stopped and were never started.
+// the runs that are to be stopped and were never started. Of each report it takes a part of
+// maxCycleEnds; the worker lists the others again.
 func (m *Machine) reportedEnds(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
-	for _, p := range m.pending {
+	share := max(1, maxCycleEnds/max(1, len(m.pending)))
+	for i := range m.pending {
+		p := &m.pending[i]
 		a, _ := s.Assignments.Get(p.report.Worker)
+		taken := 0
 		for _, end := range p.report.Ended {
-			if slices.Contains(a.Runs, end.Run) {
+			if taken == share {
+				break
+			}
+			p.ackCursor = end.Position
+			if a.Runs.Has(end.Run) {
+				taken++
 				causes[end.Run] = causeReported
 				out = append(out, model.RunEnd{Run: end.Run, Worker: p.report.Worker, Outcome: end.Outcome, Checkpoint: end.Checkpoint})
 			}
 		}
-		for _, run := range a.Runs {
+		for run := range a.Runs.All() {
 			// A run that the worker does not list never started there: the start order
 			// was lost, or not sent because the run is to be stopped. A list that may be cut
 			// shows nothing.
-			if m.stopping[run] && !p.report.MoreEnds && !lists(p.report, run) && !p.worker.mayRun(now, run, m.lease()) && !m.mayBeInherited(now, p.report.Worker, run) {
+			if m.stopping[run] && !p.report.MoreEnds && !p.report.lists(run) && !p.worker.mayRun(now, run, m.lease()) && !m.mayBeInherited(now, p.report.Worker, run) {
 				causes[run] = causeUnstarted
 				out = append(out, model.RunEnd{Run: run, Worker: p.report.Worker, Outcome: model.RunInterrupted})
 			}
@@ -118,12 +144,16 @@
 	var out []model.RunEnd
 	next := now.Add(m.lease())
 	for id, a := range s.Assignments.All() {
+		if len(out) >= maxCycleEnds {
+			next = now
+			break
+		}
 		if until := m.aliveUntil(id); until.After(now) {
 			next = compare.Earlier(next, until)
 			continue
 		}
 		w := m.workers[id]
-		for _, run := range a.Runs {
+		for run := range a.Runs.All() {
 			end := model.RunEnd{Run: run, Worker: id, Outcome: model.RunInterrupted}
 			causes[run] = m.endCause(id)
 			if w != nil {
@@ -191,18 +221,20 @@
 // other tasks of its step are away as may be, for example for upkeep: the worker goes on
 // serving until it shuts down.
 func (m *Machine) evacuate(now time.Time, s model.State) {
+	limits := maintain.StopLimits{Serving: func(t model.TaskRef) bool { return m.Serving(now, t) }}
 	for _, p := range m.pending {
 		if !p.report.Draining {
 			continue
 		}
 		a, _ := s.Assignments.Get(p.report.Worker)
-		for _, run := range a.Runs {
+		for run := range a.Runs.All() {
 			workload, ok := s.Workloads.Get(run.Task.Workload)
 			if !ok || !workload.Has(run.Task) || m.stopping[run] {
 				continue
 			}
 			step := workload.Steps[run.Task.Step]
-			if step.Lasting && maintain.MayStop(run.Task, step.Count, step.Missable, func(t model.TaskRef) bool { return m.Serving(now, t) }) {
+			if step.Lasting && limits.MayStop(run.Task, step.Count, step.Missable) {
+				limits.Stopped(run.Task)
 				m.stopping[run] = true
 			}
 		}
@@ -244,6 +276,7 @@
 		RunTime:          func(t model.TaskRef, estimate time.Duration) time.Duration { return m.runTime(now, s, t, estimate) },
 		TimeLeft:         func(run model.RunRef, w model.WorkerID) (time.Duration, bool) { return m.timeLeft(now, run, w) },
 		Arrivals:         m.arrivals(now),
+		MaxStarts:        maxCycleStarts,
 	}
 }
 
@@ -264,17 +297,17 @@
 }
 
 // finishCommit answers the reports of the cycle once its ends and starts are
-// committed; if the commit failed, it answers them with an error. If the progress is
-// refused as a whole, its entries are proposed one by one, so that only the refused
-// ones are dropped.
+// committed; if the commit failed, it answers them with an error. If a part of the progress
+// is refused as invalid, its entries are proposed one by one, so that only the refused ones
+// are dropped.
 func (m *Machine) finishCommit(now time.Time, c committed) {
 	if c.term != m.term || m.committing == nil {
 		return
 	}
 	current := m.committing
-	if c.err == nil && len(current.parts) == 1 && c.results[0].Code == result.InvalidInput {
-		if parts := splitProgress(current.before, current.progress); len(parts) > 1 {
-			m.commit(parts)
+	if c.err == nil {
+		if rest := current.settle(c.results); len(rest) > 0 {
+			m.commit(rest)
 			return
 		}
 	}
@@ -288,12 +321,26 @@
 		refuse(current.pending, trace.Wrap(err))
 		return
 	}
-	m.dropRefused(now, current, c.results)
+	m.dropRefused(now, current)
 	m.logged = map[model.WorkloadID]bool{}
 	m.logProgress(now, *current)
 	m.answerAll(now, current.pending)
 }
 
+// settle records the results of the parts, and returns those that are to be proposed again.
+func (c *cycle) settle(results []result.Result) (rest []model.RecordProgress) {
+	for i, part := range c.parts {
+		if isInvalid(results[i]) {
+			if single := splitProgress(c.before, part, 1); len(single) > 1 {
+				rest = append(rest, single...)
+				continue
+			}
+		}
+		c.settled = append(c.settled, settledPart{part, results[i]})
+	}
+	return rest
+}
+
 // failure returns why the outcome of the commit is not known or nothing was committed;
 // nil if each part was committed or refused as invalid.
 func (c committed) failure() error {
--- a/replica/schedule/failures.go
+++ b/replica/schedule/failures.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -9,22 +8,32 @@
 
 // failedRuns returns the runs that the report lists as failed. A run of a gang fails as a
 // whole, so that of the members that failed in one run only the first is returned.
-func failedRuns(s model.State, r Report) []model.RunRef {
-	var out []model.RunRef
+func failedRuns(s model.State, r Report) map[model.RunRef]bool {
+	out, gangs := map[model.RunRef]bool{}, map[model.RunRef]bool{}
 	for _, end := range r.Ended {
 		if end.Outcome != model.RunFailed {
 			continue
 		}
-		if !slices.ContainsFunc(out, func(other model.RunRef) bool { return sameGangRun(s, other, end.Run) }) {
-			out = append(out, end.Run)
+		if gang, ok := gangRun(s, end.Run); ok {
+			if gangs[gang] {
+				continue
+			}
+			gangs[gang] = true
 		}
+		out[end.Run] = true
 	}
 	return out
 }
 
-// sameGangRun reports whether the runs of two tasks are one run of a gang.
-func sameGangRun(s model.State, a, b model.RunRef) bool {
-	return a.Number == b.Number && sameGang(s, a.Task, b.Task)
+// gangRun returns the run of the first member of the run's gang; false if the task belongs to
+// none.
+func gangRun(s model.State, run model.RunRef) (model.RunRef, bool) {
+	w, ok := s.Workloads.Get(run.Task.Workload)
+	if !ok || !w.Has(run.Task) || !w.Steps[run.Task.Step].Gang {
+		return run, false
+	}
+	run.Task.Index = 0
+	return run, true
 }
 
 // isNewFailure reports whether the failure of a run on the worker has not been counted: the
@@ -37,7 +46,7 @@
 	}
 	a, _ := s.Assignments.Get(id)
 	step := w.Rounds.Step(run.Task.Round, run.Task.Step)
-	return slices.Contains(a.Runs, run) && !(w.Steps[run.Task.Step].Gang && run.Number <= step.GangProgress().LastFailedRun)
+	return a.Runs.Has(run) && !(w.Steps[run.Task.Step].Gang && run.Number <= step.GangProgress().LastFailedRun)
 }
 
 // avoidAfterFailure keeps the tasks of a failed run from the worker for avoidPeriod. For a
--- a/replica/schedule/health_test.go
+++ b/replica/schedule/health_test.go
@@ -44,12 +44,13 @@
 		lasting := oneTask
 		lasting.Lasting = true
 		h.submit(1, oneTask)
-		h.submit(2, lasting)
+		serving := h.submit(2, lasting)
 		start := h.mustReport("a", 1, nil)
+		assert.Equal(t, start.Start[1].Run.Task.Workload, serving)
 		for i := range 20 {
 			o := h.mustReport("a", 1, func(r *Report) {
-				at(100, start.Start[0])(r) // long-running tasks are started first
-				at(5*i, start.Start[1])(r)
+				at(5*i, start.Start[0])(r) // start orders are sorted by workload
+				at(100, start.Start[1])(r)
 			})
 			assert.Equal(t, len(o.Stop), 0)
 			time.Sleep(300 * time.Millisecond)
--- a/replica/schedule/isolate.go
+++ b/replica/schedule/isolate.go
@@ -16,17 +16,20 @@
 // refused as invalid.
 const refusedBackoff = 10 * time.Second
 
-// splitProgress splits the progress into commands that can be refused separately: one
-// for each end, and one for each start or, because a gang starts as a whole, for all
-// starts of a gang. Their order is that in which the progress is applied.
-func splitProgress(s model.State, p model.RecordProgress) []model.RecordProgress {
+// splitProgress splits the progress into commands of at most so many ends or starts, but
+// leaves the starts of a gang together, because a gang starts as a whole. Their order is that
+// in which the progress is applied. Progress that is small enough stays one command.
+func splitProgress(s model.State, p model.RecordProgress, size int) []model.RecordProgress {
+	if len(p.Ends)+len(p.Starts) <= size {
+		return []model.RecordProgress{p}
+	}
 	var out []model.RecordProgress
-	for i := range p.Ends {
-		out = append(out, model.RecordProgress{Ends: p.Ends[i : i+1]})
+	for ends := range slices.Chunk(p.Ends, size) {
+		out = append(out, model.RecordProgress{Ends: ends})
 	}
 	for first := 0; first < len(p.Starts); {
-		last := first + 1
-		for last < len(p.Starts) && sameGang(s, p.Starts[first].Run.Task, p.Starts[last].Run.Task) {
+		last := min(first+size, len(p.Starts))
+		for last < len(p.Starts) && sameGang(s, p.Starts[last-1].Run.Task, p.Starts[last].Run.Task) {
 			last++
 		}
 		out = append(out, model.RecordProgress{Starts: p.Starts[first:last]})
@@ -43,23 +46,23 @@
 // dropRefused removes the parts that were refused as invalid from the progress of the
 // cycle. The report of a worker whose end was refused is answered with the error, so that
 // the end stays unacknowledged.
-func (m *Machine) dropRefused(now time.Time, c *cycle, results []result.Result) {
-	if !slices.ContainsFunc(results, isInvalid) {
+func (m *Machine) dropRefused(now time.Time, c *cycle) {
+	if !slices.ContainsFunc(c.settled, settledPart.refused) {
 		return
 	}
 	var committed model.RecordProgress
 	refusedEnds := map[model.WorkerID]result.Result{}
-	for i, part := range c.parts {
-		if !isInvalid(results[i]) {
-			committed.Ends = append(committed.Ends, part.Ends...)
-			committed.Starts = append(committed.Starts, part.Starts...)
+	for _, part := range c.settled {
+		if !part.refused() {
+			committed.Ends = append(committed.Ends, part.progress.Ends...)
+			committed.Starts = append(committed.Starts, part.progress.Starts...)
 			continue
 		}
-		for _, end := range part.Ends {
-			m.logRefused(end.Run, end.Worker, "end", results[i])
-			refusedEnds[end.Worker] = results[i]
+		for _, end := range part.progress.Ends {
+			m.logRefused(end.Run, end.Worker, "end", part.result)
+			refusedEnds[end.Worker] = part.result
 		}
-		m.avoidRefused(now, part.Starts, results[i])
+		m.avoidRefused(now, part.progress.Starts, part.result)
 	}
 	c.progress = committed
 	c.pending = slices.DeleteFunc(c.pending, func(p pendingReport) bool {
@@ -89,4 +92,6 @@
 	event.ProgressRefused.Log(m.settings.Logger, append(runFields(run), zap.String("what", what), zap.String("worker", string(id)), zap.String("detail", res.Detail))...)
 }
 
+func (p settledPart) refused() bool { return isInvalid(p.result) }
+
 func isInvalid(r result.Result) bool { return r.Code == result.InvalidInput }
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -109,7 +109,9 @@
 	worker     *worker
 	report     Report
 	receivedAt time.Time
-	reply      chan<- answer // buffered for one value, so that sending never blocks
+	// ackCursor is the position of the last end that was taken.
+	ackCursor int64
+	reply     chan<- answer // buffered for one value, so that sending never blocks
 }
 
 type answer struct {
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -32,7 +32,7 @@
 	}
 	state := m.replica.View().State
 	a, _ := state.Assignments.Get(w.Worker)
-	for _, run := range a.Runs {
+	for run := range a.Runs.All() {
 		o.Runs = append(o.Runs, m.observedRun(state, run))
 	}
 	if m.committing != nil {
@@ -43,7 +43,7 @@
 		}
 	}
 	for _, r := range w.Running {
-		o.NoUnassignedRuns = o.NoUnassignedRuns && slices.Contains(a.Runs, r.Run)
+		o.NoUnassignedRuns = o.NoUnassignedRuns && a.Runs.Has(r.Run)
 	}
 	return o
 }
@@ -74,7 +74,7 @@
 		if w == nil || m.stopping[name] || now.Sub(w.reportedAt) > m.reportTimeout() {
 			continue
 		}
-		if slices.ContainsFunc(w.Running, func(r Running) bool { return r.Run == name && r.Percent >= servingPercent }) {
+		if r, ok := w.runningRun(name); ok && r.Percent >= servingPercent {
 			return true
 		}
 	}
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"lacewingturn.example/core/command/pace"
@@ -61,19 +60,19 @@
 // assigned to it, and extends its lease. An incarnation that has ended or was replaced
 // gets no lease.
 func (m *Machine) orders(now time.Time, p pendingReport) Orders {
-	o := Orders{Lease: m.lease(), FencingToken: m.term, AckCursor: lastPosition(p.report), NextReport: m.reportInterval(busyInterval)}
+	o := Orders{Lease: m.lease(), FencingToken: m.term, AckCursor: p.ackCursor, NextReport: m.reportInterval(busyInterval)}
 	if m.hasEnded(p.report.Worker) || m.workers[p.report.Worker] != p.worker {
 		return Orders{FencingToken: m.term, AckCursor: o.AckCursor, NextReport: m.reportInterval(busyInterval)}
 	}
 	state := m.view.State
 	a, _ := state.Assignments.Get(p.report.Worker)
 	for _, run := range p.report.Running {
-		if !slices.Contains(a.Runs, run.Run) {
+		if !a.Runs.Has(run.Run) {
 			o.Stop = append(o.Stop, run.Run)
 		}
 	}
-	for _, run := range a.Runs {
-		listed := lists(p.report, run)
+	for run := range a.Runs.All() {
+		listed := p.report.lists(run)
 		if !listed && gangRunEnded(state, run) {
 			m.stopping[run] = true // the gang has ended before this member started
 		}
@@ -103,12 +102,6 @@
 	return o
 }
 
-// lists reports whether the report contains the run, as running or as ended.
-func lists(r Report, run model.RunRef) bool {
-	return slices.ContainsFunc(r.Running, func(o Running) bool { return o.Run == run }) ||
-		slices.ContainsFunc(r.Ended, func(o Ended) bool { return o.Run == run })
-}
-
 // gangRunEnded reports whether another member of the run's gang has ended the run.
 func gangRunEnded(s model.State, run model.RunRef) bool {
 	w, ok := s.Workloads.Get(run.Task.Workload)
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -30,6 +31,48 @@
 	// MoreEnds is set if the worker may have further ends that it does not list yet. A run that
 	// the report does not list may then have ended.
 	MoreEnds bool
+	// listed is the index of the runs in Running and Ended.
+	listed map[model.RunRef]listing
+}
+
+// listing is where a report lists a run: its position in Running, or notRunning.
+type listing int32
+
+const notRunning listing = -1
+
+// indexed returns the report with the index of its runs. It is built before the report reaches
+// the control loop, whose work must not grow with the square of the number of runs.
+// The ends are sorted by position.
+func (r Report) indexed() Report {
+	byPosition := func(a, b Ended) int { return cmp.Compare(a.Position, b.Position) }
+	if !slices.IsSortedFunc(r.Ended, byPosition) {
+		r.Ended = slices.Clone(r.Ended)
+		slices.SortStableFunc(r.Ended, byPosition)
+	}
+	r.listed = make(map[model.RunRef]listing, len(r.Running)+len(r.Ended))
+	for _, end := range r.Ended {
+		r.listed[end.Run] = notRunning
+	}
+	for i, running := range r.Running {
+		r.listed[running.Run] = listing(i)
+	}
+	return r
+}
+
+// lists reports whether the report contains the run, as running or as ended.
+func (r *Report) lists(run model.RunRef) bool {
+	_, ok := r.listed[run]
+	return ok
+}
+
+// runningRun returns what the report says of a run that has not ended; false if it does not list
+// the run as running.
+func (r *Report) runningRun(run model.RunRef) (Running, bool) {
+	i, ok := r.listed[run]
+	if !ok || i == notRunning {
+		return Running{}, false
+	}
+	return r.Running[i], true
 }
 
 // check returns the first reason to refuse the report, or OK: a name in it must not
--- a/replica/schedule/unassigned.go
+++ b/replica/schedule/unassigned.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -69,7 +68,7 @@
 		u.addRun(w, run)
 	}
 	for run := range w.progress {
-		if !lists(w.Report, run) && !slices.Contains(w.freeCache.runs, run) && !slices.Contains(w.ordered, run) && w.mayRun(now, run, lease) {
+		if !w.lists(run) && !w.freeCache.runs.Has(run) && !w.ordered[run] && w.mayRun(now, run, lease) {
 			u.addRun(w, run)
 		}
 	}
--- a/replica/schedule/unstarted.go
+++ b/replica/schedule/unstarted.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,10 +32,9 @@
 		w.ordered, w.unstarted = nil, nil
 		return
 	}
-	w.ordered = nil
-	unstarted := map[model.RunRef]startAttempts{}
+	ordered, unstarted := make(map[model.RunRef]bool, len(starts)), make(map[model.RunRef]startAttempts, len(starts))
 	for _, start := range starts {
-		w.ordered = append(w.ordered, start.Run)
+		ordered[start.Run] = true
 		attempts, ok := w.unstarted[start.Run]
 		if !ok {
 			attempts.first = now
@@ -44,7 +42,7 @@
 		attempts.count++
 		unstarted[start.Run] = attempts
 	}
-	w.unstarted = unstarted
+	w.ordered, w.unstarted = ordered, unstarted
 }
 
 // ignores reports whether the worker goes on reporting without starting the run.
@@ -59,7 +57,7 @@
 // leader has certainly expired.
 func (m *Machine) mayBeInherited(now time.Time, id model.WorkerID, run model.RunRef) bool {
 	a, _ := m.inherited.Get(id)
-	return slices.Contains(a.Runs, run) && now.Before(leaseEnd(m.leaderSince, m.lease()))
+	return a.Runs.Has(run) && now.Before(leaseEnd(m.leaderSince, m.lease()))
 }
 
 // abandonStart stops a run that the worker was told to start and does not list. The stop
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -1,13 +1,13 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"lacewingturn.example/core/command/place"
 	"lacewingturn.example/core/command/throttle"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
+	"lacewingturn.example/core/table"
 )
 
 // worker is what the leader has observed of one incarnation of a worker.
@@ -44,7 +44,7 @@
 	// ordered lists the runs that the latest answer told the worker to start. The next
 	// report shows which of them it has started, because a worker drops a late answer
 	// and has one report outstanding at a time.
-	ordered []model.RunRef
+	ordered map[model.RunRef]bool
 	// unstarted holds the runs that the worker was told to start and has not listed.
 	unstarted map[model.RunRef]startAttempts
 	freeCache freeCache
@@ -98,7 +98,7 @@
 	w.progress = progressByRun
 	failed := failedRuns(s, r)
 	for _, end := range r.Ended {
-		w.recordEnd(now, end, slices.Contains(failed, end.Run) && isNewFailure(s, w.Worker, end.Run))
+		w.recordEnd(now, end, failed[end.Run] && isNewFailure(s, w.Worker, end.Run))
 	}
 }
 
@@ -147,7 +147,7 @@
 // assigned runs.
 type freeCache struct {
 	sequence int64
-	runs     []model.RunRef
+	runs     table.Set[model.RunRef]
 	free     model.Resources
 	// unassigned lists the runs that the worker has although they are not assigned to
 	// it any more.
@@ -158,12 +158,9 @@
 }
 
 // updateFree brings the cache up to date with the latest report and the assigned runs.
-// Lists of assigned runs are never changed in place, so the same first element in memory
-// means the same list.
 func (w *worker) updateFree(s model.State) {
 	a, _ := s.Assignments.Get(w.Worker)
-	known := w.freeCache.sequence == w.Sequence && len(w.freeCache.runs) == len(a.Runs) && (len(a.Runs) == 0 || &w.freeCache.runs[0] == &a.Runs[0])
-	if !known {
+	if known := w.freeCache.sequence == w.Sequence && w.freeCache.runs.Same(a.Runs); !known {
 		free, unassigned := w.computeFree(s, a.Runs)
 		w.freeCache = freeCache{w.Sequence, a.Runs, free, unassigned, declaredByFillers(s, a.Runs)}
 	}
@@ -178,9 +175,9 @@
 
 // computeFree subtracts the runs from the capacity, and returns the runs that are not
 // assigned. Nothing is free if the size of a listed run is unknown.
-func (w *worker) computeFree(s model.State, assigned []model.RunRef) (free model.Resources, unassigned []model.RunRef) {
-	sizes := map[model.RunRef]runSize{}
-	for _, run := range assigned {
+func (w *worker) computeFree(s model.State, assigned table.Set[model.RunRef]) (free model.Resources, unassigned []model.RunRef) {
+	sizes := make(map[model.RunRef]runSize, assigned.Len()+len(w.ordered))
+	for run := range assigned.All() {
 		sizes[run] = sizeOf(s, run.Task)
 	}
 	allKnown := true
@@ -196,7 +193,7 @@
 	for _, run := range w.Running {
 		addUnassigned(run.Run)
 	}
-	for _, run := range w.ordered {
+	for run := range w.ordered {
 		addUnassigned(run)
 	}
 	if !allKnown {
@@ -233,16 +230,16 @@
 		return place.Worker{}, false
 	}
 	return place.Worker{
-		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels,
+		ID: w.Worker, Pool: w.Pool, Rack: w.Domain.Rack, Labels: w.Labels, Runs: w.freeCache.runs.Len() + len(w.freeCache.unassigned),
 		Free: free, Unassigned: w.freeCache.unassigned, FillerMilliCPU: free.MilliCPU - w.freeCache.fillerMilliCPU, Suspect: now.Before(w.suspectUntil), Retiring: w.retiring,
 	}, true
 }
 
 // declaredByFillers returns the sum of the processor time that the fillers among the runs
 // declare, in thousandths of a processor.
-func declaredByFillers(s model.State, runs []model.RunRef) int64 {
+func declaredByFillers(s model.State, runs table.Set[model.RunRef]) int64 {
 	var sum int64
-	for _, run := range runs {
+	for run := range runs.All() {
 		if workload, ok := s.Workloads.Get(run.Task.Workload); ok && workload.Steps[run.Task.Step].Filler {
 			sum += workload.Steps[run.Task.Step].Need.MilliCPU
 		}
@@ -253,10 +250,6 @@
 // checkpoint returns the last checkpoint that the worker reported for the run;
 // empty if there is none.
 func (w *worker) checkpoint(run model.RunRef) string {
-	for _, r := range w.Running {
-		if r.Run == run {
-			return r.Checkpoint
-		}
-	}
-	return ""
+	r, _ := w.runningRun(run)
+	return r.Checkpoint
 }
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -21,7 +21,7 @@
 	if res := r.check(); !res.Code.OK() {
 		return Orders{}, res
 	}
-	a, err := m.request(ctx, func(reply chan<- answer) any { return reported{r.withValidCheckpoints(), reply} })
+	a, err := m.request(ctx, func(reply chan<- answer) any { return reported{r.withValidCheckpoints().indexed(), reply} })
 	return a.orders, err
 }
 
@@ -83,7 +83,7 @@
 	}
 	suspected := now.Before(w.suspectUntil)
 	w.observe(now, r, m.view.State)
-	for _, run := range failedRuns(m.view.State, r) {
+	for run := range failedRuns(m.view.State, r) {
 		m.avoidAfterFailure(now, m.view.State, run, r.Worker)
 	}
 	if !suspected && now.Before(w.suspectUntil) {
