An answer to a heartbeat has 512 KiB of start orders at most

Cause: an answer had a start order with the whole payload for each assigned run that the worker did not list, whatever its size.

Change: an answer gets start orders until they have 512 KiB, a sixth of which a worker takes even if each byte grows to six as JSON; the next answers have the others. A start counts as ignored only by answers that had it.

Evidence: TestAnswerIsNotLargerThanAWorkerTakes fails without the change, with an answer of 29,491,200 bytes.

--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -20,6 +20,10 @@
 	// end of a run is reported at once.
 	idleInterval = 200 * time.Millisecond
 	busyInterval = 500 * time.Millisecond
+	// maxStartBytes is the size of the start orders in one answer above which it gets no more. A
+	// worker takes an answer of 4 MiB at most, and texts grow up to six times as JSON. The next
+	// answers have the others, once the worker lists the first.
+	maxStartBytes = 512 << 10
 	// moreEndsInterval is the time between two reports of a worker with ends that it has not
 	// listed: it gets no start orders until it has.
 	moreEndsInterval = 50 * time.Millisecond
@@ -64,7 +68,7 @@
 	if m.hasEnded(p.report.Worker) || m.workers[p.report.Worker] != p.worker {
 		return Orders{FencingToken: m.term, AckCursor: o.AckCursor, NextReport: m.reportInterval(busyInterval)}
 	}
-	state := m.view.State
+	state, startBytes := m.view.State, 0
 	a, _ := state.Assignments.Get(p.report.Worker)
 	for _, run := range p.report.Running {
 		if !a.Runs.Has(run.Run) {
@@ -85,8 +89,10 @@
 		case p.worker.ignores(now, run) && !m.mayBeInherited(now, p.report.Worker, run):
 			m.abandonStart(now, p.worker, run)
 			o.Stop = append(o.Stop, run)
-		default:
-			o.Start = append(o.Start, m.startOrder(now, state, run, p.report.Worker))
+		case startBytes < maxStartBytes:
+			start := m.startOrder(now, state, run, p.report.Worker)
+			startBytes += start.size()
+			o.Start = append(o.Start, start)
 		}
 	}
 	if p.report.MoreEnds {
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -163,6 +163,12 @@
 	Ticket     string // of the policy service; empty if the queue needs none
 }
 
+// size estimates the size of the order in an answer, in bytes.
+func (s StartOrder) size() int {
+	const names = 96 // of the task and the run, and what separates them
+	return names + len(s.Payload) + len(s.Checkpoint) + len(s.Ticket)
+}
+
 // ThrottleOrder limits a run to a share of its full speed, in percent; 0 pauses it.
 type ThrottleOrder struct {
 	Run     model.RunRef
--- a/replica/schedule/wide_test.go
+++ b/replica/schedule/wide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +117,30 @@
 	})
 }
 
+// Guards against an answer that is larger than a worker takes, so that its starts, stops and
+// lease never arrive: tasks with a payload of 4,000 bytes start in several answers.
+func TestAnswerIsNotLargerThanAWorkerTakes(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		const tasks, maxAnswer = 1200, 4 << 20
+		payload := strings.Repeat("\x01", 4000) // each byte takes six in JSON
+		h.propose(model.SubmitWorkload{Host: "h", Path: "/00000000000000a1", Workload: model.Workload{
+			Payload: payload, Steps: []model.Step{{Count: tasks, Need: model.Resources{MilliCPU: 1, MemoryMB: 1}}},
+		}})
+		var runs []StartOrder
+		for range 40 {
+			o := h.mustReport("a", 1, running(runs...))
+			size := 0
+			for _, start := range o.Start {
+				size += 6 * start.size()
+			}
+			assert.Assert(t, size < maxAnswer, "%d bytes", size)
+			runs = append(runs, o.Start...)
+			time.Sleep(idleInterval)
+		}
+		assert.Equal(t, len(runs), tasks)
+	})
+}
+
 // Guards against a part of the progress that is refused and takes the others of its entry with
 // it, or ends that count twice after the refusal.
 func TestRefusedPartCostsOnlyItself(t *testing.T) {
