--- a/cmd/internal/instance/control.go
+++ b/cmd/internal/instance/control.go
@@ -39,9 +39,18 @@
 	fx.Invoke(routeControl, routeOperator, runReplica),
 )
 
-// workloadShare is the part of a replica's memory that stored workloads may take: one in
-// workloadShare. Collecting garbage, a snapshot and the log take about as much again each.
-const workloadShare = 4
+const (
+	// workloadShare divides the memory of a replica; one part of it is for stored workloads.
+	// While a snapshot is encoded the process takes up to six times as much.
+	workloadShare = 10
+	// maxWorkloadBytes leaves room for the rest of the state in a snapshot. Workloads take less
+	// there than in memory.
+	maxWorkloadBytes = replicacommand.MaxSnapshot * 3 / 4
+)
+
+// workloadBudget returns the memory that stored workloads may take in a process with the memory
+// limit, in bytes; 0 if there is no limit.
+func workloadBudget(memoryLimit int64) int64 { return min(memoryLimit/workloadShare, maxWorkloadBytes) }
 
 func openReplica(s Settings, l *loop.Loop, log *zap.Logger, metrics prometheus.Registerer, dial server.DialFunc, applied beforeApplyHook) (*replicacommand.Replica, error) {
 	peers := make([]replicacommand.Peer, 0, len(s.Replicas))
@@ -51,7 +60,7 @@
 	return replicacommand.Open(replicacommand.Settings{
 		Name: s.Name, Address: s.InternalAddress, Domain: s.Domain, DataFolder: s.DataFolder, Peers: peers, Logger: log, Metrics: replicacommand.NewMetrics(metrics), Dial: dial, BeforeApply: applied,
 		InodesChange: s.InodesChange, TargetVoters: s.TargetVoters, JoinOnly: s.JoinOnly, SnapshotEvery: s.SnapshotEvery,
-		WorkloadBudget: s.MemoryLimit / workloadShare,
+		WorkloadBudget: workloadBudget(s.MemoryLimit),
 	}, l)
 }
 
--- a/core/command/workload/budget.go
+++ b/core/command/workload/budget.go
@@ -10,9 +10,9 @@
 const (
 	// workloadBytes is the memory of a workload on a replica without its steps: its place in
 	// the table and the indexes, its name and that of its queue, and the list of its rounds.
-	workloadBytes = 1024
+	workloadBytes = 896
 	// stepBytes is the memory of a step beyond its fields: the progress that all rounds share.
-	stepBytes = 256
+	stepBytes = 192
 	// outcomeBytes is the memory of a workload that has ended.
 	outcomeBytes = 384
 )
