A learner that has left for good gives its place to the next machine

Cause: the limit of learners counted those that had left, and only a Join of the same name removed them. Besides, a learner whose earlier incarnation had come back held up the steps of all learners after it.

Change: a Join without room has the learner removed that is unreachable for the longest time, and any learner is removed after a minute without contact. A voter is never removed for that. A learner with nothing to do holds up no other.

--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"lacewingturn.example/core/model"
 )
@@ -135,26 +136,42 @@
 		m.change(ChangeMembership{Kind: AddLearner, Member: learner})
 		return
 	}
-	if m.admits(j.Member) {
+	if m.cfg.TargetVoters == 0 || slices.ContainsFunc(m.Members(), func(o Member) bool { return ReplicaName(o.ID) == ReplicaName(j.Member.ID) }) {
+		return
+	}
+	if len(m.Members()) < m.cfg.TargetVoters+maxLearners {
 		m.change(ChangeMembership{Kind: AddLearner, Member: j.Member})
+		return
+	}
+	// A later Join is admitted to the place of a learner that has left.
+	if gone, ok := m.lostLearner(m.cfg.ReplaceAfter); ok {
+		m.change(ChangeMembership{Kind: Remove, Member: gone})
 	}
 }
 
 // maxLearners is the number of members admitted in addition to TargetVoters.
 const maxLearners = 8
 
-// admits reports whether a replica with a new name may join without an operator.
-func (m *machine) admits(member Member) bool {
-	if len(m.Members()) >= m.cfg.TargetVoters+maxLearners || m.cfg.TargetVoters == 0 {
-		return false
+// lostLearner returns the learner that has been unreachable for the longest time, if that is
+// longer than the given one. Voters are never removed for that alone.
+func (m *machine) lostLearner(after time.Duration) (lost Member, ok bool) {
+	for _, member := range m.Members() {
+		p := m.peer(member.ID)
+		if member.Voter || p == nil || m.now.Sub(p.contact) <= after {
+			continue
+		}
+		if !ok || p.contact.Before(m.peer(lost.ID).contact) {
+			lost, ok = member, true
+		}
 	}
-	return !slices.ContainsFunc(m.Members(), func(o Member) bool { return ReplicaName(o.ID) == ReplicaName(member.ID) })
+	return lost, ok
 }
 
 // maintainMembers takes the next step of a replacement: a learner that has caught
 // up replaces the lost incarnation. The lost incarnation is removed before the
 // learner is promoted; otherwise the quorum would be larger while the lost
-// incarnation cannot vote.
+// incarnation cannot vote. If there is no replacement to do, it removes a learner that
+// has left for good.
 func (m *machine) maintainMembers() {
 	if !m.canChangeMembership() {
 		return
@@ -163,21 +180,26 @@
 		if learner.Voter || !m.caughtUp(learner.ID) {
 			continue
 		}
-		if learner.Replaces == "" {
-			if m.promoteLearner(learner) {
-				return
-			}
-			continue
-		}
-		if old, ok := m.Members().Get(learner.Replaces); ok {
-			if m.unreachable(old.ID) && m.Members().Voters() > 1 {
-				m.change(ChangeMembership{Kind: Remove, Member: old})
-			}
+		if m.advanceLearner(learner) {
 			return
 		}
-		m.change(ChangeMembership{Kind: Promote, Member: learner})
-		return
 	}
+	if gone, ok := m.lostLearner(m.cfg.RemoveLearnerAfter); ok {
+		m.change(ChangeMembership{Kind: Remove, Member: gone})
+	}
+}
+
+// advanceLearner takes the next step for a learner that has caught up, and reports whether a
+// change was appended.
+func (m *machine) advanceLearner(learner Member) bool {
+	if learner.Replaces == "" {
+		return m.promoteLearner(learner)
+	}
+	old, ok := m.Members().Get(learner.Replaces)
+	if !ok {
+		return m.change(ChangeMembership{Kind: Promote, Member: learner}).Refusal == Appended
+	}
+	return m.unreachable(old.ID) && m.Members().Voters() > 1 && m.change(ChangeMembership{Kind: Remove, Member: old}).Refusal == Appended
 }
 
 // promoteLearner takes the next step for a learner that does not replace an
--- a/replica/raft/types.go
+++ b/replica/raft/types.go
@@ -154,6 +154,9 @@
 	// incarnation with the same name, or a learner with another name, may replace
 	// it.
 	ReplaceAfter time.Duration
+	// RemoveLearnerAfter is how long a learner must be unreachable before it is removed. It is
+	// admitted again when it comes back.
+	RemoveLearnerAfter time.Duration
 	// TargetVoters is the number of voters up to which replicas that join under
 	// a new name are promoted automatically, without an operator. Additional
 	// replicas stay learners until a voter is unreachable. If 0, no replica with
@@ -176,6 +179,6 @@
 	return Config{
 		ID: id, Heartbeat: 150 * time.Millisecond, HeartbeatPerPeer: 40 * time.Millisecond,
 		ElectionMin: 500 * time.Millisecond, ElectionMax: 900 * time.Millisecond,
-		ReplaceAfter: 3 * time.Second, MaxAppendBytes: 256 << 10, MaxInflight: 4096, MaxUncommitted: 8192,
+		ReplaceAfter: 3 * time.Second, RemoveLearnerAfter: time.Minute, MaxAppendBytes: 256 << 10, MaxInflight: 4096, MaxUncommitted: 8192,
 	}
 }
