Metrics and status show the memory of workloads and the time of a control pass

Cause: a replica that refused work for want of memory, or whose control loop was held, showed neither.

--- a/cmd/internal/instance/process.go
+++ b/cmd/internal/instance/process.go
@@ -127,7 +127,13 @@
 	return &servers{guard: g, counter: c}
 }
 
-func newLoop() *loop.Loop { return loop.New(loop.DefaultCapacity) }
+func newLoop(r prometheus.Registerer) *loop.Loop {
+	passes := telemetry.NewDurationHistogram("lacewingturn_control_pass_seconds", "Time of one pass of the control loop, which handles nothing else meanwhile.")
+	r.MustRegister(passes)
+	l := loop.New(loop.DefaultCapacity)
+	l.Observe(func(d time.Duration) { passes.Observe(d.Seconds()) })
+	return l
+}
 
 func newDialer(s Settings, counter *server.ByteCounter) (server.DialFunc, error) {
 	config, err := s.InternalTLS.Config()
--- a/core/command/workload/budget.go
+++ b/core/command/workload/budget.go
@@ -13,8 +13,6 @@
 	workloadBytes = 896
 	// stepBytes is the memory of a step beyond its fields: the progress that all rounds share.
 	stepBytes = 192
-	// outcomeBytes is the memory of a workload that has ended.
-	outcomeBytes = 384
 )
 
 // Cost returns the memory that a workload takes on a replica, in bytes.
@@ -27,9 +25,6 @@
 	return cost + w.Rounds.Bytes()
 }
 
-// Stored returns the memory that all workloads take, active and ended, in bytes.
-func Stored(s *model.State) int64 { return s.Stored.Total + outcomeBytes*int64(s.Finished.Len()) }
-
 // checkBudget returns why a workload must not be stored, or OK. The budget is the number of
 // bytes that the leader allows for all workloads; 0 means no limit.
 //
@@ -45,9 +40,9 @@
 	}
 	holder := model.HolderOf(w.Account, w.Queue)
 	held, _ := s.Stored.ByHolder.Get(holder)
-	if left := budget - Stored(s) - cost; held+cost > left {
+	if left := budget - s.StoredBytes() - cost; held+cost > left {
 		return result.New(result.Overloaded, "the workload takes %d bytes of memory beside %d of %s and %d of all others; the limit is %d",
-			cost, held, holder, Stored(s)-held, budget)
+			cost, held, holder, s.StoredBytes()-held, budget)
 	}
 	return result.Result{Code: result.OK}
 }
--- a/core/command/workload/budget_test.go
+++ b/core/command/workload/budget_test.go
@@ -92,7 +92,7 @@
 		w.apply(model.CancelWorkload{Host: host, Path: fmt.Sprintf("/a/%016x", i)})
 	}
 	assert.Equal(t, w.budgeted("a", 5003, budget, ""), result.Accepted)
-	assert.Assert(t, Stored(&w.s) <= budget)
+	assert.Assert(t, w.s.StoredBytes() <= budget)
 	assert.Equal(t, w.budgeted("a", 7000, 0, ""), result.Accepted) // entries of earlier releases have no budget
 }
 
--- a/core/model/stored.go
+++ b/core/model/stored.go
@@ -21,6 +21,12 @@
 	ByHolder table.Table[Holder, int64]
 }
 
+// outcomeBytes is the memory of a workload that has ended.
+const outcomeBytes = 384
+
+// StoredBytes returns the memory that all workloads take, active and ended, in bytes.
+func (s *State) StoredBytes() int64 { return s.Stored.Total + outcomeBytes*int64(s.Finished.Len()) }
+
 // Charge changes the memory of a holder.
 func (s *StoredWork) Charge(h Holder, bytes int64) {
 	held, _ := s.ByHolder.Get(h)
--- a/core/query/status.go
+++ b/core/query/status.go
@@ -1,7 +1,9 @@
 package query
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/budget"
@@ -48,10 +50,25 @@
 	Entries           []EntryStatus  `json:"entries"`
 	Replicas          []ReplicaState `json:"replicas"`
 	Counts            Counts         `json:"counts"`
+	Stored            Stored         `json:"stored"` // memory of workloads
 	// Warnings are conditions that need an operator's attention, one sentence each.
 	Warnings []string `json:"warnings"`
 }
 
+// Stored shows the memory that workloads take on a replica, as their budget counts it.
+type Stored struct {
+	Bytes   int64          `json:"bytes"`   // of workloads that have not ended, and of the outcomes of others
+	Ended   int            `json:"ended"`   // outcomes that are kept
+	Largest []StoredHolder `json:"largest"` // client accounts, and queues for work without one
+}
+
+// StoredHolder is who stored work counts for. Bytes is what its workloads took when they were
+// accepted.
+type StoredHolder struct {
+	Name  string `json:"name"`
+	Bytes int64  `json:"bytes"`
+}
+
 // EntryStatus is one entry instance and the revision that it has applied.
 type EntryStatus struct {
 	ID         string `json:"id"`
@@ -90,7 +107,7 @@
 		Replica: string(local.Replica), Term: uint64(local.Term), Index: uint64(s.Index), Revision: uint64(s.Revision),
 		Leader: string(local.Leader), Leads: local.IsLeader, SilentMs: local.SinceLeaderContact.Milliseconds(),
 		InForceEverywhere: local.IsLeader && len(EntriesWithoutRevision(s, local, s.Revision)) == 0,
-		Entries:           entryStatus(s, local), Replicas: []ReplicaState{}, Counts: counts(s), Warnings: warnings(s, local),
+		Entries:           entryStatus(s, local), Replicas: []ReplicaState{}, Counts: counts(s), Stored: stored(s), Warnings: warnings(s, local),
 	}
 	if s.Config != nil {
 		v.Site = s.Config.Site
@@ -118,6 +135,19 @@
 	return out
 }
 
+// maxHolders is the number of holders that the status lists.
+const maxHolders = 5
+
+func stored(s model.State) Stored {
+	v := Stored{Bytes: s.StoredBytes(), Ended: s.Finished.Len(), Largest: []StoredHolder{}}
+	for h, bytes := range s.Stored.ByHolder.All() {
+		v.Largest = append(v.Largest, StoredHolder{string(h), bytes})
+	}
+	slices.SortFunc(v.Largest, func(a, b StoredHolder) int { return cmp.Or(cmp.Compare(b.Bytes, a.Bytes), cmp.Compare(a.Name, b.Name)) })
+	v.Largest = v.Largest[:min(len(v.Largest), maxHolders)]
+	return v
+}
+
 func entryStatus(s model.State, local LocalStatus) []EntryStatus {
 	contacts := map[model.EntryID]EntryContact{}
 	for _, e := range local.Entries {
--- a/node/loop/loop.go
+++ b/node/loop/loop.go
@@ -51,6 +51,8 @@
 	mailbox  chan delivery
 	machines []StateMachine
 	stopped  chan struct{}
+	// observe gets the time of each pass; nil if nobody observes them.
+	observe func(time.Duration)
 }
 
 // New returns a loop whose mailbox holds up to capacity messages.
@@ -58,6 +60,10 @@
 	return &Loop{mailbox: make(chan delivery, capacity), stopped: make(chan struct{})}
 }
 
+// Observe sets a function that gets the time from the arrival of a message or a deadline until all
+// that follows from it is done, for which the loop handles nothing else. It must be called before Run.
+func (l *Loop) Observe(f func(time.Duration)) { l.observe = f }
+
 // Port sends messages to one state machine. It is safe for concurrent use.
 type Port struct {
 	loop *Loop
@@ -119,15 +125,21 @@
 	defer close(l.stopped)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	woken := time.Now()
 	for {
 		l.flush()
+		if l.observe != nil {
+			l.observe(time.Since(woken))
+		}
 		l.setTimer(timer)
 		select {
 		case <-ctx.Done():
 			return
 		case d := <-l.mailbox:
+			woken = time.Now()
 			l.handleBatch(d)
 		case <-timer.C:
+			woken = time.Now()
 		}
 		l.tick()
 	}
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -277,6 +277,7 @@
 	}
 	m.lastKey = key
 	m.r.settings.Metrics.observeView(now, status, len(m.backlog), len(m.pending))
+	m.r.settings.Metrics.observeStored(m.state.StoredBytes(), m.r.settings.WorkloadBudget)
 	old := m.next
 	m.next = make(chan struct{})
 	v := &replica.View{
--- a/replica/command/metrics.go
+++ b/replica/command/metrics.go
@@ -20,6 +20,8 @@
 	backlog       prometheus.Gauge
 	pending       prometheus.Gauge
 	contactAge    prometheus.Gauge
+	stored        prometheus.Gauge
+	budget        prometheus.Gauge
 	calls         *prometheus.CounterVec
 }
 
@@ -42,11 +44,13 @@
 		backlog:       gauge("lacewingturn_replica_backlog_entries", "Committed entries that are not applied yet."),
 		pending:       gauge("lacewingturn_replica_proposals_waiting", "Proposals that wait for their results."),
 		contactAge:    gauge("lacewingturn_replica_contact_age_seconds", "Time since the last contact with the leader, or on the leader with a quorum."),
+		stored:        gauge("lacewingturn_workloads_stored_bytes", "Memory that workloads take, active and ended, as the budget counts it."),
+		budget:        gauge("lacewingturn_workloads_budget_bytes", "Memory that workloads may take while this replica leads; 0 is no limit."),
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingturn_account_calls_total", Help: "Submissions and cancellations that this leader has judged, by client account and result.",
 		}, []string{"account", "result"}),
 	}
-	r.MustRegister(m.sync, m.commit, m.logBytes, m.leaderChanges, m.snapshot, m.logLength, m.backlog, m.pending, m.contactAge, m.calls)
+	r.MustRegister(m.sync, m.commit, m.logBytes, m.leaderChanges, m.snapshot, m.logLength, m.backlog, m.pending, m.contactAge, m.stored, m.budget, m.calls)
 	return m
 }
 
@@ -80,6 +84,13 @@
 	}
 }
 
+func (m *Metrics) observeStored(stored, budget int64) {
+	if m != nil {
+		m.stored.Set(float64(stored))
+		m.budget.Set(float64(budget))
+	}
+}
+
 func (m *Metrics) observeView(now time.Time, st raft.Status, backlog, pending int) {
 	if m == nil {
 		return
