An ID that another queue's workload has is refused, and shows and cancels nothing of it

Cause: submit, cancel and WorkloadAt looked a workload up by its ID alone. Names of tasks are global, so that a second workload of the ID is not possible.

Change: a submission to another queue gets `exists` (409), a cancellation as well, a query 410. A resend to its own queue gets the first result as before, also after the queue was renamed, because workloads follow their queue. The leader marks cancellations, so that those in logs of earlier releases keep their effect. Outcomes of ended workloads are not bound to their queue: they keep its last name only.

--- a/api/codec/codec.go
+++ b/api/codec/codec.go
@@ -67,15 +67,17 @@
 // releases that applied commands by model.FirstRules have no number.
 const currentRules = 2
 
-// budgetRules is the number in entries with a budget for what they store. A release that does
-// not know the budget refuses such an entry instead of storing more than others do.
-const budgetRules = 3
+// boundedRules is the number in submissions with a budget and in cancellations that are bound to
+// a queue. A release that does not know these fields refuses the entry, instead of applying it
+// with another effect.
+const boundedRules = 3
 
 func encodeRules(env model.Envelope) uint8 {
-	submission, ok := env.Command.(model.SubmitWorkload)
+	submission, _ := env.Command.(model.SubmitWorkload)
+	cancellation, _ := env.Command.(model.CancelWorkload)
 	switch {
-	case ok && submission.Budget > 0:
-		return budgetRules
+	case submission.Budget > 0 || cancellation.InQueue:
+		return boundedRules
 	case env.Rules == model.FirstRules:
 		return 0
 	}
@@ -86,7 +88,7 @@
 	switch number {
 	case 0:
 		return model.FirstRules, nil
-	case currentRules, budgetRules:
+	case currentRules, boundedRules:
 		return model.CurrentRules, nil
 	}
 	return 0, fmt.Errorf("codec: unknown version %d of the rules", number)
--- a/api/codec/codec_test.go
+++ b/api/codec/codec_test.go
@@ -123,24 +123,32 @@
 	}
 	payload, err := encoder.Marshal(model.Noop{})
 	assert.NilError(t, err)
-	data, err := encoder.Marshal(envelope{Kind: 1, Payload: payload, Rules: budgetRules + 1})
+	data, err := encoder.Marshal(envelope{Kind: 1, Payload: payload, Rules: boundedRules + 1})
 	assert.NilError(t, err)
 	_, err = DecodeEnvelope(data)
 	assert.ErrorContains(t, err, "version 4 of the rules")
 }
 
-// Guards against an entry with a budget that a release without budgets applies, and against one
-// without a budget that it refuses.
-func TestOnlyEntriesWithABudgetAreRefusedByEarlierReleases(t *testing.T) {
-	for budget, number := range map[int64]uint8{0: currentRules, 1 << 20: budgetRules} {
-		data, err := EncodeEnvelope(model.Envelope{Command: model.SubmitWorkload{Budget: budget}})
+// Guards against an entry that a release without its bounds applies with another effect, and
+// against one without bounds that it refuses.
+func TestOnlyBoundedEntriesAreRefusedByEarlierReleases(t *testing.T) {
+	for _, c := range []struct {
+		command model.Command
+		number  uint8
+	}{
+		{model.SubmitWorkload{}, currentRules},
+		{model.SubmitWorkload{Budget: 1 << 20}, boundedRules},
+		{model.CancelWorkload{}, currentRules},
+		{model.CancelWorkload{InQueue: true}, boundedRules},
+	} {
+		data, err := EncodeEnvelope(model.Envelope{Command: c.command})
 		assert.NilError(t, err)
 		var w envelope
 		assert.NilError(t, decoder.Unmarshal(data, &w))
-		assert.Equal(t, w.Rules, number)
+		assert.Equal(t, w.Rules, c.number)
 		env, err := DecodeEnvelope(data)
 		assert.NilError(t, err)
-		assert.Equal(t, env.Command.(model.SubmitWorkload).Budget, budget)
+		assert.DeepEqual(t, env.Command, c.command)
 		assert.Equal(t, env.Rules, model.CurrentRules)
 	}
 }
--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -47,6 +47,9 @@
 		if !s.Catalog.MayAccess(t.account, owner) {
 			return wrongAccount(id)
 		}
+		if w, active := s.Workloads.Get(id); active && w.Queue != queue.Name {
+			return otherQueue(&w)
+		}
 		return result.Result{Code: result.Unchanged, Value: string(id)}
 	}
 	if s.Workloads.Len() >= MaxActive {
@@ -129,6 +132,9 @@
 		return wrongAccount(id)
 	}
 	if w, active := s.Workloads.Get(id); active {
+		if c.InQueue && w.Queue != t.queue.Name {
+			return otherQueue(&w)
+		}
 		finish(s, w, model.WorkloadCancelled, "", heldBy(&w))
 		return result.Result{Code: result.OK}
 	}
--- a/core/model/commands_workload.go
+++ b/core/model/commands_workload.go
@@ -23,6 +23,9 @@
 	Path string
 	// Key is the key that the caller presented; nil if none.
 	Key *KeyDigest `cbor:",omitempty"`
+	// InQueue is set by the leader: only a workload of the queue at Host and Path is cancelled.
+	// Entries of earlier releases cancel one of any queue.
+	InQueue bool `cbor:",omitempty"`
 }
 
 // RecordProgress records that runs have ended and started. The ends are applied
--- a/core/query/workload.go
+++ b/core/query/workload.go
@@ -7,7 +7,7 @@
 
 // WorkloadAt returns the phase of the workload at the given host and path to a caller with
 // the key. The code is NotFound if the address belongs to no queue, UnknownKey if the queue
-// needs another key, Expired if there is no such workload, WrongAccount if it belongs to
+// needs another key, Expired if the queue has no such workload, WrongAccount if it belongs to
 // another account, and else OK.
 func WorkloadAt(s model.State, host, path string, key *model.KeyDigest) (model.WorkloadPhase, result.Code) {
 	q, rest, ok := s.Catalog.Resolve(host, path)
@@ -19,11 +19,14 @@
 		return 0, result.UnknownKey
 	}
 	phase, owner, ok := phaseOf(s, model.WorkloadID(rest))
+	w, active := s.Workloads.Get(model.WorkloadID(rest))
 	switch {
 	case !ok:
 		return 0, result.Expired
 	case !s.Catalog.MayAccess(account, owner):
 		return 0, result.WrongAccount
+	case active && w.Queue != q.Name:
+		return 0, result.Expired
 	}
 	return phase, result.OK
 }
--- a/core/query/workload_test.go
+++ b/core/query/workload_test.go
@@ -110,3 +110,18 @@
 	assert.Equal(t, d.MinWorkers, 3)
 	assert.Equal(t, d.Waiting.MilliCPU, int64(5000))
 }
+
+// Guards against a caller who reads the state of another queue's workload, because it has chosen
+// the same ID.
+func TestQueueShowsOnlyItsWorkloads(t *testing.T) {
+	s := model.State{Clock: 1000, Catalog: &model.Catalog{Version: 1, Pools: []model.WorkerPool{{Name: "p"}}, Queues: []model.Queue{
+		{Name: "a", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "b", Host: "h", Prefix: "/b/", Pool: "p"},
+	}}}
+	s, _ = command.Apply(s, 1, 1, model.Envelope{Command: model.SubmitWorkload{
+		Host: "h", Path: "/a/00000000000000a1", Workload: model.Workload{Steps: []model.Step{{Count: 1}}},
+	}})
+	_, code := query.WorkloadAt(s, "h", "/a/00000000000000a1", nil)
+	assert.Equal(t, code, result.OK)
+	_, code = query.WorkloadAt(s, "h", "/b/00000000000000a1", nil)
+	assert.Equal(t, code, result.Expired)
+}
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -30,17 +30,22 @@
 	batch := raftBatch{results: make([]result.Result, len(envelopes))}
 	for i, env := range envelopes {
 		env.Time = 0 // the leader sets the time on the log entry, outside of the encoded command
-		data, decoded, err := codec.EncodeForLog(r.withBudget(env))
+		data, decoded, err := codec.EncodeForLog(r.bound(env))
 		batch.add(i, raft.Command{Data: data, Value: decoded}, err)
 	}
 	return batch.propose(ctx, r), nil
 }
 
-// withBudget returns the envelope with the budget of this replica, if it is a submission.
-func (r *Replica) withBudget(env model.Envelope) model.Envelope {
-	if submission, ok := env.Command.(model.SubmitWorkload); ok {
-		submission.Budget = r.settings.WorkloadBudget
-		env.Command = submission
+// bound returns the envelope with the bounds that a leader states in the entry, so that all
+// replicas decide alike: the budget of a submission, and that a cancellation is for one queue.
+func (r *Replica) bound(env model.Envelope) model.Envelope {
+	switch c := env.Command.(type) {
+	case model.SubmitWorkload:
+		c.Budget = r.settings.WorkloadBudget
+		env.Command = c
+	case model.CancelWorkload:
+		c.InQueue = true
+		env.Command = c
 	}
 	return env
 }
