make review plays the cases of both reviews

The five cases of the second review run one after another, because they load the machine. Their records go to the temporary folder, so that review/ stays as it is. Not run as a whole yet.

--- a/tools/review.sh
+++ b/tools/review.sh
@@ -1,14 +1,17 @@
 #!/usr/bin/env bash
-# Builds the programs and the stand-ins of the review and plays its cases N times each
-# (first argument, 5 by default). The records go to a temporary folder, which is printed.
+# Builds the programs and the stand-ins of both reviews and plays their cases N times each
+# (first argument, 5 by default), those of the second review one after another because they
+# load the machine. The records go to a temporary folder, which is printed.
 # Exits with 1 if a case was broken or could not run.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 times=${1:-5}
+second_cases=(memory replaced-core short-tasks wide-job large-answer)
 cases=(unreadable-id gang-checkpoint foreign-heartbeat gang-failed renamed-route late-delete cancelled-start copy-apart)
 
 go build -ldflags=-linkmode=external -o target/ ./cmd/lacewingturnd || exit 1
 bash review/build.sh || exit 1
+bash review/build-2.sh || exit 1
 records=$(mktemp -d)
 echo "records: $records"
 
@@ -20,14 +23,25 @@
 	done
 }
 
+# play_second does the same for a case of the second review.
+play_second() {
+	for n in $(seq "$times"); do
+		target/review-2/standin-2 "$1" "$PWD" "$records/$1-$n.txt" >"$records/$1-$n.log" 2>&1
+		echo "$?"
+	done
+}
+
 for c in "${cases[@]}"; do
 	play "$c" >"$records/$c.outcomes" &
 done
 wait
+for c in "${second_cases[@]}"; do
+	play_second "$c" >"$records/$c.outcomes"
+done
 
 status=0
 printf '%-20s %6s %6s %7s\n' case held broken 'not run'
-for c in "${cases[@]}"; do
+for c in "${cases[@]}" "${second_cases[@]}"; do
 	held=$(grep -cx 0 "$records/$c.outcomes")
 	broken=$(grep -cx 1 "$records/$c.outcomes")
 	printf '%-20s %6d %6d %7d\n' "$c" "$held" "$broken" "$((times - held - broken))"
