--- a/cmd/internal/crowd/crowd_test.go
+++ b/cmd/internal/crowd/crowd_test.go
@@ -206,7 +206,8 @@
 		s.waitUntil(what+" is answered", func() bool { return answered(s) })
 	}
 	assert.Assert(t, process.Running(), "the process has ended:\n%s", process.Log())
-	peak := peakMemoryMB(t, process)
+	peak, err := process.PeakMemoryMB()
+	assert.NilError(t, err)
 	t.Logf("peak memory %d MB of %d, %d descriptors of %d", peak, s.settings.MemoryMB, open, s.settings.MaxFDs)
 	assert.Check(t, peak < s.settings.MemoryMB, "the process took %d MB of %d", peak, s.settings.MemoryMB)
 	assert.Check(t, open < s.settings.MaxFDs, "the process had %d descriptors of %d", open, s.settings.MaxFDs)
--- a/cmd/internal/crowd/site_test.go
+++ b/cmd/internal/crowd/site_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -122,18 +121,6 @@
 	return resp.StatusCode
 }
 
-// peakMemoryMB returns the largest resident memory of a process since its start.
-func peakMemoryMB(t *testing.T, p *faults.Process) int {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
-	assert.NilError(t, err)
-	_, rest, found := strings.Cut(string(status), "VmHWM:")
-	assert.Assert(t, found, "no peak memory in the status of the process")
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	assert.NilError(t, err)
-	return kilobytes >> 10
-}
-
 // descriptors returns the number of open descriptors of a process.
 func descriptors(t *testing.T, p *faults.Process) int {
 	t.Helper()
--- a/cmd/internal/faults/process.go
+++ b/cmd/internal/faults/process.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -192,3 +194,17 @@
 	t.Fatal("no free port on 127.0.0.1 from 12000 to 29999")
 	return ""
 }
+
+// PeakMemoryMB returns the largest resident memory of the process since its start.
+func (p *Process) PeakMemoryMB() (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	if !found {
+		return 0, fmt.Errorf("no peak memory in the status of %s", p.Name)
+	}
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	return kilobytes >> 10, err
+}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -88,10 +88,12 @@
 	s.all.Go(func() { injector.supervise(s.ctx) })
 	s.all.Go(func() { injector.writeOddHeartbeats(ctx, rand.New(rand.NewPCG(seed, seed+1))) })
 	s.all.Go(func() { injector.leaveUnfinished(ctx, rand.New(rand.NewPCG(seed, seed+2))) })
+	load.all.Go(func() { load.callCostly(ctx, rand.New(rand.NewPCG(seed, seed+3))) })
 	injector.inject(ctx, length)
 	cancel()
 	load.all.Wait()
 	s.awaitSettled(load, rng)
+	s.checkMemory()
 	for _, b := range s.checker.report() {
 		t.Error(b)
 	}
