Wide gangs and many rounds cost no more for each of their runs

Cause: for each start of a gang's member the failures and checkpoints of all members were looked at, an end computed what the account of its workload has running in all rounds, a gang that cannot fit was placed and undone in each pass, and each open round of an advised queue was compared with all workers.

Change: lists of tasks count failures and checkpoints; what an account had running is computed only if the end decides the workload; a gang is placed only if its pool has room for so many; 32 rounds of a workload are looked at for advice. A cycle takes all ends of its reports if they are 2,000 at most, and equal parts otherwise.

--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -36,6 +36,9 @@
 // it starts none and returns false.
 func (p *planner) startGang(group *pool, c *candidate, ref model.TaskRef, number int) bool {
 	spec := c.workload.Steps[ref.Step]
+	if group.roomFor(spec.Reserved(), spec.Count) < spec.Count {
+		return false
+	}
 	var chosen []*Worker
 	for k := range spec.Count {
 		member := ref
--- a/core/command/place/pool.go
+++ b/core/command/place/pool.go
@@ -40,6 +40,32 @@
 // mayFit reports whether the need may fit on a worker; if not, it certainly fits on none.
 func (g *pool) mayFit(need model.Resources) bool { return g.largestFree.Fits(need) }
 
+// roomFor returns how many tasks with the need fit on the workers, counted up to a maximum. Fewer
+// may be allowed to run there.
+func (g *pool) roomFor(need model.Resources, most int) int {
+	n := 0
+	for _, w := range g.workers {
+		if n += copies(w.Free, need, most-n); n >= most {
+			return most
+		}
+	}
+	return n
+}
+
+// copies returns how often the need fits into what is free, counted up to a maximum.
+func copies(free, need model.Resources, most int) int {
+	if !free.Fits(need) {
+		return 0
+	}
+	n := int64(most)
+	for _, component := range [][2]int64{{free.MilliCPU, need.MilliCPU}, {free.MemoryMB, need.MemoryMB}, {free.Accelerators, need.Accelerators}} {
+		if component[1] > 0 {
+			n = min(n, component[0]/component[1])
+		}
+	}
+	return int(n)
+}
+
 // minFreeMilliCPU is the free processor time, in thousandths of a processor, below
 // which a worker counts as full.
 const minFreeMilliCPU = 50
--- a/core/command/workload/progress.go
+++ b/core/command/workload/progress.go
@@ -102,6 +102,9 @@
 // runs of the gang have certainly failed.
 func maxMemberFailures(step model.StepState) int {
 	n := 0
+	if step.Tasks.Failed() == 0 {
+		return n
+	}
 	for _, t := range step.Tasks.Begun() {
 		n = max(n, t.Failures)
 	}
@@ -134,12 +137,12 @@
 		w = recordGangEnd(w, end)
 	}
 	unassign(s, end.Worker, end.Run)
-	held := heldBy(&w) // includes copies and gang members, which markDone unassigns
+	running := w // includes copies and gang members, which markDone unassigns
 	if end.Outcome == model.RunDone && !step.Lasting {
 		w = markDone(s, w, ref, step.Gang)
 	}
 	update(s, before, w)
-	finishIfDecided(s, w, ref, rules, held)
+	finishIfDecided(s, w, ref, rules, &running)
 }
 
 // recordGangEnd records the end of a member's run for its gang. The run counts as failed
@@ -190,16 +193,16 @@
 }
 
 // finishIfDecided moves the workload to a final phase if the end of the task decides its
-// outcome. Workers may still have what is held.
-func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef, rules model.Rules, held *model.Resources) {
+// outcome. Workers may still have what was running before.
+func finishIfDecided(s *model.State, w model.Workload, ref model.TaskRef, rules model.Rules, running *model.Workload) {
 	task, _ := w.Task(ref)
 	if n := failures(w, ref, rules); !task.Done && !w.Steps[ref.Step].Lasting && n >= w.MaxFailures {
 		reason := fmt.Sprintf("task %d of step %d in round %d has failed %d times", ref.Index, ref.Step, ref.Round, n)
-		finish(s, w, model.WorkloadFailed, reason, held)
+		finish(s, w, model.WorkloadFailed, reason, heldBy(running))
 		return
 	}
 	if w.Rounds.Complete() {
-		finish(s, w, model.WorkloadCompleted, "", held)
+		finish(s, w, model.WorkloadCompleted, "", heldBy(running))
 	}
 }
 
--- a/core/model/tasks.go
+++ b/core/model/tasks.go
@@ -11,6 +11,8 @@
 	list vector[Task]
 	// active is the number of tasks with an active run, runs that of all active runs.
 	active, runs int
+	// failed is the number of tasks with failures.
+	failed int
 	// text is the length of all checkpoints, in bytes.
 	text int
 }
@@ -50,6 +52,12 @@
 func (t *TaskList) replaced(old, task Task) {
 	t.runs += len(task.Active) - len(old.Active)
 	t.text += len(task.Checkpoint) - len(old.Checkpoint)
+	if old.Failures > 0 {
+		t.failed--
+	}
+	if task.Failures > 0 {
+		t.failed++
+	}
 	if len(old.Active) > 0 {
 		t.active--
 	}
@@ -81,6 +89,12 @@
 // Runs returns the number of active runs.
 func (t TaskList) Runs() int { return t.runs }
 
+// Failed returns the number of tasks with failures.
+func (t TaskList) Failed() int { return t.failed }
+
+// HasCheckpoints reports whether any task has a checkpoint.
+func (t TaskList) HasCheckpoints() bool { return t.text > 0 }
+
 // All iterates over all tasks.
 func (t TaskList) All() iter.Seq2[int, Task] {
 	return func(yield func(int, Task) bool) {
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -313,7 +313,7 @@
 		return task.Checkpoint
 	}
 	step := w.Rounds.Step(ref.Round, ref.Step)
-	if checkpoint := step.GangProgress().Checkpoint; checkpoint != "" {
+	if checkpoint := step.GangProgress().Checkpoint; checkpoint != "" || !step.Tasks.HasCheckpoints() {
 		return checkpoint
 	}
 	for _, member := range step.Tasks.Begun() {
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -28,6 +28,8 @@
 const (
 	// adviceWorkers is the largest number of workers in one call.
 	adviceWorkers = 30
+	// adviceRounds is the number of open rounds of a workload that are looked at for calls.
+	adviceRounds = 32
 	// adviceMargin is the time before the expiry of a ticket from which the ticket is
 	// no longer used.
 	adviceMargin = 300 * time.Millisecond
@@ -92,7 +94,11 @@
 		if !ok || !q.Advised {
 			continue
 		}
+		rounds := 0
 		for i, round := range w.Open(model.TimestampOf(now)) {
+			if rounds++; rounds > adviceRounds {
+				break
+			}
 			for j, state := range round.Steps() {
 				if w.StepReady(i, j) && state.Waiting() > 0 && m.callAdvisor(now, stepKey{w.ID, i, j}, q.Pool) {
 					return
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -102,11 +102,11 @@
 }
 
 // reportedEnds lists the reported ends of runs that are recorded as active, and
-// the runs that are to be stopped and were never started. Of each report it takes a part of
-// maxCycleEnds; the worker lists the others again.
+// the runs that are to be stopped and were never started. If there are more than maxCycleEnds,
+// it takes an equal part of each report; the workers list the others again.
 func (m *Machine) reportedEnds(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
 	var out []model.RunEnd
-	share := max(1, maxCycleEnds/max(1, len(m.pending)))
+	share := m.endsPerReport()
 	for i := range m.pending {
 		p := &m.pending[i]
 		a, _ := s.Assignments.Get(p.report.Worker)
@@ -135,6 +135,20 @@
 	return out
 }
 
+// endsPerReport returns how many ends a cycle takes of each report.
+func (m *Machine) endsPerReport() int {
+	reports, ends := 0, 0
+	for _, p := range m.pending {
+		if len(p.report.Ended) > 0 {
+			reports, ends = reports+1, ends+len(p.report.Ended)
+		}
+	}
+	if ends <= maxCycleEnds {
+		return ends
+	}
+	return max(1, maxCycleEnds/reports)
+}
+
 // lostRuns lists the runs of workers whose lease has certainly expired, that have
 // left, or that were replaced by a later incarnation.
 func (m *Machine) lostRuns(now time.Time, s model.State, causes map[model.RunRef]string) []model.RunEnd {
--- a/replica/schedule/wide_test.go
+++ b/replica/schedule/wide_test.go
@@ -93,6 +93,26 @@
 	})
 }
 
+// Guards against a wide gang whose start or end looks at all members for each of them.
+func TestWideGangStartsAndEndsAsAWhole(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		const members = 20_000
+		s := newWideSite(h, 6)
+		s.report()
+		gang := h.submit(1, model.Step{Count: members, Gang: true, Need: model.Resources{MilliCPU: 4, MemoryMB: 1}, Estimate: time.Second})
+		tooWide := h.submit(2, model.Step{Count: members, Gang: true, Need: model.Resources{MilliCPU: 5, MemoryMB: 1}, Estimate: time.Second})
+		for range 40 {
+			s.report()
+		}
+		f, ok := h.replica.View().State.Finished.Get(gang)
+		assert.Assert(t, ok)
+		assert.Equal(t, f.Phase, model.WorkloadCompleted)
+		assert.Equal(t, len(s.done), members)
+		w, _ := h.replica.View().State.Workloads.Get(tooWide)
+		assert.Assert(t, !w.Started())
+	})
+}
+
 // Guards against a worker that lists so many runs that the leader is busy with its heartbeats, and
 // against small workloads that wait for a wide one because of that.
 func TestWideStepLeavesRoomOnAWorker(t *testing.T) {
