--- a/core/command/workload/workload.go
+++ b/core/command/workload/workload.go
@@ -55,7 +55,7 @@
 	if s.Workloads.Len() >= MaxActive {
 		return result.New(result.Overloaded, "%d workloads are active", MaxActive)
 	}
-	if r := check(c); !r.Code.OK() {
+	if r := Check(c); !r.Code.OK() {
 		return r
 	}
 	if r := share.CheckCap(s.Catalog, t.account, c.Workload.Steps); !r.Code.OK() {
@@ -98,8 +98,8 @@
 	return true
 }
 
-// check returns the first reason why a workload cannot be run, or OK.
-func check(c model.SubmitWorkload) result.Result {
+// Check returns the first reason why a workload cannot be run whatever the state, or OK.
+func Check(c model.SubmitWorkload) result.Result {
 	tasks := 0
 	for i, step := range c.Workload.Steps {
 		if step.Count < 1 || step.Count > MaxTasks {
--- a/replica/command/settings.go
+++ b/replica/command/settings.go
@@ -92,6 +92,9 @@
 	// snapshot before SnapshotEvery entries. It limits the log in memory, which
 	// holds entries both encoded and decoded, to a small part of a node's 256 MB.
 	snapshotBytes = 8 << 20
+	// keepBytes is the size of the entries kept before a snapshot, in bytes, if KeepEntries are
+	// larger: entries of submissions may have as many bytes as a body.
+	keepBytes = 4 << 20
 )
 
 // check validates the required settings and sets the defaults of the others.
--- a/replica/command/snapshot.go
+++ b/replica/command/snapshot.go
@@ -69,14 +69,12 @@
 }
 
 // handleActivated compacts the log entries that a durable snapshot covers, except
-// for the last KeepEntries.
+// for the last KeepEntries or keepBytes.
 func (m *machine) handleActivated(now time.Time, snap raft.Snapshot) {
 	m.snapshotting = false
 	m.snapshotIndex = max(m.snapshotIndex, snap.Index)
 	event.SnapshotSaved.Log(m.r.log, zap.Uint64("index", uint64(snap.Index)))
-	if keep := model.Index(m.r.settings.KeepEntries); snap.Index > keep {
-		m.step(now, raft.Compact{Index: snap.Index - keep})
-	}
+	m.step(now, raft.Compact{Index: m.raft.KeepBefore(snap.Index, m.r.settings.KeepEntries, keepBytes)})
 }
 
 // sendSnapshot starts transferring the applied state to a follower unless a
--- a/replica/raft/inputs.go
+++ b/replica/raft/inputs.go
@@ -17,7 +17,8 @@
 	// Receive handles a message from another replica.
 	Receive struct{ Message Message }
 	// Propose appends commands to the log. It is refused unless this replica is
-	// the leader, and if more than MaxUncommitted entries would be uncommitted.
+	// the leader, and if more than MaxUncommitted entries or MaxUncommittedBytes would be
+	// uncommitted.
 	Propose struct{ Commands []Command }
 	// Persisted reports that all writes up to Seq are durable.
 	Persisted struct{ Seq uint64 }
@@ -85,7 +86,7 @@
 	switch {
 	case m.role != Leader:
 		result.Refusal = RefusedNotLeader
-	case m.log.Last()-m.commit+model.Index(len(p.Commands)) > m.cfg.MaxUncommitted:
+	case m.log.Last()-m.commit+model.Index(len(p.Commands)) > m.cfg.MaxUncommitted, m.log.bytesAfter(m.commit) > m.cfg.MaxUncommittedBytes:
 		result.Refusal = RefusedBusy
 	default:
 		result.First, result.Term = m.log.Last()+1, m.hard.Term
--- a/replica/raft/log.go
+++ b/replica/raft/log.go
@@ -66,6 +66,27 @@
 	return all[:len(all):len(all)]
 }
 
+// bytesAfter returns the size of the entries after index, in bytes.
+func (l Log) bytesAfter(index model.Index) int {
+	sum := 0
+	for _, e := range l.entries[max(index, l.base)-l.base:] {
+		sum += e.size()
+	}
+	return sum
+}
+
+// keepBefore returns the lowest index from which to index there are at most so many entries and
+// about so many bytes.
+func (l Log) keepBefore(index model.Index, entries, maxBytes int) model.Index {
+	lowest := max(l.base, index-min(index, model.Index(entries)))
+	for bytes := 0; index > lowest; index-- {
+		if bytes += l.entries[index-l.base-1].size(); bytes > maxBytes {
+			break
+		}
+	}
+	return index
+}
+
 func (l Log) append(entries ...Entry) Log {
 	l.entries = append(l.entries, entries...)
 	return l
--- a/replica/raft/status.go
+++ b/replica/raft/status.go
@@ -57,3 +57,9 @@
 // Members returns the membership in effect, which is the latest one in the log
 // even if it is not committed yet.
 func (s State) Members() Membership { return s.memberships[len(s.memberships)-1].members }
+
+// KeepBefore returns the index up to which the log may be compacted so that at most so many
+// entries before the given index remain, and about so many bytes of them.
+func (s State) KeepBefore(index model.Index, entries, maxBytes int) model.Index {
+	return s.log.keepBefore(index, entries, maxBytes)
+}
--- a/replica/raft/types.go
+++ b/replica/raft/types.go
@@ -171,6 +171,9 @@
 	// MaxUncommitted limits the number of entries that a leader has appended but
 	// not yet committed.
 	MaxUncommitted model.Index
+	// MaxUncommittedBytes is the size of the entries that are not committed above which a leader
+	// appends no more, in bytes.
+	MaxUncommittedBytes int
 }
 
 // DefaultConfig returns the configuration for replica id with the values
@@ -179,6 +182,6 @@
 	return Config{
 		ID: id, Heartbeat: 150 * time.Millisecond, HeartbeatPerPeer: 40 * time.Millisecond,
 		ElectionMin: 500 * time.Millisecond, ElectionMax: 900 * time.Millisecond,
-		ReplaceAfter: 3 * time.Second, RemoveLearnerAfter: time.Minute, MaxAppendBytes: 256 << 10, MaxInflight: 4096, MaxUncommitted: 8192,
+		ReplaceAfter: 3 * time.Second, RemoveLearnerAfter: time.Minute, MaxAppendBytes: 256 << 10, MaxInflight: 4096, MaxUncommitted: 8192, MaxUncommittedBytes: 16 << 20,
 	}
 }
