Wide workloads take no list before they begin; what is not taken of ends comes soon

Cause: the list of tasks that are all final, which each workload has beside that of untouched ones, had a leaf for each 32 tasks: 15 KB for 20,000 tasks that the budget did not count. A worker whose ends were taken in part listed the others only after its usual time.

Change: such a list has no leaves; the sum of the tasks of a round is bounded as it is read; the next heartbeat is due after 50 ms if ends are left. The memory counted for a step covers what 200 steps take.

Before, the wide kind was not measured.

--- a/api/codec/rounds.go
+++ b/api/codec/rounds.go
@@ -142,15 +142,20 @@
 	return r.restore(*m)
 }
 
-// maxLength bounds the numbers of rounds and tasks that are read.
+// maxLength bounds the number of rounds and that of all tasks of a round that are read.
 const maxLength = 1 << 20
 
 // newRounds returns rounds that have not begun, or an error if their size is impossible.
 func newRounds(n int, tasks []int) (*model.Rounds, error) {
-	for _, length := range append([]int{n}, tasks...) {
-		if length < 1 || length > maxLength {
-			return nil, fmt.Errorf("codec: %d rounds of %d tasks", n, tasks)
+	sum := 0
+	for _, count := range tasks {
+		if count < 1 || count > maxLength-sum {
+			return nil, fmt.Errorf("codec: a round with a step of %d tasks after %d", count, sum)
 		}
+		sum += count
+	}
+	if n < 1 || n > maxLength {
+		return nil, fmt.Errorf("codec: %d rounds", n)
 	}
 	return model.NewRounds(n, tasks), nil
 }
--- a/core/command/workload/budget.go
+++ b/core/command/workload/budget.go
@@ -12,7 +12,7 @@
 	// the table and the indexes, its name and that of its queue, and the list of its rounds.
 	workloadBytes = 896
 	// stepBytes is the memory of a step beyond its fields: the progress that all rounds share.
-	stepBytes = 192
+	stepBytes = 288
 )
 
 // Cost returns the memory that a workload takes on a replica, in bytes.
--- a/core/command/workload/budget_test.go
+++ b/core/command/workload/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,21 +46,33 @@
 }
 
 // Guards against an estimate of the memory that is far from what workloads take, so that the
-// budget does not protect the replicas: 20,000 workloads of ten tasks and a long payload.
+// budget does not protect the replicas: small, wide, long and scheduled workloads.
 func TestCostIsCloseToTheMemoryTaken(t *testing.T) {
-	w := newFixture(t)
-	before := heap()
-	for i := range 2000 {
-		payload := strings.Repeat("x", 400+i%2)
-		w.apply(model.SubmitWorkload{
-			Host: host, Path: fmt.Sprintf("%s%016x", prefix, i), Workload: model.Workload{Payload: payload, Steps: []model.Step{{Count: 10}}},
-		})
+	steps := make([]model.Step, 200)
+	for i := range steps {
+		steps[i].Count = 1
+	}
+	for name, c := range map[string]struct {
+		payload, rounds int
+		steps           []model.Step
+	}{
+		"small": {400, 0, []model.Step{{Count: 10}}}, "wide": {0, 0, []model.Step{{Count: 20_000}}},
+		"long": {0, 0, steps}, "scheduled": {0, 17_280, []model.Step{{Count: 1}}},
+	} {
+		w := newFixture(t)
+		before := heap()
+		for i := range 2000 {
+			payload := strings.Repeat("x", c.payload+i%2)
+			w.apply(model.SubmitWorkload{
+				Host: host, Path: fmt.Sprintf("%s%016x", prefix, i), Repeat: c.rounds, Workload: model.Workload{Payload: payload, Steps: slices.Clone(c.steps)},
+			})
+		}
+		taken := heap() - before
+		t.Logf("%s: taken %d, counted %d", name, taken, w.s.Stored.Total)
+		assert.Assert(t, taken < w.s.Stored.Total, "%s: taken %d, counted %d", name, taken, w.s.Stored.Total)
+		assert.Assert(t, w.s.Stored.Total < 2*taken, "%s: taken %d, counted %d", name, taken, w.s.Stored.Total)
+		runtime.KeepAlive(w.s)
 	}
-	taken := heap() - before
-	t.Logf("taken %d, counted %d", taken, w.s.Stored.Total)
-	assert.Assert(t, taken < w.s.Stored.Total, "taken %d, counted %d", taken, w.s.Stored.Total)
-	assert.Assert(t, w.s.Stored.Total < 2*taken, "taken %d, counted %d", taken, w.s.Stored.Total)
-	runtime.KeepAlive(w.s)
 }
 
 // budgeted submits a workload of one task to a queue with a budget.
--- a/core/model/rounds.go
+++ b/core/model/rounds.go
@@ -245,8 +245,8 @@
 	}
 }
 
-// Begun iterates over the rounds that hold more than the number of their tasks: those in which a
-// run was started. It leaves out rounds that are long over.
+// Begun iterates over the rounds in which a run was started. It leaves out those of which each
+// task has succeeded in its first run.
 func (r *Rounds) Begun() iter.Seq2[int, Round] {
 	return func(yield func(int, Round) bool) {
 		if r == nil {
--- a/core/model/vector.go
+++ b/core/model/vector.go
@@ -18,6 +18,9 @@
 // memory.
 type vector[T any] struct {
 	length int
+	// beganFinal is set if all values were final at first. A leaf without a place in branches holds
+	// what all values were at first.
+	beganFinal bool
 	// only is the leaf of a list of at most leafLength values; longer ones have branches.
 	only     []T
 	branches [][][]T
@@ -30,14 +33,13 @@
 
 // leaf returns the leaf that holds the position.
 func (v *vector[T]) leaf(i int) []T {
-	if v.branches == nil {
+	if v.length <= leafLength {
 		return v.only
 	}
-	branch := v.branches[i/(leafLength*branchLength)]
-	if branch == nil {
-		return nil
+	if v.branches == nil || v.branches[i/(leafLength*branchLength)] == nil {
+		return v.firstLeaf()
 	}
-	return branch[i/leafLength%branchLength]
+	return v.branches[i/(leafLength*branchLength)][i/leafLength%branchLength]
 }
 
 // setLeaf replaces the leaf that holds the position, in place.
@@ -52,6 +54,7 @@
 	}
 	if v.branches[b] == nil {
 		v.branches[b] = make([][]T, min(branchLength, leaves-b*branchLength))
+		fill(v.branches[b], v.firstLeaf())
 	}
 	v.branches[b][i/leafLength%branchLength] = leaf
 }
@@ -117,11 +120,15 @@
 
 // allFinal returns a vector of final values.
 func allFinal[T any](length int) vector[T] {
-	v := vector[T]{length: length}
-	for i := 0; i < length; i += leafLength {
-		v.setLeaf(i, []T{})
+	return vector[T]{length: length, beganFinal: true, only: []T{}}
+}
+
+// firstLeaf returns a leaf of what all values were at first.
+func (v *vector[T]) firstLeaf() []T {
+	if v.beganFinal {
+		return []T{}
 	}
-	return v
+	return nil
 }
 
 // leaves iterates over the leaves from the one that holds a position on, with the position of
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -25,7 +25,7 @@
 	// answers have the others, once the worker lists the first.
 	maxStartBytes = 512 << 10
 	// moreEndsInterval is the time between two reports of a worker with ends that it has not
-	// listed: it gets no start orders until it has.
+	// listed, or that were not taken.
 	moreEndsInterval = 50 * time.Millisecond
 	// reportSlack is how much later than expected a report may arrive until its worker
 	// counts as silent.
@@ -95,13 +95,14 @@
 			o.Start = append(o.Start, start)
 		}
 	}
-	if p.report.MoreEnds {
-		o.NextReport = moreEndsInterval
-	} else {
+	if !p.report.MoreEnds {
 		p.worker.recordOrdered(now, o.Start)
 	}
 	o.Throttle = p.worker.throttleOrders(now, state)
-	if free := p.worker.free(state); !p.report.MoreEnds && free.MilliCPU >= p.worker.Capacity.MilliCPU/8 {
+	switch free := p.worker.free(state); {
+	case p.report.MoreEnds || p.ackCursor < lastPosition(p.report):
+		o.NextReport = moreEndsInterval
+	case free.MilliCPU >= p.worker.Capacity.MilliCPU/8:
 		o.NextReport = m.reportInterval(idleInterval)
 	}
 	p.worker.leaseUntil = compare.Later(p.worker.leaseUntil, leaseEnd(now, o.Lease))
