model: name a step of one round in one place

near.Step, place.stepRef, schedule.stepKey and the first task of a step in maintain were four names for the same reference. model.StepRef replaces them; the order of tasks uses the order of steps.

Behaviour is unchanged: the tests of core/ and replica/ pass with unchanged assertions.

--- a/core/command/maintain/limits.go
+++ b/core/command/maintain/limits.go
@@ -10,8 +10,8 @@
 	// Serving reports whether a long-running task serves. Between two calls of Stopped its
 	// results must not change.
 	Serving func(model.TaskRef) bool
-	// away holds the number of tasks that do not serve, by the first task of their step.
-	away map[model.TaskRef]int
+	// away holds the number of tasks that do not serve, by step.
+	away map[model.StepRef]int
 }
 
 // MayStop reports whether a task may be stopped: the number of the other tasks of its step that
@@ -26,7 +26,7 @@
 
 // Stopped records that the task is about to be stopped. It is called before Serving shows that.
 func (l *StopLimits) Stopped(task model.TaskRef) {
-	step := firstOf(task)
+	step := task.StepRef()
 	if n, counted := l.away[step]; counted && l.Serving(task) {
 		l.away[step] = n + 1
 	}
@@ -34,26 +34,20 @@
 
 // awayOf returns how many of the tasks of the step do not serve.
 func (l *StopLimits) awayOf(task model.TaskRef, tasks int) int {
-	step := firstOf(task)
+	step := task.StepRef()
 	if n, counted := l.away[step]; counted {
 		return n
 	}
 	n := 0
 	for k := range tasks {
-		other := step
-		other.Index = k
-		if !l.Serving(other) {
+		task.Index = k
+		if !l.Serving(task) {
 			n++
 		}
 	}
 	if l.away == nil {
-		l.away = map[model.TaskRef]int{}
+		l.away = map[model.StepRef]int{}
 	}
 	l.away[step] = n
 	return n
 }
-
-func firstOf(task model.TaskRef) model.TaskRef {
-	task.Index = 0
-	return task
-}
--- a/core/command/near/near.go
+++ b/core/command/near/near.go
@@ -4,28 +4,12 @@
 package near
 
 import (
-	"cmp"
 	"math"
 	"time"
 
 	"lacewingturn.example/core/model"
 )
 
-// Step identifies a step of one round of a workload.
-type Step struct {
-	Workload model.WorkloadID
-	Round    int
-	Step     int
-}
-
-// StepOf returns the step of the task.
-func StepOf(t model.TaskRef) Step { return Step{t.Workload, t.Round, t.Step} }
-
-// Compare orders steps by workload, round and number.
-func (s Step) Compare(o Step) int {
-	return cmp.Or(cmp.Compare(s.Workload, o.Workload), cmp.Compare(s.Round, o.Round), cmp.Compare(s.Step, o.Step))
-}
-
 // Wait is the wait of a step for near places. It lasts while at least one of its tasks
 // waits, and is kept after that until the step is complete, so that the tasks of a step
 // never wait beyond Until.
@@ -46,7 +30,7 @@
 }
 
 // Waits holds the waits by step.
-type Waits map[Step]Wait
+type Waits map[model.StepRef]Wait
 
 // History is what the next decisions need to know about the earlier ones.
 type History struct {
--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -20,7 +20,7 @@
 
 // runTime returns the expected run time of a task near its data; 0 if it is unknown.
 func (p *planner) runTime(ref model.TaskRef) time.Duration {
-	key := near.StepOf(ref)
+	key := ref.StepRef()
 	if run, ok := p.locality.runTimes[key]; ok {
 		return run
 	}
@@ -187,7 +187,7 @@
 		case !p.mayRun(c, w, spec, ref), w.ID != "" && p.options.Avoid != nil && p.options.Avoid(ref, w.ID):
 			return 0
 		case spec.MaxPerWorker > 0:
-			return spec.MaxPerWorker - p.countRuns(w, stepOf(ref))
+			return spec.MaxPerWorker - p.countRuns(w, ref.StepRef())
 		}
 		return near.AnyNumber(host)
 	}
--- a/core/command/place/gang.go
+++ b/core/command/place/gang.go
@@ -66,7 +66,7 @@
 		w.Runs--
 		w.FillerMilliCPU += spec.Need.MilliCPU
 		if countsRuns(spec) {
-			p.runCounts[w.ID][stepOf(ref)]--
+			p.runCounts[w.ID][ref.StepRef()]--
 		}
 	}
 	p.starts = p.starts[:len(p.starts)-len(on)]
--- a/core/command/place/locality_test.go
+++ b/core/command/place/locality_test.go
@@ -91,7 +91,7 @@
 	workers := []Worker{worker("a", 2000), worker("b", 2000)}
 	result := Decide(x.s, workers, options)
 	assert.Equal(t, len(result.Starts), 0)
-	step := near.Step{Workload: "0000000000000002"}
+	step := model.StepRef{Workload: "0000000000000002"}
 	wait := result.Near.Waits[step]
 	assert.Equal(t, wait.Tasks, 3)
 	assert.Equal(t, wait.Rack.Name, "r-a")
@@ -99,7 +99,7 @@
 	options.Near, options.Now = result.Near, wait.Until
 	result = Decide(x.s, workers, options)
 	assert.Equal(t, len(result.Starts), 3)
-	assert.DeepEqual(t, result.Ended, []near.Step{step})
+	assert.DeepEqual(t, result.Ended, []model.StepRef{step})
 }
 
 // Guards against later rounds that never wait for a worker near their data because the
--- a/core/command/place/near.go
+++ b/core/command/place/near.go
@@ -14,7 +14,7 @@
 	// Near replaces Options.Near for the next plan.
 	Near near.History
 	// Begun and Ended list the steps whose wait has begun or ended in this plan.
-	Begun, Ended []near.Step
+	Begun, Ended []model.StepRef
 }
 
 // rack is the part of a pool in one rack.
@@ -56,7 +56,7 @@
 	last *rack
 	// contended is set for pools with more waiting work than free capacity.
 	contended map[model.PoolName]bool
-	runTimes  map[near.Step]time.Duration
+	runTimes  map[model.StepRef]time.Duration
 	// gangAtLeast is a lower bound of the time until a gang fits in one rack.
 	gangAtLeast map[gangShape]time.Duration
 	// freeMilliCPU is the free processor time of each pool before the plan.
@@ -64,7 +64,7 @@
 	// waits holds the waits of the steps that wait in this plan.
 	waits near.Waits
 	// alone is the answer of othersRunFar for each step.
-	othersFar map[near.Step]bool
+	othersFar map[model.StepRef]bool
 }
 
 func newLocality(workers []Worker) locality {
@@ -75,8 +75,8 @@
 	return locality{
 		freeMilliCPU: free,
 		racks:        map[near.Rack]*rack{}, inOrder: map[model.PoolName][]*rack{}, contended: map[model.PoolName]bool{},
-		runTimes: map[near.Step]time.Duration{}, gangAtLeast: map[gangShape]time.Duration{}, waits: near.Waits{},
-		othersFar: map[near.Step]bool{},
+		runTimes: map[model.StepRef]time.Duration{}, gangAtLeast: map[gangShape]time.Duration{}, waits: near.Waits{},
+		othersFar: map[model.StepRef]bool{},
 	}
 }
 
@@ -196,7 +196,7 @@
 // othersRunFar reports whether other tasks of the step run far anyway: one that will still run
 // when a new run near the data could have ended, or those that cannot all wait.
 func (p *planner) othersRunFar(c *candidate, r *rack, spec model.Step, ref model.TaskRef, choice near.Choice) bool {
-	key := near.StepOf(ref)
+	key := ref.StepRef()
 	if known, ok := p.locality.othersFar[key]; ok {
 		return known
 	}
@@ -266,6 +266,6 @@
 	return near.Choice{
 		Now: p.options.Now, Wait: near.Never, Run: run, Factor: p.options.RemoteDataFactor,
 		Slack: deadline.Sub(p.options.Now) - c.left - (run - spec.Estimate), Contended: p.isContended(c.pool), Begun: p.begunWait(c, ref),
-		Continues: p.locality.waits[near.StepOf(ref)].Tasks < p.options.Near.Waits[near.StepOf(ref)].Tasks,
+		Continues: p.locality.waits[ref.StepRef()].Tasks < p.options.Near.Waits[ref.StepRef()].Tasks,
 	}
 }
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -99,15 +99,6 @@
 	return Result{p.starts, near.History{Waits: waits, Use: p.useAfter()}, begun, ended}
 }
 
-// stepRef identifies a step of one round of a workload.
-type stepRef struct {
-	workload model.WorkloadID
-	round    int
-	step     int
-}
-
-func stepOf(t model.TaskRef) stepRef { return stepRef{t.Workload, t.Round, t.Step} }
-
 type planner struct {
 	state   model.State
 	queues  model.Queues
@@ -117,7 +108,7 @@
 	// runCounts has the number of runs of each step on a worker, including those
 	// started by this plan. countRuns adds a worker when it is first needed. Only steps
 	// with countsRuns are kept up to date.
-	runCounts map[model.WorkerID]map[stepRef]int
+	runCounts map[model.WorkerID]map[model.StepRef]int
 	starts    []model.RunStart
 	waiting   []*candidate // in scheduling order
 	locality  locality
@@ -127,7 +118,7 @@
 func newPlanner(s model.State, workers []Worker, options Options) *planner {
 	return &planner{
 		state: s, queues: s.Catalog.QueuesByName(), options: options, pools: groupByPool(workers),
-		shares: share.NewLedger(s, totalFree(workers), options.Unassigned), runCounts: map[model.WorkerID]map[stepRef]int{},
+		shares: share.NewLedger(s, totalFree(workers), options.Unassigned), runCounts: map[model.WorkerID]map[model.StepRef]int{},
 		locality: newLocality(workers),
 	}
 }
@@ -259,7 +250,7 @@
 		if runsOn(active, w.ID) || avoids && p.options.Avoid(ref, w.ID) || !p.mayRun(c, w, spec, ref) {
 			continue
 		}
-		if best == nil || p.better(w, best, spec, stepOf(ref)) {
+		if best == nil || p.better(w, best, spec, ref.StepRef()) {
 			best = w
 		}
 	}
@@ -288,7 +279,7 @@
 	if w.Runs >= maxRuns && c.stepRuns >= wideStep && !spec.Gang {
 		return false
 	}
-	if spec.MaxPerWorker > 0 && p.countRuns(w, stepOf(ref)) >= spec.MaxPerWorker {
+	if spec.MaxPerWorker > 0 && p.countRuns(w, ref.StepRef()) >= spec.MaxPerWorker {
 		return false
 	}
 	return !c.advised || p.options.TicketGranted != nil && p.options.TicketGranted(ref, w.ID)
@@ -300,7 +291,7 @@
 }
 
 // better reports whether a is a better choice than b for a task of the step.
-func (p *planner) better(a, b *Worker, spec model.Step, step stepRef) bool {
+func (p *planner) better(a, b *Worker, spec model.Step, step model.StepRef) bool {
 	if a.Suspect != b.Suspect {
 		return b.Suspect
 	}
@@ -329,16 +320,16 @@
 
 // countRuns returns the number of runs of the step on the worker, including those
 // started by this plan and those that are not assigned to it any more.
-func (p *planner) countRuns(w *Worker, step stepRef) int {
+func (p *planner) countRuns(w *Worker, step model.StepRef) int {
 	counts, ok := p.runCounts[w.ID]
 	if !ok {
-		counts = map[stepRef]int{}
+		counts = map[model.StepRef]int{}
 		a, _ := p.state.Assignments.Get(w.ID)
 		for run := range a.Runs.All() {
-			counts[stepOf(run.Task)]++
+			counts[run.Task.StepRef()]++
 		}
 		for _, run := range w.Unassigned {
-			counts[stepOf(run.Task)]++
+			counts[run.Task.StepRef()]++
 		}
 		p.runCounts[w.ID] = counts
 	}
@@ -350,8 +341,8 @@
 
 func (p *planner) start(w *Worker, c *candidate, spec model.Step, ref model.TaskRef, number int) {
 	if countsRuns(spec) {
-		p.countRuns(w, stepOf(ref))
-		p.runCounts[w.ID][stepOf(ref)]++
+		p.countRuns(w, ref.StepRef())
+		p.runCounts[w.ID][ref.StepRef()]++
 	}
 	c.account.Start(spec.Need)
 	c.turn.started()
--- a/core/command/place/waits.go
+++ b/core/command/place/waits.go
@@ -10,7 +10,7 @@
 // begunWait returns the wait that the step has begun; nil if there is none. Without a record
 // of waits the step counts as waiting since it was due.
 func (p *planner) begunWait(c *candidate, ref model.TaskRef) *near.Wait {
-	key := near.StepOf(ref)
+	key := ref.StepRef()
 	if w, ok := p.locality.waits[key]; ok {
 		return &w
 	}
@@ -28,7 +28,7 @@
 
 // recordWait records that more tasks of the step wait.
 func (p *planner) recordWait(ref model.TaskRef, r *rack, wait near.Wait, tasks int) {
-	key := near.StepOf(ref)
+	key := ref.StepRef()
 	waiting := 0
 	if earlier, ok := p.locality.waits[key]; ok {
 		waiting = earlier.Tasks
@@ -39,7 +39,7 @@
 
 // waitsAfter returns the waits for the next plan, and the steps whose wait has begun or
 // ended.
-func (p *planner) waitsAfter() (out near.Waits, begun, ended []near.Step) {
+func (p *planner) waitsAfter() (out near.Waits, begun, ended []model.StepRef) {
 	out = p.locality.waits
 	for step := range out {
 		if p.options.Near.Waits[step].Tasks == 0 {
@@ -57,13 +57,13 @@
 		out[step] = before
 	}
 	p.countStarts(out)
-	slices.SortFunc(begun, near.Step.Compare)
-	slices.SortFunc(ended, near.Step.Compare)
+	slices.SortFunc(begun, model.StepRef.Compare)
+	slices.SortFunc(ended, model.StepRef.Compare)
 	return out, begun, ended
 }
 
 // isOpen reports whether the step exists and is not complete.
-func (p *planner) isOpen(step near.Step) bool {
+func (p *planner) isOpen(step model.StepRef) bool {
 	w, ok := p.state.Workloads.Get(step.Workload)
 	if !ok {
 		return false
@@ -85,7 +85,7 @@
 		}
 	}
 	for _, start := range p.starts {
-		step := near.StepOf(start.Run.Task)
+		step := start.Run.Task.StepRef()
 		wait, ok := waits[step]
 		if _, earlier := p.options.Near.Waits[step]; !ok || !earlier {
 			continue
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -185,15 +185,30 @@
 	Index    int
 }
 
+// StepRef identifies a step of one round of a workload.
+type StepRef struct {
+	Workload WorkloadID
+	Round    int
+	Step     int
+}
+
 // RunRef identifies one run of a task.
 type RunRef struct {
 	Task   TaskRef
 	Number int
 }
 
-// Compare orders tasks by workload, round, step and index.
+// StepRef returns the step of the task.
+func (t TaskRef) StepRef() StepRef { return StepRef{t.Workload, t.Round, t.Step} }
+
+// Compare orders steps by workload, round and number.
+func (s StepRef) Compare(o StepRef) int {
+	return cmp.Or(cmp.Compare(s.Workload, o.Workload), cmp.Compare(s.Round, o.Round), cmp.Compare(s.Step, o.Step))
+}
+
+// Compare orders tasks by step and index.
 func (t TaskRef) Compare(o TaskRef) int {
-	return cmp.Or(cmp.Compare(t.Workload, o.Workload), cmp.Compare(t.Round, o.Round), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+	return cmp.Or(t.StepRef().Compare(o.StepRef()), cmp.Compare(t.Index, o.Index))
 }
 
 // Compare orders runs by task and number.
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -37,14 +37,6 @@
 	adviceRetry = 300 * time.Millisecond
 )
 
-// stepKey identifies a step of one round of a workload.
-type stepKey struct {
-	workload    model.WorkloadID
-	round, step int
-}
-
-func keyOf(t model.TaskRef) stepKey { return stepKey{t.Workload, t.Round, t.Step} }
-
 // ticket allows a worker to run the tasks of a step for a limited time.
 type ticket struct {
 	text  string // empty if the worker may not run the step
@@ -53,22 +45,22 @@
 
 // tickets holds the answers of the policy service by step and worker.
 type tickets struct {
-	known   map[stepKey]map[model.WorkerID]ticket
+	known   map[model.StepRef]map[model.WorkerID]ticket
 	calling bool      // a call is in progress
 	retryAt time.Time // no call is made before this time
 }
 
-func newTickets() tickets { return tickets{known: map[stepKey]map[model.WorkerID]ticket{}} }
+func newTickets() tickets { return tickets{known: map[model.StepRef]map[model.WorkerID]ticket{}} }
 
 // get returns the valid ticket of a worker; false if there is none.
 func (t *tickets) get(now time.Time, task model.TaskRef, w model.WorkerID) (string, bool) {
-	k, ok := t.known[keyOf(task)][w]
+	k, ok := t.known[task.StepRef()][w]
 	return k.text, ok && k.text != "" && now.Before(k.until)
 }
 
 // answered reports whether the service's last answer about a worker still holds.
 // Refusals hold for good, because the policy does not change.
-func (t *tickets) answered(now time.Time, key stepKey, w model.WorkerID) bool {
+func (t *tickets) answered(now time.Time, key model.StepRef, w model.WorkerID) bool {
 	k, ok := t.known[key][w]
 	return ok && (k.text == "" || now.Before(k.until))
 }
@@ -76,7 +68,7 @@
 // advised is the message with the result of one call.
 type advised struct {
 	term    model.Term
-	key     stepKey
+	key     model.StepRef
 	workers map[string]model.WorkerID
 	sent    time.Time
 	advice  Advice
@@ -100,7 +92,7 @@
 				break
 			}
 			for j, state := range round.Steps() {
-				if w.StepReady(i, j) && state.Waiting() > 0 && m.callAdvisor(now, stepKey{w.ID, i, j}, q.Pool) {
+				if w.StepReady(i, j) && state.Waiting() > 0 && m.callAdvisor(now, model.StepRef{Workload: w.ID, Round: i, Step: j}, q.Pool) {
 					return
 				}
 			}
@@ -110,7 +102,7 @@
 
 // callAdvisor starts a call about the workers of the pool that lack an answer; false
 // if there are none.
-func (m *Machine) callAdvisor(now time.Time, key stepKey, pool model.PoolName) bool {
+func (m *Machine) callAdvisor(now time.Time, key model.StepRef, pool model.PoolName) bool {
 	workers := map[string]model.WorkerID{}
 	var names []string
 	for name, w := range m.byName {
@@ -126,7 +118,7 @@
 	m.tickets.calling = true
 	term := m.term
 	go func() {
-		a, err := m.settings.Advisor.Advise(m.ctx, key.workload, key.round, key.step, names)
+		a, err := m.settings.Advisor.Advise(m.ctx, key.Workload, key.Round, key.Step, names)
 		// The loop has ended if the message cannot be sent.
 		_ = m.port.Send(m.ctx, advised{term, key, workers, now, a, err})
 	}()
@@ -138,7 +130,7 @@
 	m.tickets.calling = false
 	if a.err != nil {
 		m.tickets.retryAt = now.Add(adviceRetry)
-		event.AdviceFailed.Log(m.settings.Logger, zap.String("workload", string(a.key.workload)), zap.Error(a.err))
+		event.AdviceFailed.Log(m.settings.Logger, zap.String("workload", string(a.key.Workload)), zap.Error(a.err))
 		return
 	}
 	if m.tickets.known[a.key] == nil {
@@ -148,7 +140,7 @@
 		m.tickets.known[a.key][id] = ticket{a.advice.Tickets[name], a.sent.Add(a.advice.Validity - adviceMargin)}
 	}
 	for key := range m.tickets.known {
-		if !m.view.State.Workloads.Has(key.workload) {
+		if !m.view.State.Workloads.Has(key.Workload) {
 			delete(m.tickets.known, key)
 		}
 	}
--- a/replica/schedule/isolate.go
+++ b/replica/schedule/isolate.go
@@ -40,7 +40,7 @@
 
 func sameGang(s model.State, a, b model.TaskRef) bool {
 	w, ok := s.Workloads.Get(a.Workload)
-	return ok && w.Has(a) && w.Steps[a.Step].Gang && keyOf(a) == keyOf(b)
+	return ok && w.Has(a) && w.Steps[a.Step].Gang && a.StepRef() == b.StepRef()
 }
 
 // dropRefused removes the parts that were refused as invalid from the progress of the
--- a/replica/schedule/log.go
+++ b/replica/schedule/log.go
@@ -56,12 +56,12 @@
 // logStarts writes one log line for the starts of each step.
 func (m *Machine) logStarts(now time.Time, c cycle) {
 	for first := 0; first < len(c.progress.Starts); {
-		key := keyOf(c.progress.Starts[first].Run.Task)
+		key := c.progress.Starts[first].Run.Task.StepRef()
 		var tasks []int
 		var workers []string
 		var age time.Duration
 		last := first
-		for ; last < len(c.progress.Starts) && keyOf(c.progress.Starts[last].Run.Task) == key; last++ {
+		for ; last < len(c.progress.Starts) && c.progress.Starts[last].Run.Task.StepRef() == key; last++ {
 			start := c.progress.Starts[last]
 			tasks = append(tasks, start.Run.Task.Index)
 			workers = append(workers, string(start.Worker))
@@ -70,12 +70,12 @@
 			}
 		}
 		first = last
-		w, _ := c.before.Workloads.Get(key.workload)
+		w, _ := c.before.Workloads.Get(key.Workload)
 		waited := max(model.TimestampOf(now), c.before.Clock).Sub(w.AcceptedAt)
 		if !w.Started() {
 			m.settings.Metrics.workloadWait.Observe(waited.Seconds())
 		}
-		event.RunsStarted.Log(m.settings.Logger, zap.String(telemetry.SamplingKey, string(key.workload)), zap.Int("round", key.round), zap.Int("step", key.step),
+		event.RunsStarted.Log(m.settings.Logger, zap.String(telemetry.SamplingKey, string(key.Workload)), zap.Int("round", key.Round), zap.Int("step", key.Step),
 			zap.Ints("tasks", tasks), zap.Strings("workers", workers), zap.Duration("since_accepted", waited), zap.Duration("report_age", age),
 			zap.Uint64("state", uint64(c.before.Index)))
 	}
--- a/replica/schedule/near.go
+++ b/replica/schedule/near.go
@@ -60,7 +60,7 @@
 }
 
 // logWaitEnded records the end of the wait of a step.
-func (m *Machine) logWaitEnded(now model.Timestamp, step near.Step, w near.Wait) {
+func (m *Machine) logWaitEnded(now model.Timestamp, step model.StepRef, w near.Wait) {
 	waited := now.Sub(w.Since)
 	saved := time.Duration(w.Near) * w.Extra
 	m.settings.Metrics.nearWaited.Observe(waited.Seconds())
--- a/replica/schedule/simulation_test.go
+++ b/replica/schedule/simulation_test.go
@@ -314,7 +314,7 @@
 }
 
 func sameGangMember(a, b model.RunRef) bool {
-	return a.Number == b.Number && keyOf(a.Task) == keyOf(b.Task)
+	return a.Number == b.Number && a.Task.StepRef() == b.Task.StepRef()
 }
 
 // end ends a run. A member of a gang that does not end done breaks the others.
