--- a/core/model/job_index.go
+++ b/core/model/job_index.go
@@ -98,11 +98,11 @@
 		team.Queued += n
 	} else {
 		team.Active += n
-		team.Reserved = team.Reserved.Add(j.Reserved.times(n))
+		team.Reserved = team.Reserved.Add(j.Reserved.Times(n))
 		load, _ := x.Loads.Get(j.Lease.Worker)
 		load.Worker = j.Lease.Worker
 		load.Jobs += n
-		load.Reserved = load.Reserved.Add(j.Reserved.times(n))
+		load.Reserved = load.Reserved.Add(j.Reserved.Times(n))
 		x.Loads = setOrDelete(x.Loads, load.Worker, load, load.Jobs == 0)
 	}
 	x.Teams = setOrDelete(x.Teams, j.Team, team, team.Active == 0 && team.Queued == 0)
@@ -116,10 +116,6 @@
 	return t.Set(k, v)
 }
 
-func (r Resources) times(n int) Resources {
-	return Resources{r.MilliCPU * int64(n), r.MemoryMB * int64(n), r.Accelerators * int64(n)}
-}
-
 // IndexJobs builds the index of a table of jobs. It is used after a snapshot was
 // decoded.
 func IndexJobs(jobs table.Table[JobID, Job]) JobIndex {
