model: iterate over the open states of a workload in one place

Forecast, demand, inflow and account shares each added the rounds that have not begun, times their number, to the rounds in progress. Workload.OpenStates yields both, so that Rounds.Untouched and Workload.Waiting have no callers any more.

Behaviour is unchanged: the tests of core/ and replica/ pass as they are.

--- a/core/command/place/forecast.go
+++ b/core/command/place/forecast.go
@@ -218,19 +218,15 @@
 func (p *planner) waitingMilliCPU(c *candidate, enough int64) int64 {
 	var sum int64
 	w := c.workload
-	add := func(round model.Round, times int) {
+	for round, times := range w.OpenStates(p.options.Now) {
 		for j, step := range round.Steps() {
 			if step.Waiting() > 0 && w.Steps[j].ReadyIn(round) && c.account.MayStart(w.Steps[j].Need, 1) {
 				sum += int64(times) * int64(step.Waiting()) * w.Steps[j].Reserved().MilliCPU
 			}
 		}
-	}
-	add(w.Rounds.Untouched(), w.Waiting(p.options.Now))
-	for _, round := range w.InProgress(p.options.Now) {
 		if sum > enough {
 			break
 		}
-		add(round, 1)
 	}
 	return sum
 }
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -295,9 +295,19 @@
 	}
 }
 
-// Waiting returns the number of rounds that are due and have not begun.
-func (w *Workload) Waiting(now Timestamp) int {
-	return max(0, w.DueBy(now)-w.Rounds.complete-w.Rounds.begun)
+// OpenStates iterates over the states of the rounds that are due and not complete, each with the
+// number of rounds in that state. All rounds that have not begun are in the same one.
+func (w *Workload) OpenStates(now Timestamp) iter.Seq2[Round, int] {
+	return func(yield func(Round, int) bool) {
+		if waiting := w.DueBy(now) - w.Rounds.complete - w.Rounds.begun; waiting > 0 && !yield(w.Rounds.untouched, waiting) {
+			return
+		}
+		for _, round := range w.InProgress(now) {
+			if !yield(round, 1) {
+				return
+			}
+		}
+	}
 }
 
 // DueBy returns the number of rounds that are due at the given time. Rounds become due in order.
--- a/core/query/account_shares.go
+++ b/core/query/account_shares.go
@@ -63,7 +63,7 @@
 // addWorkload adds a workload to the view of its account.
 func (v *AccountShare) addWorkload(w *model.Workload, now model.Timestamp, account *share.Account) {
 	waits, held := false, true
-	add := func(round model.Round) {
+	for round := range w.OpenStates(now) {
 		for j := range w.Steps {
 			spec := &w.Steps[j]
 			if round.Step(j).Waiting() == 0 || !spec.ReadyIn(round) {
@@ -76,12 +76,6 @@
 			waits, held = true, held && !account.MayStart(spec.Need, runs)
 		}
 	}
-	if w.Waiting(now) > 0 {
-		add(w.Rounds.Untouched())
-	}
-	for _, round := range w.InProgress(now) {
-		add(round)
-	}
 	if !waits {
 		return
 	}
--- a/core/query/demand.go
+++ b/core/query/demand.go
@@ -31,27 +31,19 @@
 			continue
 		}
 		d := out[q.Pool]
-		d.addRound(&w, w.Rounds.Untouched(), w.Waiting(now), clearing)
-		for _, round := range w.InProgress(now) {
-			d.addRound(&w, round, 1, clearing)
+		for round, times := range w.OpenStates(now) {
+			for j, state := range round.Steps() {
+				if !state.Complete() && w.Steps[j].ReadyIn(round) {
+					d.add(w.Steps[j], state, times, clearing)
+				}
+			}
 		}
 		out[q.Pool] = d
 	}
 	return out
 }
 
-// addRound adds so many rounds in the same state.
-func (d *Demand) addRound(w *model.Workload, round model.Round, times int, clearing time.Duration) {
-	if times == 0 {
-		return
-	}
-	for j, state := range round.Steps() {
-		if !state.Complete() && w.Steps[j].ReadyIn(round) {
-			d.add(w.Steps[j], state, times, clearing)
-		}
-	}
-}
-
+// add adds a step in so many rounds in the same state.
 func (d *Demand) add(step model.Step, state *model.StepState, times int, clearing time.Duration) {
 	one := step.Reserved()
 	d.Running = d.Running.Add(one.Times(state.Tasks.Active() * times))
--- a/core/query/inflow.go
+++ b/core/query/inflow.go
@@ -55,21 +55,11 @@
 
 // addWaiting adds the work of the rounds that are due by the given time and not complete.
 func (f *Inflow) addWaiting(w model.Workload, until model.Timestamp, t InflowWindows) {
-	if n := w.Waiting(until); n > 0 {
-		f.Waiting.add(waitingIn(w, w.Rounds.Untouched(), t).times(n))
-	}
-	for _, round := range w.InProgress(until) {
-		f.Waiting.add(waitingIn(w, round, t))
-	}
-}
-
-// waitingIn returns the work of the tasks of a round that wait for a run.
-func waitingIn(w model.Workload, round model.Round, t InflowWindows) Work {
-	var sum Work
-	for j, state := range round.Steps() {
-		sum.add(workOf(w.Steps[j], state.Waiting(), t))
+	for round, times := range w.OpenStates(until) {
+		for j, state := range round.Steps() {
+			f.Waiting.add(workOf(w.Steps[j], state.Waiting(), t).times(times))
+		}
 	}
-	return sum
 }
 
 // addArrivals adds the work of the rounds that became due in one of the windows.
