model: one loop over the values of a vector

Rounds and TaskList had six loops over leaves with small variations. vector.values is the loop, and the iterators are filters over it. Workload.Tasks had only test callers; the tests iterate over the tasks with progress, which include each active run, or over the one step there is.

--- a/core/command/place/fair_test.go
+++ b/core/command/place/fair_test.go
@@ -77,7 +77,7 @@
 // running returns the processor time in use by the account.
 func (f *fleet) running(name model.AccountName) (sum int64) {
 	for _, w := range f.s.Workloads.All() {
-		for ref, task := range w.Tasks() {
+		for ref, task := range w.Begun() {
 			if w.Account == name {
 				sum += w.Steps[ref.Step].Need.MilliCPU * int64(len(task.Active))
 			}
@@ -254,7 +254,7 @@
 		out[name] = need
 	}
 	for _, w := range x.s.Workloads.All() {
-		for ref, task := range w.Tasks() {
+		for ref, task := range w.Begun() {
 			for range task.Active {
 				out[w.Account] = out[w.Account].Add(w.Steps[ref.Step].Need)
 			}
--- a/core/command/place/share_test.go
+++ b/core/command/place/share_test.go
@@ -147,7 +147,7 @@
 	assert.Equal(t, len(x.plan(Options{}, worker("w", 4000))), 0)
 	assert.Equal(t, len(Preempt(x.s, []Worker{worker("w", 4000)}, Options{Now: x.s.Clock.Add(preemptAfter)})), 0)
 	w, _ := x.s.Workloads.Get(id)
-	for _, task := range w.Tasks() {
+	for _, task := range w.Rounds.Step(0, 0).Tasks.All() {
 		assert.Equal(t, len(task.Active), 1)
 	}
 }
--- a/core/model/rounds.go
+++ b/core/model/rounds.go
@@ -7,8 +7,8 @@
 )
 
 // Rounds is the progress of all rounds of a workload. It is immutable. Its memory follows what
-// the runs have left behind: a round that has not begun takes none, nor does one that is long
-// over and of which each task has succeeded in its first run.
+// the runs have left behind: a round that has not begun takes none, nor does one of which each
+// task has succeeded in its first run.
 type Rounds struct {
 	list vector[Round]
 	// untouched is a round that has not begun, final one of which each task has succeeded in
@@ -204,59 +204,41 @@
 func (r *Rounds) Completed() int { return r.complete }
 
 // FirstUnfinished returns the first round that is not complete.
-func (r *Rounds) FirstUnfinished() int { return r.next }
+func (r *Rounds) FirstUnfinished() int {
+	if r == nil {
+		return 0
+	}
+	return r.next
+}
 
 // Done returns the number of tasks that have succeeded, in all rounds together.
 func (r *Rounds) Done() int { return r.done }
 
 // Unfinished iterates over the rounds that are not complete.
 func (r *Rounds) Unfinished() iter.Seq2[int, Round] {
-	return func(yield func(int, Round) bool) {
-		if r == nil {
-			return
-		}
-		for first, leaf := range r.list.leaves(r.next) {
-			if isFinalLeaf(leaf) {
-				continue
-			}
-			for i := max(first, r.next); i < first+r.list.leafSize(first); i++ {
-				if round := r.At(i); !round.isComplete() && !yield(i, round) {
-					return
-				}
-			}
-		}
-	}
+	return r.filter(r.FirstUnfinished(), isFinalLeaf, func(round Round) bool { return !round.isComplete() })
 }
 
-// Touched iterates over the rounds in which a run was started, those that are long over
-// included.
+// Touched iterates over the rounds in which a run was started.
 func (r *Rounds) Touched() iter.Seq2[int, Round] {
-	return func(yield func(int, Round) bool) {
-		for first, leaf := range r.list.leaves(0) {
-			if leaf == nil {
-				continue
-			}
-			for i := first; i < first+r.list.leafSize(first); i++ {
-				if round := r.At(i); !r.isUntouched(round) && !yield(i, round) {
-					return
-				}
-			}
-		}
-	}
+	return r.filter(0, isUntouchedLeaf, func(round Round) bool { return !r.isUntouched(round) })
 }
 
 // Begun iterates over the rounds in which a run was started. It leaves out those of which each
 // task has succeeded in its first run.
 func (r *Rounds) Begun() iter.Seq2[int, Round] {
+	return r.filter(0, isUniformLeaf, func(round Round) bool { return !r.isShared(round) })
+}
+
+// filter iterates over the rounds from a position on that the filter includes.
+func (r *Rounds) filter(from int, skip func([]Round) bool, include func(Round) bool) iter.Seq2[int, Round] {
 	return func(yield func(int, Round) bool) {
 		if r == nil {
 			return
 		}
-		for first, leaf := range r.list.leaves(0) {
-			for k, round := range leaf {
-				if !r.isShared(round) && !yield(first+k, round) {
-					return
-				}
+		for i, round := range r.list.values(from, skip, r.untouched, r.final) {
+			if include(round) && !yield(i, round) {
+				return
 			}
 		}
 	}
@@ -269,9 +251,6 @@
 // isBegun reports whether the round is not complete and a run was started in it.
 func (r *Rounds) isBegun(round Round) bool { return !round.isComplete() && !r.isUntouched(round) }
 
-// Untouched returns a round that has not begun.
-func (r *Rounds) Untouched() Round { return r.untouched }
-
 // isSame reports whether two rounds have the same memory. If a step beyond the first block was
 // replaced, the list of blocks is another one.
 func isSame(a, b Round) bool {
--- a/core/model/tasks.go
+++ b/core/model/tasks.go
@@ -66,23 +66,6 @@
 	}
 }
 
-// Touched iterates over the tasks with progress, those that have succeeded in their first run
-// included.
-func (t TaskList) Touched() iter.Seq2[int, Task] {
-	return func(yield func(int, Task) bool) {
-		for first, leaf := range t.list.leaves(0) {
-			if leaf == nil {
-				continue
-			}
-			for i := first; i < first+t.list.leafSize(first); i++ {
-				if task := t.At(i); task.HasProgress() && !yield(i, task) {
-					return
-				}
-			}
-		}
-	}
-}
-
 // Active returns the number of tasks with an active run.
 func (t TaskList) Active() int { return t.active }
 
@@ -97,44 +80,31 @@
 
 // All iterates over all tasks.
 func (t TaskList) All() iter.Seq2[int, Task] {
-	return func(yield func(int, Task) bool) {
-		for i := range t.list.length {
-			if !yield(i, t.At(i)) {
-				return
-			}
-		}
-	}
+	return t.list.values(0, noLeaf, Task{}, SucceededTask)
 }
 
 // NotDone iterates over the tasks from a position on that have not succeeded.
 func (t TaskList) NotDone(from int) iter.Seq2[int, Task] {
-	return func(yield func(int, Task) bool) {
-		for first, leaf := range t.list.leaves(from) {
-			if isFinalLeaf(leaf) {
-				continue
-			}
-			for k := max(from-first, 0); k < t.list.leafSize(first); k++ {
-				var task Task
-				if leaf != nil {
-					task = leaf[k]
-				}
-				if !task.Done && !yield(first+k, task) {
-					return
-				}
-			}
-		}
-	}
+	return t.filter(from, isFinalLeaf, func(task Task) bool { return !task.Done })
+}
+
+// Touched iterates over the tasks with progress.
+func (t TaskList) Touched() iter.Seq2[int, Task] {
+	return t.filter(0, isUntouchedLeaf, Task.HasProgress)
 }
 
 // Begun iterates over the tasks with progress. It leaves out most of those that have succeeded
 // in their first run.
 func (t TaskList) Begun() iter.Seq2[int, Task] {
+	return t.filter(0, isUniformLeaf, Task.HasProgress)
+}
+
+// filter iterates over the tasks from a position on that the filter includes.
+func (t TaskList) filter(from int, skip func([]Task) bool, include func(Task) bool) iter.Seq2[int, Task] {
 	return func(yield func(int, Task) bool) {
-		for first, leaf := range t.list.leaves(0) {
-			for k := range leaf {
-				if leaf[k].HasProgress() && !yield(first+k, leaf[k]) {
-					return
-				}
+		for i, task := range t.list.values(from, skip, Task{}, SucceededTask) {
+			if include(task) && !yield(i, task) {
+				return
 			}
 		}
 	}
--- a/core/model/vector.go
+++ b/core/model/vector.go
@@ -28,9 +28,18 @@
 	stored int
 }
 
-// isFinalLeaf reports whether each value of the leaf is final. A nil leaf has only untouched ones.
+// isFinalLeaf reports whether each value of the leaf is final.
 func isFinalLeaf[T any](leaf []T) bool { return leaf != nil && len(leaf) == 0 }
 
+// isUntouchedLeaf reports whether no value of the leaf was touched.
+func isUntouchedLeaf[T any](leaf []T) bool { return leaf == nil }
+
+// isUniformLeaf reports whether the leaf takes no memory, as all of its values are untouched or
+// all are final.
+func isUniformLeaf[T any](leaf []T) bool { return len(leaf) == 0 }
+
+func noLeaf[T any]([]T) bool { return false }
+
 // leaf returns the leaf that holds the position.
 func (v *vector[T]) leaf(i int) []T {
 	if v.length <= leafLength {
@@ -78,7 +87,12 @@
 
 // at returns the value at a position. The arguments are the values that take no memory.
 func (v *vector[T]) at(i int, untouched, final T) T {
-	switch leaf := v.leaf(i); {
+	return valueIn(v.leaf(i), i, untouched, final)
+}
+
+// valueIn returns the value at a position that the leaf holds.
+func valueIn[T any](leaf []T, i int, untouched, final T) T {
+	switch {
 	case leaf == nil:
 		return untouched
 	case isFinalLeaf(leaf):
@@ -98,7 +112,7 @@
 	return v
 }
 
-// put replaces the value at a position in place. isFinal tells final values.
+// put replaces the value at a position in place. isFinal reports whether a value is final.
 func (v *vector[T]) put(i int, value, untouched, final T, isFinal func(T) bool) {
 	leaf := v.leaf(i)
 	if len(leaf) == 0 {
@@ -131,13 +145,18 @@
 	return nil
 }
 
-// leaves iterates over the leaves from the one that holds a position on, with the position of
-// their first value.
-func (v *vector[T]) leaves(from int) iter.Seq2[int, []T] {
-	return func(yield func(int, []T) bool) {
-		for i := from / leafLength * leafLength; i < v.length; i += leafLength {
-			if !yield(i, v.leaf(i)) {
-				return
+// values iterates over the values from a position on, without those of leaves that are skipped.
+func (v vector[T]) values(from int, skip func(leaf []T) bool, untouched, final T) iter.Seq2[int, T] {
+	return func(yield func(int, T) bool) {
+		for first := from / leafLength * leafLength; first < v.length; first += leafLength {
+			leaf := v.leaf(first)
+			if skip(leaf) {
+				continue
+			}
+			for i := max(first, from); i < first+v.leafSize(first); i++ {
+				if !yield(i, valueIn(leaf, i, untouched, final)) {
+					return
+				}
 			}
 		}
 	}
--- a/core/model/workload.go
+++ b/core/model/workload.go
@@ -360,21 +360,6 @@
 	return members.Active() < members.Len() || !slices.ContainsFunc(task.Active, func(r Run) bool { return r.Number == run.Number })
 }
 
-// Tasks iterates over all tasks with their positions.
-func (w Workload) Tasks() iter.Seq2[TaskRef, Task] {
-	return func(yield func(TaskRef, Task) bool) {
-		for i := range w.Rounds.Len() {
-			for j, step := range w.Rounds.At(i).Steps() {
-				for k, task := range step.Tasks.All() {
-					if !yield(TaskRef{Workload: w.ID, Round: i, Step: j, Index: k}, task) {
-						return
-					}
-				}
-			}
-		}
-	}
-}
-
 // Begun iterates over the tasks with progress, with their positions. It leaves out most of
 // those that have succeeded in their first run.
 func (w *Workload) Begun() iter.Seq2[TaskRef, Task] {
