raft: keep the sizes of the entries as sums

A leader added up the sizes of all entries that are not committed for each proposal, so that the time of a burst grew with the square of its length. The log now keeps the sum up to each entry, 8 bytes for each, and the size of a range is a difference.

The bounds are unchanged, and so are the tests of them.

--- a/replica/raft/log.go
+++ b/replica/raft/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 
 	"lacewingturn.example/core/model"
 )
@@ -12,12 +13,16 @@
 	base     model.Index
 	baseTerm model.Term
 	entries  []Entry
+	// ends holds, for each entry, the size of all entries up to it, in bytes; start is the size
+	// of those that were removed. A leader asks for the size of a range for each proposal.
+	ends  []int
+	start int
 }
 
 // NewLog returns a log that continues a snapshot whose last entry has index base
 // and term baseTerm.
 func NewLog(base model.Index, baseTerm model.Term, entries []Entry) Log {
-	return Log{base: base, baseTerm: baseTerm, entries: entries}
+	return Log{base: base, baseTerm: baseTerm}.append(entries...)
 }
 
 // Base returns the index preceding the first entry, which is the index of the
@@ -66,37 +71,43 @@
 	return all[:len(all):len(all)]
 }
 
-// bytesAfter returns the size of the entries after index, in bytes.
-func (l Log) bytesAfter(index model.Index) int {
-	sum := 0
-	for _, e := range l.entries[max(index, l.base)-l.base:] {
-		sum += e.size()
+// bytesUpTo returns the size of all entries up to index, in bytes.
+func (l Log) bytesUpTo(index model.Index) int {
+	if index <= l.base {
+		return l.start
 	}
-	return sum
+	return l.ends[index-l.base-1]
 }
 
+// bytesAfter returns the size of the entries after index, in bytes.
+func (l Log) bytesAfter(index model.Index) int { return l.bytesUpTo(l.Last()) - l.bytesUpTo(index) }
+
 // keepBefore returns the lowest index from which to index there are at most so many entries and
 // about so many bytes.
 func (l Log) keepBefore(index model.Index, entries, maxBytes int) model.Index {
 	lowest := max(l.base, index-min(index, model.Index(entries)))
-	for bytes := 0; index > lowest; index-- {
-		if bytes += l.entries[index-l.base-1].size(); bytes > maxBytes {
-			break
-		}
-	}
-	return index
+	end := l.bytesUpTo(index)
+	return lowest + model.Index(sort.Search(int(index-lowest), func(i int) bool {
+		return end-l.bytesUpTo(lowest+model.Index(i)) <= maxBytes
+	}))
 }
 
 func (l Log) append(entries ...Entry) Log {
+	end := l.bytesUpTo(l.Last())
+	for _, e := range entries {
+		end += e.size()
+		l.ends = append(l.ends, end)
+	}
 	l.entries = append(l.entries, entries...)
 	return l
 }
 
 // truncate removes the entry at index from and all later ones. The remaining
-// slice is clipped, so a later append does not overwrite entries that other
-// holders of the old slice still use.
+// slices are clipped, so a later append does not overwrite entries that other
+// holders of the old slices still use.
 func (l Log) truncate(from model.Index) Log {
 	l.entries = slices.Clip(l.entries[:from-l.base-1])
+	l.ends = slices.Clip(l.ends[:from-l.base-1])
 	return l
 }
 
@@ -107,7 +118,9 @@
 	if !ok || index <= l.base {
 		return l
 	}
+	l.start = l.bytesUpTo(index)
 	l.entries = slices.Clone(l.entries[index-l.base:])
+	l.ends = slices.Clone(l.ends[index-l.base:])
 	l.base, l.baseTerm = index, term
 	return l
 }
