codec: read rounds in the form of the last release through the present one

The progress of workloads was built a second time for the form of the last release. Stored rounds of that form are now converted to the encoded form of this release, and restored by the same code. The check that all rounds have the same steps stays.

Behaviour is unchanged: the tests of api/codec and replica/storage pass as they are.

--- a/api/codec/rounds.go
+++ b/api/codec/rounds.go
@@ -203,39 +203,35 @@
 	if len(full) == 0 {
 		return nil
 	}
-	var tasks []int
+	m := roundsMap{Length: len(full)}
 	for _, step := range full[0].Steps {
-		tasks = append(tasks, len(step.Tasks))
+		m.Tasks = append(m.Tasks, len(step.Tasks))
 	}
-	rounds, err := newRounds(len(full), tasks)
-	if err != nil {
-		return err
-	}
-	for i, stored := range full {
-		if len(stored.Steps) != len(tasks) {
-			return fmt.Errorf("codec: round %d with %d steps of %d", i, len(stored.Steps), len(tasks))
+	for i, round := range full {
+		if !slices.EqualFunc(round.Steps, m.Tasks, func(s fullStep, n int) bool { return len(s.Tasks) == n }) {
+			return fmt.Errorf("codec: the steps of round %d differ from those of the first one", i)
 		}
-		var steps []model.StepState
-		begun := false
-		for j, step := range stored.Steps {
-			if len(step.Tasks) != tasks[j] {
-				return fmt.Errorf("codec: step %d of round %d with %d tasks of %d", j, i, len(step.Tasks), tasks[j])
-			}
-			state := model.StepState{Tasks: model.NewTaskList(tasks[j]), Gang: step.Gang}
-			for k, task := range step.Tasks {
-				if task.HasProgress() {
-					state.Restore(k, task)
-					begun = true
-				}
-			}
-			steps = append(steps, state)
+		if entry, begun := entryOf(i, round); begun {
+			m.Begun = append(m.Begun, entry)
 		}
-		if begun {
-			rounds.Restore(i, model.NewRound(steps))
+	}
+	return r.restore(m)
+}
+
+// entryOf returns the tasks with progress of a round, and whether there are any.
+func entryOf(i int, round fullRound) (entry roundEntry, begun bool) {
+	entry.Round = i
+	for _, step := range round.Steps {
+		s := stepEntry{Gang: step.Gang}
+		for k, task := range step.Tasks {
+			if task.HasProgress() {
+				s.Begun = append(s.Begun, taskEntry{Index: k, Task: task})
+				begun = true
+			}
 		}
+		entry.Steps = append(entry.Steps, s)
 	}
-	r.rounds = rounds
-	return nil
+	return entry, begun
 }
 
 // fullRounds returns rounds in the form of the releases before.
