workload: count the memory of a workload in one place

Cost was computed twice for each stored and each removed workload, and what a holder is charged was derived from it by subtraction. One function counts and discounts.

Behaviour is unchanged: the tests of core/command pass as they are.

--- a/core/command/workload/budget.go
+++ b/core/command/workload/budget.go
@@ -16,13 +16,16 @@
 )
 
 // Cost returns the memory that a workload takes on a replica, in bytes.
-func Cost(w *model.Workload) int64 {
+func Cost(w *model.Workload) int64 { return submittedCost(w) + w.Rounds.Bytes() }
+
+// submittedCost returns the memory that the workload takes before its first run.
+func submittedCost(w *model.Workload) int64 {
 	cost := int64(workloadBytes + len(w.Payload))
 	for i := range w.Steps {
 		s := &w.Steps[i]
 		cost += stepBytes + int64(unsafe.Sizeof(*s)) + int64(len(s.Label)+len(s.NearRack)+len(s.Image)+8*len(s.After))
 	}
-	return cost + w.Rounds.Bytes()
+	return cost
 }
 
 // checkBudget returns why a workload must not be stored, or OK. The budget is the number of
@@ -47,12 +50,18 @@
 	return result.Result{Code: result.OK}
 }
 
-// add stores a workload and counts its memory. Its holder is charged for what it takes before
-// its first run.
+// count adds the memory of a workload to the stored work n times. Its holder is charged for what
+// the workload takes before its first run.
+func count(stored *model.StoredWork, w *model.Workload, n int64) {
+	submitted := submittedCost(w)
+	stored.Total += n * (submitted + w.Rounds.Bytes())
+	stored.Charge(model.HolderOf(w.Account, w.Queue), n*submitted)
+}
+
+// add stores a workload and counts its memory.
 func add(s *model.State, w model.Workload) {
 	s.Workloads = s.Workloads.Set(w.ID, w)
-	s.Stored.Total += Cost(&w)
-	s.Stored.Charge(model.HolderOf(w.Account, w.Queue), submittedCost(&w))
+	count(&s.Stored, &w, 1)
 }
 
 // update stores a workload with other progress.
@@ -65,19 +74,14 @@
 func remove(s *model.State, id model.WorkloadID) {
 	w, _ := s.Workloads.Get(id)
 	s.Workloads = s.Workloads.Delete(id)
-	s.Stored.Total -= Cost(&w)
-	s.Stored.Charge(model.HolderOf(w.Account, w.Queue), -submittedCost(&w))
+	count(&s.Stored, &w, -1)
 }
 
-// submittedCost returns the memory that the workload takes before its first run.
-func submittedCost(w *model.Workload) int64 { return Cost(w) - w.Rounds.Bytes() }
-
 // CountStored counts the memory of the workloads, which a snapshot does not contain, and which
 // has to be counted again when workloads change their queue.
 func CountStored(s *model.State) {
 	s.Stored = model.StoredWork{}
 	for _, w := range s.Workloads.All() {
-		s.Stored.Total += Cost(&w)
-		s.Stored.Charge(model.HolderOf(w.Account, w.Queue), submittedCost(&w))
+		count(&s.Stored, &w, 1)
 	}
 }
