replica: list the commands with bounds once

The two commands whose entries state bounds of the leader stood in two type switches, one that sets the bounds and one that tells whether there are any.

--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -148,8 +148,8 @@
 	batch := raftBatch{results: make([]result.Result, len(req.Msg.Envelopes))}
 	for i, data := range req.Msg.Envelopes {
 		env, err := codec.DecodeEnvelope(data)
-		if err == nil && isBounded(env.Command) {
-			data, env, err = codec.EncodeForLog(c.r.bound(env))
+		if c.r.bound(&env) {
+			data, env, err = codec.EncodeForLog(env)
 		}
 		batch.add(i, raft.Command{Data: data, Value: env}, err)
 	}
@@ -174,15 +174,6 @@
 	return connect.NewResponse(resp), nil
 }
 
-// isBounded reports whether the leader states bounds in the entry of the command.
-func isBounded(c model.Command) bool {
-	switch c.(type) {
-	case model.SubmitWorkload, model.CancelWorkload:
-		return true
-	}
-	return false
-}
-
 // notAppended reports whether it is certain that no command was appended because
 // this replica is not the leader.
 func (b *raftBatch) notAppended() bool {
--- a/replica/command/propose.go
+++ b/replica/command/propose.go
@@ -30,15 +30,17 @@
 	batch := raftBatch{results: make([]result.Result, len(envelopes))}
 	for i, env := range envelopes {
 		env.Time = 0 // the leader sets the time on the log entry, outside of the encoded command
-		data, decoded, err := codec.EncodeForLog(r.bound(env))
+		r.bound(&env)
+		data, decoded, err := codec.EncodeForLog(env)
 		batch.add(i, raft.Command{Data: data, Value: decoded}, err)
 	}
 	return batch.propose(ctx, r), nil
 }
 
-// bound returns the envelope with the bounds that a leader states in the entry, so that all
-// replicas decide alike: the budget of a submission, and that a cancellation is for one queue.
-func (r *Replica) bound(env model.Envelope) model.Envelope {
+// bound sets the bounds that a leader states in the entry of a command, so that all replicas
+// decide alike: the budget of a submission, and that a cancellation is for one queue. It reports
+// whether the command has any.
+func (r *Replica) bound(env *model.Envelope) bool {
 	switch c := env.Command.(type) {
 	case model.SubmitWorkload:
 		c.Budget = r.settings.WorkloadBudget
@@ -46,8 +48,10 @@
 	case model.CancelWorkload:
 		c.InQueue = true
 		env.Command = c
+	default:
+		return false
 	}
-	return env
+	return true
 }
 
 // raftBatch holds the commands of a batch that can be appended to the log, and the
