query: visit no rounds for the critical path of steps without estimates

The remaining critical path is that of the first round with estimated work left. Without estimates every unfinished round was visited, for each workload in each plan. The answer is 0 at once then, as before.

--- a/core/query/critical_path.go
+++ b/core/query/critical_path.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	"lacewingturn.example/core/model"
@@ -16,6 +17,9 @@
 // RemainingCriticalPath returns the estimated run time of the critical path of the
 // incomplete steps in the first unfinished round; 0 if all rounds are complete.
 func RemainingCriticalPath(w model.Workload) time.Duration {
+	if !slices.ContainsFunc(w.Steps, func(s model.Step) bool { return s.Estimate > 0 }) {
+		return 0
+	}
 	for _, r := range w.Rounds.Unfinished() {
 		if left := criticalPath(w, func(step int) bool { return !r.Step(step).Complete() }); left > 0 {
 			return left
