place: place the rounds that have begun in a function of their own

The planner kept the last round it had placed across two loops and asked twice whether the first steps are full. Once they are, it now hands over to placeBegun from that round on.

--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -132,20 +132,21 @@
 // are due. Once no first step fits any more, it goes on with the rounds that have begun.
 func (p *planner) place(c *candidate) {
 	c.full = nil
-	last := -1
 	for i, round := range c.workload.Open(p.options.Now) {
-		if !p.placeRound(c, i, round) {
+		if c.firstStepsFull() {
+			p.placeBegun(c, i)
 			return
 		}
-		if last = i; c.firstStepsFull() {
-			break
+		if !p.placeRound(c, i, round) {
+			return
 		}
 	}
-	if !c.firstStepsFull() {
-		return
-	}
+}
+
+// placeBegun starts tasks in the rounds that have begun, from a round on.
+func (p *planner) placeBegun(c *candidate, from int) {
 	for i, round := range c.workload.InProgress(p.options.Now) {
-		if i > last && !p.placeRound(c, i, round) {
+		if i >= from && !p.placeRound(c, i, round) {
 			return
 		}
 	}
