raft: remove a lost learner in one place

A request to join and the maintenance of the members both looked for the lost learner and proposed its removal, and the time without an answer was computed beside unreachable, which computes the same. silence is that time, and removeLostLearner the removal.

--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -100,12 +100,17 @@
 	m.maintainMembers()
 }
 
-// unreachable reports whether a member has not answered for ReplaceAfter.
-func (m *machine) unreachable(id model.ReplicaID) bool {
-	p := m.peer(id)
-	return p != nil && m.now.Sub(p.contact) > m.cfg.ReplaceAfter
+// silence returns how long a member has not answered; 0 for this replica.
+func (m *machine) silence(id model.ReplicaID) time.Duration {
+	if p := m.peer(id); p != nil {
+		return m.now.Sub(p.contact)
+	}
+	return 0
 }
 
+// unreachable reports whether a member has not answered for ReplaceAfter.
+func (m *machine) unreachable(id model.ReplicaID) bool { return m.silence(id) > m.cfg.ReplaceAfter }
+
 // caughtUp reports whether a learner is reachable and holds all committed entries.
 func (m *machine) caughtUp(id model.ReplicaID) bool {
 	p := m.peer(id)
@@ -143,35 +148,33 @@
 		m.change(ChangeMembership{Kind: AddLearner, Member: j.Member})
 		return
 	}
-	// A later Join is admitted to the place of a learner that has left.
-	if gone, ok := m.lostLearner(m.cfg.ReplaceAfter); ok {
-		m.change(ChangeMembership{Kind: Remove, Member: gone})
-	}
+	// A later Join is admitted to the place of a lost learner.
+	m.removeLostLearner(m.cfg.ReplaceAfter)
 }
 
 // maxLearners is the number of members admitted in addition to TargetVoters.
 const maxLearners = 8
 
-// lostLearner returns the learner that has been unreachable for the longest time, if that is
+// removeLostLearner removes the learner that has not answered for the longest time, if that is
 // longer than the given one. Voters are never removed for that alone.
-func (m *machine) lostLearner(after time.Duration) (lost Member, ok bool) {
+func (m *machine) removeLostLearner(after time.Duration) {
+	var lost Member
+	longest := after
 	for _, member := range m.Members() {
-		p := m.peer(member.ID)
-		if member.Voter || p == nil || m.now.Sub(p.contact) <= after {
-			continue
-		}
-		if !ok || p.contact.Before(m.peer(lost.ID).contact) {
-			lost, ok = member, true
+		if silence := m.silence(member.ID); !member.Voter && silence > longest {
+			lost, longest = member, silence
 		}
 	}
-	return lost, ok
+	if longest > after {
+		m.change(ChangeMembership{Kind: Remove, Member: lost})
+	}
 }
 
 // maintainMembers takes the next step of a replacement: a learner that has caught
 // up replaces the lost incarnation. The lost incarnation is removed before the
 // learner is promoted; otherwise the quorum would be larger while the lost
 // incarnation cannot vote. If there is no replacement to do, it removes a learner that
-// has left for good.
+// has not answered for RemoveLearnerAfter.
 func (m *machine) maintainMembers() {
 	if !m.canChangeMembership() {
 		return
@@ -184,9 +187,7 @@
 			return
 		}
 	}
-	if gone, ok := m.lostLearner(m.cfg.RemoveLearnerAfter); ok {
-		m.change(ChangeMembership{Kind: Remove, Member: gone})
-	}
+	m.removeLostLearner(m.cfg.RemoveLearnerAfter)
 }
 
 // advanceLearner takes the next step for a learner that has caught up, and reports whether a
