--- a/cmd/internal/faults/process.go
+++ b/cmd/internal/faults/process.go
@@ -120,6 +120,20 @@
 // PID returns the process id of the latest start. The process must have been started.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
+// PeakMemoryMB returns the largest resident memory of the process since its start.
+func (p *Process) PeakMemoryMB() (int, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	if !found {
+		return 0, fmt.Errorf("no peak memory in the status of %s", p.Name)
+	}
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	return kilobytes >> 10, err
+}
+
 // Signal sends a signal and fails the test if the process has ended.
 func (p *Process) Signal(s syscall.Signal) {
 	p.t.Helper()
@@ -194,17 +208,3 @@
 	t.Fatal("no free port on 127.0.0.1 from 12000 to 29999")
 	return ""
 }
-
-// PeakMemoryMB returns the largest resident memory of the process since its start.
-func (p *Process) PeakMemoryMB() (int, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, found := strings.Cut(string(status), "VmHWM:")
-	if !found {
-		return 0, fmt.Errorf("no peak memory in the status of %s", p.Name)
-	}
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	return kilobytes >> 10, err
-}
