Word the comments on lost learners and equal IDs in the terms of the field

Members that never return are lost or removed, a caller uses an ID. The comment of TestSnapshotDoesNotGrowWithRounds claimed second runs that the test does not have; it now says what the test guards against. Assertions and names of tests are unchanged.

--- a/api/codec/rounds_test.go
+++ b/api/codec/rounds_test.go
@@ -12,9 +12,9 @@
 	"lacewingturn.example/core/model"
 )
 
-// Guards against a snapshot that grows with the rounds of scheduled workloads: one with a round
-// every five minutes for two months, of which each tenth task needs a second run, has to stay
-// below a byte for each round that went well.
+// Guards against a snapshot and a count of memory that grow with the rounds of a scheduled
+// workload: one with a round every five minutes for two months, each of which succeeds in its
+// first run, has to stay below 2000 bytes in a snapshot.
 func TestSnapshotDoesNotGrowWithRounds(t *testing.T) {
 	const rounds = 17_280
 	s := scheduled(rounds)
--- a/core/command/place/order.go
+++ b/core/command/place/order.go
@@ -30,7 +30,7 @@
 	// stepRuns is the number of active runs of the step that is being placed, those that the plan
 	// starts included.
 	stepRuns int
-	// full holds the steps of which no task fits any more, whatever its round.
+	// full holds the steps of which no task fits any more in any round.
 	full map[int]bool
 	// turn is nil if all of the workload is placed at once.
 	turn *turn
--- a/core/command/workload/budget_test.go
+++ b/core/command/workload/budget_test.go
@@ -39,7 +39,7 @@
 
 func heap() int64 {
 	runtime.GC()
-	runtime.GC() // objects with finalizers are gone after the second one
+	runtime.GC() // the second one frees objects with finalizers
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
--- a/core/command/workload/caller.go
+++ b/core/command/workload/caller.go
@@ -39,7 +39,7 @@
 	return f.Owner(), ok
 }
 
-// otherQueue refuses a call to one queue about a workload of another one, whose caller has chosen
+// otherQueue refuses a call to one queue about a workload of another one, whose caller uses
 // the same ID.
 func otherQueue(w *model.Workload) result.Result {
 	return result.New(result.Exists, "workload %q belongs to queue %q", w.ID, w.Queue)
--- a/core/command/workload/queue_test.go
+++ b/core/command/workload/queue_test.go
@@ -9,7 +9,7 @@
 	"lacewingturn.example/core/result"
 )
 
-// Guards against a caller who has chosen the ID of another queue's workload, and is told that its
+// Guards against a caller that uses the ID of another queue's workload, and is told that its
 // own was accepted or cancels the other.
 func TestWorkloadOfAnotherQueueIsNotTouched(t *testing.T) {
 	w := newFixture(t)
--- a/core/query/workload_test.go
+++ b/core/query/workload_test.go
@@ -111,8 +111,8 @@
 	assert.Equal(t, d.Waiting.MilliCPU, int64(5000))
 }
 
-// Guards against a caller who reads the state of another queue's workload, because it has chosen
-// the same ID.
+// Guards against a caller that reads the state of another queue's workload, because it uses the
+// same ID.
 func TestQueueShowsOnlyItsWorkloads(t *testing.T) {
 	s := model.State{Clock: 1000, Catalog: &model.Catalog{Version: 1, Pools: []model.WorkerPool{{Name: "p"}}, Queues: []model.Queue{
 		{Name: "a", Host: "h", Prefix: "/a/", Pool: "p"}, {Name: "b", Host: "h", Prefix: "/b/", Pool: "p"},
--- a/replica/raft/replacements_test.go
+++ b/replica/raft/replacements_test.go
@@ -24,8 +24,8 @@
 	t       *testing.T
 	rng     *rand.Rand
 	created int
-	// gone counts the machines that have left for good.
-	gone int
+	// removed counts the machines that were removed.
+	removed int
 }
 
 func newReplacements(t *testing.T, seed uint64) *replacements {
@@ -61,9 +61,9 @@
 	}
 }
 
-// remove removes a machine for good.
+// remove removes a machine, which never returns.
 func (r *replacements) remove(id model.ReplicaID) {
-	r.gone++
+	r.removed++
 	r.ids = slices.DeleteFunc(r.ids, func(o model.ReplicaID) bool { return o == id })
 	delete(r.replicas, id)
 }
@@ -72,20 +72,20 @@
 func (r *replacements) settled() {
 	r.t.Helper()
 	before := len(r.committed)
-	assert.Assert(r.t, r.propose(), "no leader after %d replacements: %s", r.gone, r.describe())
+	assert.Assert(r.t, r.propose(), "no leader after %d replacements: %s", r.removed, r.describe())
 	r.runFor(time.Second)
-	assert.Assert(r.t, len(r.committed) > before, "nothing is committed after %d replacements: %s", r.gone, r.describe())
+	assert.Assert(r.t, len(r.committed) > before, "nothing is committed after %d replacements: %s", r.removed, r.describe())
 	leader, ok := r.leader()
 	assert.Assert(r.t, ok)
 	members := r.replicas[leader].state.Members()
 	assert.Equal(r.t, members.Voters(), 3)
 	for _, m := range members {
-		assert.Assert(r.t, !m.Voter || r.replicas[m.ID] != nil, "voter %s has left: %s", m.ID, r.describe())
+		assert.Assert(r.t, !m.Voter || r.replicas[m.ID] != nil, "voter %s was removed: %s", m.ID, r.describe())
 	}
 }
 
-// Guards against learners that have left for good and keep new machines out, until the voters die
-// out one by one and no configuration can be read any more.
+// Guards against lost learners that keep new machines out, until one voter after another is lost
+// and no configuration can be read any more.
 func TestLearnersThatLeftKeepNobodyOut(t *testing.T) {
 	r := newReplacements(t, 1)
 	var fourth model.ReplicaID
@@ -142,8 +142,8 @@
 	}
 }
 
-// Guards against a learner that is removed although it is there, or that stays a member for good
-// although it has left and nobody needs its place.
+// Guards against a learner that is removed although it answers, or that stays a member although it
+// is lost and nobody needs its place.
 func TestLearnerThatLeftIsRemovedInTime(t *testing.T) {
 	r := newReplacements(t, 1)
 	stays, leaves := r.addMachine(), r.addMachine()
