raft: replace a replica as soon as another incarnation answers at its address

Cause: only silence for ReplaceAfter (3 s) showed that an incarnation is lost, and a new leader counted it from its own election, so that a lost leader was replaced 4 to 5 s after it was back. The proof was there and was dropped: the new incarnation answers at the address of the old one, and says that it is another.

Change: the refusal of a stream names the replica that refuses. The leader passes it to the protocol as Superseded, with the time at which the connection was opened. A superseded member is replaced at once by the incarnation that answers; an answer of the member to a later message takes the evidence back. Silence decides as before where nothing answers at the address.

No call is made that was not made before.

--- a/replica/command/handler.go
+++ b/replica/command/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 
@@ -41,7 +42,7 @@
 	}
 	from, to := model.ReplicaID(req.From), model.ReplicaID(req.To)
 	if to != h.r.id {
-		return connect.NewError(connect.CodeNotFound, result.New(result.NotFound, "this replica is %s, not %s", h.r.id, to))
+		return h.r.otherReplica(to)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	queue := make(replyQueue, senderQueueSize)
@@ -67,6 +68,33 @@
 	return nil
 }
 
+// otherReplica returns the error of a call that is addressed to the replica to. Its detail says
+// which replica serves here; see servingReplica.
+func (r *Replica) otherReplica(to model.ReplicaID) error {
+	err := connect.NewError(connect.CodeNotFound, result.New(result.NotFound, "this replica is %s, not %s", r.id, to))
+	if detail, detailErr := connect.NewErrorDetail(toInfo(r.self())); detailErr == nil {
+		err.AddDetail(detail)
+	}
+	return err
+}
+
+// servingReplica returns the replica that has refused a call because it is addressed to another
+// one; false for other errors, and for replicas of releases that do not state who they are.
+func servingReplica(err error) (raft.Member, bool) {
+	var refused *connect.Error
+	if !errors.As(err, &refused) || refused.Code() != connect.CodeNotFound {
+		return raft.Member{}, false
+	}
+	for _, detail := range refused.Details() {
+		if value, err := detail.Value(); err == nil {
+			if info, ok := value.(*replicav1.ReplicaInfo); ok {
+				return fromInfo(info), true
+			}
+		}
+	}
+	return raft.Member{}, false
+}
+
 // replyQueue queues the replies for one incoming stream.
 type replyQueue chan []raft.Message
 
@@ -104,7 +132,7 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	if to := model.ReplicaID(assembler.head.To); to != h.r.id {
-		return nil, connect.NewError(connect.CodeNotFound, result.New(result.NotFound, "this replica is %s, not %s", h.r.id, to))
+		return nil, h.r.otherReplica(to)
 	}
 	done := make(chan struct{})
 	if err := h.r.port.Send(ctx, snapshotReceived{input, done}); err != nil {
--- a/replica/command/machine.go
+++ b/replica/command/machine.go
@@ -40,6 +40,7 @@
 	}
 	snapshotSent       struct{ peer model.ReplicaID }
 	joinRequest        struct{ member raft.Member }
+	superseded         struct{ input raft.Superseded }
 	bootstrap          struct{ members raft.Membership }
 	transferLeadership struct{}
 	// streamOpened and streamClosed announce an incoming stream that accepts replies.
@@ -112,6 +113,8 @@
 		m.step(now, raft.SnapshotSent{Peer: msg.peer})
 	case joinRequest:
 		m.step(now, raft.Join{Member: msg.member})
+	case superseded:
+		m.step(now, msg.input)
 	case bootstrap:
 		m.step(now, raft.Bootstrap{Members: msg.members})
 	case streamOpened:
@@ -244,6 +247,7 @@
 		raft.BecameLeader: event.LeaderElected, raft.LeaderLost: event.LeadershipLost, raft.LostQuorum: event.QuorumLost,
 		raft.LeaderDiscovered: event.LeaderFollowed, raft.PeerLostEntries: event.FollowerRefused, raft.RefusedByPeer: event.ReplicaRefused,
 		raft.LogConflict: event.LogContradicts, raft.MembershipChanged: event.MembershipChanged,
+		raft.MemberSuperseded: event.MemberSuperseded,
 	}
 	kinds[n.Kind].Log(m.r.log, fields...)
 	switch n.Kind {
--- a/replica/command/replica.go
+++ b/replica/command/replica.go
@@ -72,7 +72,7 @@
 	r.log = settings.Logger.With(zap.String("replica", string(recovery.ID)))
 	r.writer = newWriter(store, settings.Metrics, r.log)
 	r.tasks = newTasks()
-	r.senders = newSenders(r.log, recovery.ID, settings.Dial, func(m []raft.Message) { r.port.TrySend(received{m}) })
+	r.senders = newSenders(r.log, recovery.ID, settings.Dial, func(msg loop.Message) { r.port.TrySend(msg) })
 	now := time.Now()
 	r.machine = newMachine(r, raft.New(settings.raftConfig(recovery.ID), now, settings.Seed, recovery.Recovered), state)
 	r.machine.publish(now)
--- a/replica/command/sender.go
+++ b/replica/command/sender.go
@@ -15,6 +15,7 @@
 	"lacewingturn.example/api/gen/lacewingturn/replica/v1/replicav1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/node/event"
+	"lacewingturn.example/node/loop"
 	"lacewingturn.example/replica/raft"
 )
 
@@ -50,15 +51,15 @@
 	log     *zap.Logger
 	from    model.ReplicaID
 	dial    dialFunc
-	receive func([]raft.Message) // called with the replies; must not block
+	post    func(loop.Message) // passes replies and refusals to the control loop; must not block
 	byPeer  map[model.ReplicaID]*sender
 	replies map[model.ReplicaID]replyQueue // reply queues of the incoming streams, by the peer that opened the stream
 	started chan *sender
 }
 
-func newSenders(log *zap.Logger, from model.ReplicaID, dial dialFunc, receive func([]raft.Message)) *senders {
+func newSenders(log *zap.Logger, from model.ReplicaID, dial dialFunc, post func(loop.Message)) *senders {
 	return &senders{
-		log: log, from: from, dial: dial, receive: receive, byPeer: map[model.ReplicaID]*sender{},
+		log: log, from: from, dial: dial, post: post, byPeer: map[model.ReplicaID]*sender{},
 		replies: map[model.ReplicaID]replyQueue{}, started: make(chan *sender, maxTasks),
 	}
 }
@@ -111,7 +112,7 @@
 		return known
 	}
 	peer := &sender{
-		log: s.log.With(zap.String("peer", string(to))), from: s.from, to: to, receive: s.receive,
+		log: s.log.With(zap.String("peer", string(to))), from: s.from, to: to, post: s.post,
 		client: newHTTPClient(s.dial), in: make(chan outgoing, senderQueueSize), reachable: true,
 	}
 	s.byPeer[to] = peer
@@ -138,7 +139,7 @@
 type sender struct {
 	log       *zap.Logger
 	from, to  model.ReplicaID
-	receive   func([]raft.Message)
+	post      func(loop.Message)
 	client    *http.Client
 	in        chan outgoing
 	address   string
@@ -220,21 +221,26 @@
 	ctx, s.cancel = context.WithCancel(ctx)
 	stream := replicav1connect.NewReplicationServiceClient(s.client, "http://"+s.address).Exchange(ctx)
 	s.stream = stream
-	s.readers.Go(func() { s.read(stream) })
+	openedAt := time.Now()
+	s.readers.Go(func() { s.read(stream, openedAt) })
 }
 
-func (s *sender) read(stream *connect.BidiStreamForClient[replicav1.ExchangeRequest, replicav1.ExchangeResponse]) {
+// read passes on the replies until the stream ends. The next send then fails and opens a new one.
+func (s *sender) read(stream *connect.BidiStreamForClient[replicav1.ExchangeRequest, replicav1.ExchangeResponse], openedAt time.Time) {
 	for {
 		resp, err := stream.Receive()
 		if err != nil {
-			return // the next send on the stream fails and opens a new one
+			if by, ok := servingReplica(err); ok {
+				s.post(superseded{raft.Superseded{ID: s.to, By: by, AskedAt: openedAt}})
+			}
+			return
 		}
 		messages, err := fromWire(s.to, s.from, resp.Messages)
 		if err != nil {
 			event.EntryUndecodable.Log(s.log, zap.Error(err))
 			continue
 		}
-		s.receive(messages)
+		s.post(received{messages})
 	}
 }
 
--- a/replica/raft/cluster_membership_test.go
+++ b/replica/raft/cluster_membership_test.go
@@ -84,7 +84,7 @@
 	}
 	for _, id := range c.ids {
 		if _, member := c.replicas[leader].state.Members().Get(id); !member && c.diskLost {
-			c.step(leader, Join{Member: Member{ID: id, Address: "b"}})
+			c.step(leader, Join{Member: Member{ID: id, Address: ReplicaName(id)}})
 		}
 	}
 }
--- a/replica/raft/cluster_test.go
+++ b/replica/raft/cluster_test.go
@@ -76,7 +76,7 @@
 	for i := range voters {
 		id := model.ReplicaID(fmt.Sprintf("r%d/1", i+1))
 		c.add(id)
-		members = append(members, Member{ID: id, Address: string(id), Voter: true})
+		members = append(members, Member{ID: id, Address: ReplicaName(id), Voter: true})
 	}
 	c.step(c.ids[0], Bootstrap{Members: members})
 	c.sync(c.ids[0])
@@ -202,6 +202,7 @@
 	lost := c.replicas[p.msg.To] == nil || c.blocked[[2]model.ReplicaID{p.msg.From, p.msg.To}]
 	switch {
 	case lost:
+		c.refuse(p.msg)
 	case p.snap == nil:
 		c.step(p.msg.To, Receive{p.msg})
 	default:
@@ -210,6 +211,21 @@
 	c.endTransfer(p)
 }
 
+// refuse reports to the sender of a message which replica serves at the address that it was sent
+// to, if that is another incarnation. It does nothing while the link is blocked.
+func (c *cluster) refuse(msg Message) {
+	if c.replicas[msg.To] != nil || c.replicas[msg.From] == nil || c.blocked[[2]model.ReplicaID{msg.From, msg.To}] {
+		return
+	}
+	name := ReplicaName(msg.To)
+	for _, id := range c.ids {
+		if ReplicaName(id) == name {
+			c.step(msg.From, Superseded{ID: msg.To, By: Member{ID: id, Address: name}, AskedAt: c.now})
+			return
+		}
+	}
+}
+
 // endTransfer reports the end of a snapshot transfer, delivered or lost, to its
 // sender.
 func (c *cluster) endTransfer(p packet) {
--- a/replica/raft/inputs.go
+++ b/replica/raft/inputs.go
@@ -51,6 +51,13 @@
 	// Join is the request of a replica to become a member or, if it is one, to
 	// update its address and domain.
 	Join struct{ Member Member }
+	// Superseded reports that the address of the member ID is served by By, which states another
+	// ID. AskedAt is when the connection that By answered was opened.
+	Superseded struct {
+		ID      model.ReplicaID
+		By      Member
+		AskedAt time.Time
+	}
 )
 
 // Command is a proposed command in its encoded form, with its decoded value,
--- a/replica/raft/leader.go
+++ b/replica/raft/leader.go
@@ -20,11 +20,18 @@
 	refused   bool // its log has lost acknowledged entries; nothing is sent to it
 	// contact is the time at which the latest answered message was sent.
 	contact time.Time
+	// supersededAt is when another incarnation with its name was found at its address; zero if
+	// none was.
+	supersededAt time.Time
 	// matchAt is when match last increased.
 	matchAt time.Time
 	commit  model.Index // last commit index sent
 }
 
+// superseded reports whether another incarnation serves at the address of the peer. A later
+// answer of the peer shows that it is back.
+func (p *peer) superseded() bool { return p.supersededAt.After(p.contact) }
+
 func (p *peer) probe(next model.Index) { p.next, p.probing, p.probeSent = next, true, false }
 
 func (m *machine) peer(id model.ReplicaID) *peer {
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -111,14 +111,52 @@
 // unreachable reports whether a member has not answered for ReplaceAfter.
 func (m *machine) unreachable(id model.ReplicaID) bool { return m.silence(id) > m.cfg.ReplaceAfter }
 
+// superseded reports whether another incarnation serves at the address of a member.
+func (m *machine) superseded(id model.ReplicaID) bool {
+	p := m.peer(id)
+	return p != nil && p.superseded()
+}
+
+// lost reports whether a member may be replaced by another incarnation with its name: its disk
+// is known to be lost, or it is unreachable.
+func (m *machine) lost(id model.ReplicaID) bool { return m.superseded(id) || m.unreachable(id) }
+
+// step records that the disk of a member is lost, and admits the incarnation that has taken its
+// place. A new incarnation is drawn only for an empty data folder, and one process at a time
+// serves at an address, so that no time needs to pass before the member is replaced. A connection
+// of an earlier time proves nothing once the member has answered a later message.
+func (s Superseded) step(m *machine) {
+	old, ok := m.Members().Get(s.ID)
+	if m.role != Leader || !ok || s.ID == m.cfg.ID || !s.By.replaces(old) {
+		return
+	}
+	p := m.peer(s.ID)
+	before := p.superseded()
+	if s.AskedAt.After(p.supersededAt) {
+		p.supersededAt = s.AskedAt
+	}
+	if !p.superseded() {
+		return
+	}
+	if !before {
+		m.notice(MemberSuperseded, s.ID)
+	}
+	Join{Member: s.By}.step(m)
+}
+
+// replaces reports whether the member is another incarnation of the replica old at the same address.
+func (o Member) replaces(old Member) bool {
+	return o.ID != old.ID && ReplicaName(o.ID) == ReplicaName(old.ID) && o.Address == old.Address
+}
+
 // caughtUp reports whether a learner is reachable and holds all committed entries.
 func (m *machine) caughtUp(id model.ReplicaID) bool {
 	p := m.peer(id)
 	return p != nil && !p.refused && !p.probing && p.match >= m.commit && m.now.Sub(p.contact) < m.cfg.ElectionMin
 }
 
-// step admits a new incarnation of an unreachable member or a replica with a new
-// name, or updates the address of a member. An unreachable learner is only removed;
+// step admits a new incarnation of a lost member or a replica with a new
+// name, or updates the address of a member. A lost learner is only removed;
 // its new incarnation is admitted by a later Join.
 func (j Join) step(m *machine) {
 	if !m.canChangeMembership() {
@@ -129,7 +167,7 @@
 		return
 	}
 	for _, old := range m.Members() {
-		if ReplicaName(old.ID) != ReplicaName(j.Member.ID) || !m.unreachable(old.ID) {
+		if ReplicaName(old.ID) != ReplicaName(j.Member.ID) || !m.lost(old.ID) {
 			continue
 		}
 		if !old.Voter {
@@ -155,12 +193,16 @@
 // maxLearners is the number of members admitted in addition to TargetVoters.
 const maxLearners = 8
 
-// removeLostLearner removes the learner that has not answered for the longest time, if that is
-// longer than the given one. Voters are never removed for that alone.
+// removeLostLearner removes a learner whose disk is lost, or else the one that has not answered
+// for the longest time, if that is longer than the given one. Voters are never removed for that alone.
 func (m *machine) removeLostLearner(after time.Duration) {
 	var lost Member
 	longest := after
 	for _, member := range m.Members() {
+		if !member.Voter && m.superseded(member.ID) {
+			m.change(ChangeMembership{Kind: Remove, Member: member})
+			return
+		}
 		if silence := m.silence(member.ID); !member.Voter && silence > longest {
 			lost, longest = member, silence
 		}
@@ -200,7 +242,7 @@
 	if !ok {
 		return m.change(ChangeMembership{Kind: Promote, Member: learner}).Refusal == Appended
 	}
-	return m.unreachable(old.ID) && m.Members().Voters() > 1 && m.change(ChangeMembership{Kind: Remove, Member: old}).Refusal == Appended
+	return m.lost(old.ID) && m.Members().Voters() > 1 && m.change(ChangeMembership{Kind: Remove, Member: old}).Refusal == Appended
 }
 
 // promoteLearner takes the next step for a learner that does not replace an
--- a/replica/raft/state.go
+++ b/replica/raft/state.go
@@ -189,6 +189,7 @@
 	RefusedByPeer                // this replica was refused and has halted
 	LogConflict                  // the leader's log conflicts with a committed entry; this replica has halted
 	MembershipChanged            // a new membership is in effect
+	MemberSuperseded             // another incarnation serves at the address of the member Peer, whose disk is therefore lost
 )
 
 // machine is a State during one Step, with the effects accumulated so far.
