raft: give the place of a lost voter to one replica only

What was seen: a site with TargetVoters 3 gets four voters.

Cause: a learner that replaces a voter is promoted once that voter is no member any more, also if a learner with another name has taken its place meanwhile (promoteLearner).

Change: such a learner is treated like one with another name while there are as many voters as there are to be.

Measured: TestPlaceOfALostVoterIsGivenOnce ends with four voters before, with three now.

--- a/replica/raft/disk_loss_test.go
+++ b/replica/raft/disk_loss_test.go
@@ -123,3 +123,28 @@
 	members := c.replicas[leader].state.Members()
 	assert.Assert(t, members.Voter(victim) && !members.Voter(next), "%v", members)
 }
+
+// Guards against an even number of voters: the place of a lost voter must not be given to its new
+// incarnation once another replica has taken it, and the new incarnation must not stay a member
+// for good if it is lost as well.
+func TestPlaceOfALostVoterIsGivenOnce(t *testing.T) {
+	r := newReplacements(t, 1)
+	r.diskLost = true
+	stranger := r.addMachine()
+	r.pass(5 * time.Second)
+	leader, _ := r.leader()
+	i := slices.IndexFunc(r.ids, func(id model.ReplicaID) bool { return id != leader && id != stranger })
+	d := &diskLosses{replacements: *r, incarnation: 1}
+	next := d.lose(d.ids[i], 100*time.Millisecond)
+	d.blocked[[2]model.ReplicaID{next, leader}] = true // it does not catch up
+	d.runFor(6 * time.Second)
+	members := func() Membership { return d.replicas[leader].state.Members() }
+	assert.Assert(t, members().Voter(stranger) && members().Voters() == 3, "%v", members())
+	clear(d.blocked)
+	d.runFor(6 * time.Second)
+	_, member := members().Get(next)
+	assert.Assert(t, member && members().Voters() == 3, "%v", members())
+	d.remove(next)
+	d.runFor(70 * time.Second)
+	assert.Equal(t, len(members()), 3)
+}
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -212,6 +212,12 @@
 	}
 }
 
+// hasTargetVoters reports whether there are as many voters as there are to be; false if operators
+// decide that.
+func (m *machine) hasTargetVoters() bool {
+	return m.cfg.TargetVoters > 0 && m.Members().Voters() >= m.cfg.TargetVoters
+}
+
 // maintainMembers takes the next step of a replacement: a learner that has caught
 // up replaces the lost incarnation. The lost incarnation is removed before the
 // learner is promoted; otherwise the quorum would be larger while the lost
@@ -239,6 +245,9 @@
 		return m.promoteLearner(learner)
 	}
 	old, ok := m.Members().Get(learner.Replaces)
+	if !ok && m.hasTargetVoters() {
+		return m.promoteLearner(learner) // another replica has taken the place
+	}
 	if !ok {
 		return m.change(ChangeMembership{Kind: Promote, Member: learner}).Refusal == Appended
 	}
