raft: keep the place of a voter when its successor is lost as well

What was seen: a machine loses its disk again before its new incarnation is a voter; the site then stays with two voters for good, and the next loss ends its quorum.

Cause: between the removal of the lost voter and the promotion of its successor only the field Replaces of the learner says that a voter is missing. A lost learner was removed together with that field, and its next incarnation is a stranger, which is not admitted where operators decide on the members (TargetVoters 0).

Change: the next incarnation of a lost learner takes over what it replaces, and a learner that alone holds the place of a voter is not removed before that.

--- a/replica/raft/disk_loss_test.go
+++ b/replica/raft/disk_loss_test.go
@@ -70,7 +70,10 @@
 		d := newDiskLosses(t, seed)
 		for range 12 {
 			id := d.victim()
-			id = d.lose(id, time.Duration(50+d.rng.IntN(300))*time.Millisecond)
+			for range 1 + d.rng.IntN(4) { // a machine that is not available yet may lose its disk again
+				d.catchUp(time.Duration(d.rng.IntN(1500)) * time.Millisecond)
+				id = d.lose(id, time.Duration(50+d.rng.IntN(300))*time.Millisecond)
+			}
 			d.catchUp(catchUp)
 			assert.NilError(t, d.err, "seed %d", seed)
 			leader, ok := d.leader()
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -156,7 +157,7 @@
 }
 
 // step admits a new incarnation of a lost member or a replica with a new
-// name, or updates the address of a member. A lost learner is only removed;
+// name, or updates the address of a member. A lost learner that replaces nobody is only removed;
 // its new incarnation is admitted by a later Join.
 func (j Join) step(m *machine) {
 	if !m.canChangeMembership() {
@@ -170,12 +171,12 @@
 		if ReplicaName(old.ID) != ReplicaName(j.Member.ID) || !m.lost(old.ID) {
 			continue
 		}
-		if !old.Voter {
+		if !old.Voter && old.Replaces == "" {
 			m.change(ChangeMembership{Kind: Remove, Member: old})
 			return
 		}
 		learner := j.Member
-		learner.Replaces = old.ID
+		learner.Replaces = cmp.Or(old.Replaces, old.ID)
 		m.change(ChangeMembership{Kind: AddLearner, Member: learner})
 		return
 	}
@@ -199,11 +200,14 @@
 	var lost Member
 	longest := after
 	for _, member := range m.Members() {
-		if !member.Voter && m.superseded(member.ID) {
+		if member.Voter || m.holdsPlace(member) {
+			continue
+		}
+		if m.superseded(member.ID) {
 			m.change(ChangeMembership{Kind: Remove, Member: member})
 			return
 		}
-		if silence := m.silence(member.ID); !member.Voter && silence > longest {
+		if silence := m.silence(member.ID); silence > longest {
 			lost, longest = member, silence
 		}
 	}
@@ -212,6 +216,16 @@
 	}
 }
 
+// holdsPlace reports whether the membership would forget that a voter is missing if the learner
+// were removed: the voter that it replaces has been removed already, and no other learner
+// replaces it.
+func (m *machine) holdsPlace(learner Member) bool {
+	if _, waits := m.Members().Get(learner.Replaces); learner.Replaces == "" || waits || m.hasTargetVoters() {
+		return false
+	}
+	return !slices.ContainsFunc(m.Members(), func(o Member) bool { return o.ID != learner.ID && o.Replaces == learner.Replaces })
+}
+
 // hasTargetVoters reports whether there are as many voters as there are to be; false if operators
 // decide that.
 func (m *machine) hasTargetVoters() bool {
