raft: count the silence of a lost leader from its last message

Cause: a new leader sets the last contact of all members to its own campaign. Of its predecessor it knows better: when the last message of that one arrived.

Change: that time is the last contact of the predecessor, unless it has voted for the new leader, as in a planned transfer. For the others the campaign is assumed as before.

Measured: TestSilenceOfAPredecessorIncludesTheElection fails before (1.48 s of silence 2 s after the loss) and passes now; all tests of replica/raft pass.

--- a/replica/raft/election.go
+++ b/replica/raft/election.go
@@ -119,7 +119,7 @@
 		m.leader = leader
 		m.notice(LeaderDiscovered, leader)
 	}
-	m.leaderContact = m.now
+	m.lastLeader, m.leaderContact = leader, m.now
 	m.resetElection()
 }
 
--- a/replica/raft/leader.go
+++ b/replica/raft/leader.go
@@ -49,12 +49,22 @@
 	m.peers = nil
 	m.syncPeers()
 	for i := range m.peers {
-		m.peers[i].contact = m.campaignAt
+		m.peers[i].contact = m.lastContact(m.peers[i].id)
 	}
 	m.notice(BecameLeader, "")
 	m.appendAsLeader(Entry{Kind: KindNoop})
 }
 
+// lastContact returns when a member may last have been in contact, as far as a replica that
+// becomes leader knows. The previous leader was in contact when its last message arrived, unless
+// it has voted since; of the others nothing is known from before the election.
+func (m *machine) lastContact(id model.ReplicaID) time.Time {
+	if id == m.lastLeader && !slices.Contains(m.granted, id) {
+		return m.leaderContact
+	}
+	return m.campaignAt
+}
+
 // syncPeers updates the list of peers to the current membership. It keeps the
 // progress of members that remain.
 func (m *machine) syncPeers() {
--- a/replica/raft/replacements_test.go
+++ b/replica/raft/replacements_test.go
@@ -164,3 +164,22 @@
 	r.pass(5 * time.Minute)
 	assert.Equal(t, len(members()), 4)
 }
+
+// Guards against a leader that is replaced late, because the next leader counts the silence of
+// its predecessor only from its own election.
+func TestSilenceOfAPredecessorIncludesTheElection(t *testing.T) {
+	r := newReplacements(t, 1)
+	r.pass(time.Second)
+	old, ok := r.leader()
+	assert.Assert(t, ok)
+	r.remove(old)
+	removedAt := r.now
+	next := r.addMachine()
+	r.pass(2 * time.Second)
+	leader, ok := r.leader()
+	assert.Assert(t, ok)
+	m := machine{State: r.replicas[leader].state, now: r.now}
+	assert.Assert(t, m.silence(old) >= r.now.Sub(removedAt), "%v", m.silence(old))
+	r.pass(catchUp - 2*time.Second)
+	assert.Assert(t, r.replicas[leader].state.Members().Voter(next), "%s", r.describe())
+}
--- a/replica/raft/state.go
+++ b/replica/raft/state.go
@@ -40,7 +40,8 @@
 
 	role          Role
 	leader        model.ReplicaID
-	leaderContact time.Time
+	lastLeader    model.ReplicaID // the leader that this replica last followed; empty if none
+	leaderContact time.Time       // when its last message arrived
 	leaderSince   time.Time
 	electionAt    time.Time
 	campaignAt    time.Time // when this replica requested votes in this term
