fleet: end no worker by an upkeep that may have begun before the order

Cause: the platform confirms an order for upkeep with 200 also if the upkeep was done before. A leader that repeats an order of its predecessor, or one of its own whose answer was lost, took that for the end of the worker that it sees.

Change: the confirmation ends the worker only if the upkeep cannot have begun before the order was decided: neither does the log hold an order of an earlier leader since the operator's order, nor had a call of this leader no answer. Otherwise the reports decide. The line on a confirmed order names the worker and whether the upkeep may have begun.

--- a/replica/fleet/machine.go
+++ b/replica/fleet/machine.go
@@ -117,6 +117,8 @@
 	idleSince        map[model.InstanceID]time.Time       // since when nothing runs on an instance
 	pausedUntil      map[model.InstanceID]time.Time       // until when no order is given after a refusal
 	unrecordedOrders []model.InstanceID                   // instances whose orders are not in the log yet
+	// mayHaveBegun holds the upkeep that a dropped order of this leader may have begun.
+	mayHaveBegun map[model.InstanceID]model.UpkeepNumber
 }
 
 // knownInstance is what the platform last reported about an instance, in its list
@@ -140,6 +142,11 @@
 	inCall      bool      // the order is being recorded in the log or sent to the platform
 	confirmedAt time.Time
 	recorded    bool // whether the log says that the upkeep has begun
+	// mayHaveBegun is set if the upkeep may have begun before the order was decided. The
+	// incarnation worker may then have come after it.
+	mayHaveBegun bool
+	// unanswered is set if a call of this order had no answer, so that it may have been carried out.
+	unanswered bool
 }
 
 // Messages to the machine.
@@ -217,6 +224,7 @@
 		m.nextListAt, m.listing, m.listed = now, false, map[model.InstanceID]knownInstance{}
 		m.retiringSince = nil
 		m.pausedUntil, m.unrecordedOrders = map[model.InstanceID]time.Time{}, nil
+		m.mayHaveBegun = map[model.InstanceID]model.UpkeepNumber{}
 		m.orders, m.cordonedSince, m.idleSince = map[model.InstanceID]*activeOrder{}, map[model.InstanceID]model.Timestamp{}, map[model.InstanceID]time.Time{}
 	}
 }
--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -217,6 +217,59 @@
 	})
 }
 
+// Guards against a sound worker that gets no lease any more: it has come after an upkeep that an
+// earlier leader had ordered, and the platform confirms the order of the next leader as done.
+func TestUpkeepThatAnEarlierLeaderOrderedDoesNotEndTheNextWorker(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		leaving := idle("a")
+		leaving.Leaving = true
+		h.scheduler.set(leaving, busy("b")) // the first leader gives no order of its own
+		h.upkeep(1, "a")
+		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
+		h.replica.Lead(2)
+		back := idle("a")
+		back.Worker = model.MakeWorkerID("a", 2)
+		h.scheduler.set(back, busy("b"))
+		time.Sleep(2 * orderHandoverDelay)
+		assert.Assert(t, h.complete())
+		assert.Equal(t, len(h.scheduler.endedWorkers()), 0)
+	})
+}
+
+// Guards against the same after a call without answer of the same leader, if the next call was
+// refused, so that the order was dropped and decided again for the worker that had come meanwhile.
+func TestUpkeepThatMayHaveBegunDoesNotEndTheNextWorker(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.scheduler.set(idle("a"), busy("b"))
+		h.platform.set(errors.New("no answer"))
+		h.upkeep(1, "a")
+		time.Sleep(500 * time.Millisecond)
+		h.platform.set(RefusedError{Reason: "busy"})
+		time.Sleep(orderRetry)
+		back := idle("a")
+		back.Worker = model.MakeWorkerID("a", 2)
+		h.scheduler.set(back, busy("b"))
+		h.platform.set(nil)
+		time.Sleep(3 * orderRetry)
+		assert.Assert(t, h.complete())
+		assert.Equal(t, len(h.scheduler.endedWorkers()), 0)
+	})
+}
+
+// Guards against an upkeep of an earlier wave, or a move, that makes the order of the next wave
+// look like a repetition: its confirmation ends the worker at once.
+func TestFirstOrderOfAnUpkeepEndsItsWorker(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.scheduler.set(idle("a"), busy("b"))
+		h.propose(model.RecordOrders{Instances: []model.InstanceID{"a"}})
+		h.replica.Lead(2)
+		time.Sleep(orderHandoverDelay + time.Second)
+		h.upkeep(1, "a")
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, h.scheduler.endedWorkers(), []model.WorkerID{idle("a").Worker})
+	})
+}
+
 // Guards against upkeep beyond its limit after an election, because the new leader
 // does not count the instances that an earlier leader has taken down.
 func TestUpkeepOfEarlierLeadersCounts(t *testing.T) {
--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -91,20 +91,33 @@
 	}()
 }
 
+// upkeepOrder returns an order for upkeep. Nothing but the log and the unanswered calls of this
+// leader shows whether the upkeep may have begun: the worker that comes after it does not say so,
+// and the platform confirms a repeated order like the first one.
+func (m *Machine) upkeepOrder(s model.State, id model.InstanceID, u model.Upkeep) *activeOrder {
+	last, ok := s.Orders.Get(id)
+	byEarlierLeader := ok && last.Term != m.term && last.At >= u.OrderedAt
+	return &activeOrder{upkeep: u.Number, mayHaveBegun: byEarlierLeader || m.mayHaveBegun[id] == u.Number}
+}
+
 // finishOrder handles the platform's answer to an order. A refused order is dropped,
 // to be decided again; after any other error its outcome is unknown and it is
-// repeated.
+// repeated. A confirmation ends the worker of the order unless the upkeep may have begun
+// before the order: the reports then show whether the worker goes on or another one comes.
 func (m *Machine) finishOrder(now time.Time, msg orderResult) {
 	order := m.orders[msg.id]
 	if order == nil {
 		return
 	}
 	order.inCall = false
-	fields := []zap.Field{zap.String("id", string(msg.id)), zap.Int64("upkeep", int64(order.upkeep)), zap.String("from", string(order.from)), zap.String("to", string(order.to)), zap.Uint64("token", uint64(m.term))}
+	fields := []zap.Field{zap.String("id", string(msg.id)), zap.Int64("upkeep", int64(order.upkeep)), zap.String("from", string(order.from)), zap.String("to", string(order.to)), zap.Uint64("token", uint64(m.term)),
+		zap.String("worker", string(order.worker)), zap.Bool("may_have_begun", order.mayHaveBegun)}
 	if msg.err == nil {
 		event.InstanceOrdered.Log(m.settings.Logger, fields...)
 		order.confirmedAt, order.retryAt = now, time.Time{}
-		m.scheduler.MarkWorkerEnded(now, order.worker)
+		if !order.mayHaveBegun {
+			m.scheduler.MarkWorkerEnded(now, order.worker)
+		}
 		if order.upkeep != 0 {
 			m.recordUpkeep(msg.id, order)
 			return
@@ -117,6 +130,9 @@
 	event.InstanceOrderFailed.Log(m.settings.Logger, append(fields, zap.Error(msg.err))...)
 	if refused, ok := msg.err.(RefusedError); ok {
 		delete(m.orders, msg.id)
+		if order.unanswered || order.mayHaveBegun {
+			m.mayHaveBegun[msg.id] = order.upkeep
+		}
 		m.pausedUntil[msg.id] = now.Add(orderRetry)
 		if refused.UnknownInstance && order.upkeep != 0 {
 			m.recordUpkeep(msg.id, order) // an instance that the platform has removed needs no upkeep
@@ -124,7 +140,7 @@
 		m.nextListAt = now
 		return
 	}
-	order.retryAt = now.Add(orderRetry)
+	order.retryAt, order.unanswered = now.Add(orderRetry), true
 }
 
 // recordUpkeep records in the log that the upkeep of an instance has begun.
--- a/replica/fleet/upkeep.go
+++ b/replica/fleet/upkeep.go
@@ -39,9 +39,10 @@
 	for _, run := range d.Stop {
 		m.scheduler.StopRun(run)
 	}
-	for _, u := range d.Begin {
-		if m.orders[u.Instance] == nil {
-			m.addOrder(now, u.Instance, &activeOrder{upkeep: u.Number})
+	for _, begin := range d.Begin {
+		if m.orders[begin.Instance] == nil {
+			u, _ := s.Upkeeps.Get(begin.Number)
+			m.addOrder(now, begin.Instance, m.upkeepOrder(s, begin.Instance, u))
 		}
 	}
 	return d.Cordon
