schedule: use a worker again that an order has not ended

Whatever ended a worker by mistake, nothing took it back: its heartbeats were answered without a lease until the leader changed.

Cause: the mark of MarkWorkerEnded had no evidence that could contradict it, unlike that of a worker whose place another sender has taken.

Change: such a worker is used again once it has gone on reporting for readmitAfter with rising sequences, unless a later incarnation has taken its place. Heartbeats that were only late are too few for that.

--- a/replica/schedule/identity.go
+++ b/replica/schedule/identity.go
@@ -28,7 +28,7 @@
 //     same for readmitAfter is used again: a late heartbeat comes once, a live worker goes on.
 //   - A departure ends the incarnation that has announced that it drains.
 //   - An order for the instance that the platform has confirmed ends it; see
-//     MarkWorkerEnded.
+//     MarkWorkerEnded. If it goes on reporting for readmitAfter after that, it is used again.
 //
 // docs/decisions/identity-room-time.md says what the protocol cannot tell apart.
 
@@ -177,6 +177,25 @@
 	}
 }
 
+// checkEndedByOrder puts an incarnation that an order has ended back in use if it goes on
+// reporting, unless a later one has taken its place: it has not been ended. Until then its
+// heartbeats are answered without a lease. The heartbeats of any other incarnation that is in use
+// need no further proof.
+func (m *Machine) checkEndedByOrder(now time.Time, r Report) {
+	w := m.workers[r.Worker]
+	if w == nil || !w.endedByOrder {
+		delete(m.refusals, r.Worker)
+		return
+	}
+	if m.laterHolder(r) != nil || !m.refusals.add(now, r.Worker, r.Sequence) {
+		return
+	}
+	w.endedByOrder = false
+	delete(m.endedAt, r.Worker)
+	m.settings.Metrics.readmitted.Inc()
+	m.logWorker(event.WorkerReadmitted, r)
+}
+
 // answerUnused acknowledges a heartbeat without a lease.
 func (m *Machine) answerUnused(msg reported, reason verdict) {
 	r := msg.report
--- a/replica/schedule/identity_test.go
+++ b/replica/schedule/identity_test.go
@@ -313,3 +313,37 @@
 		assert.DeepEqual(t, h.mustReport("a", 1, nil).Start, start)
 	})
 }
+
+// Guards against a sound worker that gets no lease for the rest of a term, because an order of
+// the platform that was confirmed has not ended it: it is used again once it goes on reporting.
+func TestWorkerThatAnOrderHasNotEndedIsUsedAgain(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.mustReport("a", 1, nil)
+		h.onLoop(func() { h.machine.MarkWorkerEnded(time.Now(), model.MakeWorkerID("a", 1)) })
+		assert.Equal(t, h.mustReport("a", 1, nil).Lease, time.Duration(0))
+		assert.Assert(t, reportUntilLeased(h, "a", 1, func() {}) <= readmitBound)
+		h.submit(1, oneTask)
+		assert.Equal(t, len(h.mustReport("a", 1, nil).Start), 1)
+	})
+}
+
+// Guards against a worker that an order has ended and that is used again because of heartbeats
+// that arrive late: a few of them, or any once the next incarnation has reported.
+func TestLateHeartbeatsOfAnEndedWorkerPutItInUseNoMore(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		h.mustReport("a", 1, nil)
+		h.onLoop(func() { h.machine.MarkWorkerEnded(time.Now(), model.MakeWorkerID("a", 1)) })
+		for range minRefusals {
+			assert.Equal(t, h.mustReport("a", 1, nil).Lease, time.Duration(0))
+			time.Sleep(readmitAfter)
+		}
+		next := func(r *Report) { r.Instance = "m-a" }
+		assert.Equal(t, h.mustReport("b", 9, next).Lease, lease)
+		for range 3 * minRefusals {
+			assert.Equal(t, h.mustReport("b", 9, next).Lease, lease)
+			o, err := h.report("a", 1, nil)
+			assert.Assert(t, err != nil || o.Lease == 0)
+			time.Sleep(readmitAfter / 2)
+		}
+	})
+}
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -53,6 +53,9 @@
 	// replaced is set while the incarnation counts as ended because another one has taken
 	// its name, instance or address.
 	replaced bool
+	// endedByOrder is set while the incarnation counts as ended because the platform has
+	// confirmed an order.
+	endedByOrder bool
 }
 
 const (
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -67,7 +67,7 @@
 		m.logWorker(event.WorkerReadmitted, r)
 	}
 	m.restore(r)
-	delete(m.refusals, r.Worker)
+	m.checkEndedByOrder(now, r)
 	w := m.workers[r.Worker]
 	if w == nil {
 		m.observeReturn(now, r.Instance)
