advise: ask the policy service about what can start, in the order of scheduling

Cause: the one call at a time went to the first workload by ID of which some worker lacked a valid answer, whether or not a task could start there, and approvals that expired were renewed for ever. A job about which the service failed, was silent or answered with expired tickets held up all others in the same way.

Change: core/command/advise decides the next call. The planner plans as if missing answers were approvals; the first step that would start without a ticket is asked about. If nothing has room, calls are made ahead for what would start first on empty workers. Every second call goes to the step asked about least recently, and a step without usable answers waits longer each time.

--- /dev/null
+++ b/core/command/advise/advise.go
@@ -0,0 +1,165 @@
+// Package advise decides which call to the policy service is made next: about which step, and
+// about which workers. The service handles one call at a time, and a call takes longer the more
+// workers it names, so that calls are a scarce resource that waiting work shares.
+//
+// Calls come in the order of scheduling. The planner itself tells which steps would start if the
+// service approved them; no call is made for a step that has no room. Only when there is no such
+// step, calls are made ahead for those that would start first on empty workers.
+package advise
+
+import (
+	"slices"
+	"time"
+
+	"lacewingturn.example/core/command/place"
+	"lacewingturn.example/core/model"
+)
+
+const (
+	// maxWorkers is the largest number of workers in one call.
+	maxWorkers = 30
+	// minWorkers is the number of workers that a call names at least, if so many can run the
+	// step, because the service may refuse some of them.
+	minWorkers = 6
+	// aheadStarts is the number of tasks for which calls are made ahead.
+	aheadStarts = 32
+)
+
+// Input is what a decision is based on.
+type Input struct {
+	State model.State
+	// Workers are those that accept runs and that the service knows by their names.
+	Workers []place.Worker
+	// Capacity is what a worker has free when nothing runs on it.
+	Capacity func(model.WorkerID) model.Resources
+	// Options are those of the planner; TicketGranted is not used.
+	Options place.Options
+	// empty is set if the workers are taken as if nothing ran.
+	empty bool
+}
+
+// Call is a call to the policy service.
+type Call struct {
+	Step    model.StepRef
+	Workers []model.WorkerID
+	// Ahead is set if the step has no room yet.
+	Ahead bool
+}
+
+// Needed reports whether tasks of a queue wait that the policy service decides about.
+func Needed(s model.State) bool {
+	if s.Catalog == nil || !slices.ContainsFunc(s.Catalog.Queues, func(q model.Queue) bool { return q.Advised }) {
+		return false
+	}
+	for _, w := range s.Workloads.All() {
+		if q, ok := s.Catalog.QueueOf(w); ok && q.Advised {
+			return true
+		}
+	}
+	return false
+}
+
+// Next returns the call to make now; false if there is none.
+func (b *Book) Next(now time.Time, in Input) (Call, bool) {
+	call, ok := b.next(now, in)
+	if !ok {
+		call, ok = b.next(now, in.onEmptyWorkers())
+	}
+	if ok {
+		b.chosen(now, call)
+	}
+	return call, ok
+}
+
+// onEmptyWorkers returns the input as it would be if nothing ran.
+func (in Input) onEmptyWorkers() Input {
+	in.Workers = slices.Clone(in.Workers)
+	for i := range in.Workers {
+		w := &in.Workers[i]
+		w.Free = in.Capacity(w.ID)
+		w.FillerMilliCPU = w.Free.MilliCPU
+	}
+	in.Options.MaxStarts, in.empty = aheadStarts, true
+	return in
+}
+
+// wanted is a step that would start on workers whose tickets are missing.
+type wanted struct {
+	step    model.StepRef
+	workers []model.WorkerID
+}
+
+func (b *Book) next(now time.Time, in Input) (Call, bool) {
+	steps := b.wantedSteps(now, in)
+	if len(steps) == 0 {
+		return Call{}, false
+	}
+	next := b.turn(steps)
+	return Call{Step: next.step, Workers: b.named(now, in, next), Ahead: in.empty}, true
+}
+
+// wantedSteps returns the steps that would start if the service approved them and that lack
+// tickets for that, in the order of scheduling.
+func (b *Book) wantedSteps(now time.Time, in Input) []wanted {
+	options := in.Options
+	options.TicketGranted = func(t model.TaskRef, w model.WorkerID) bool {
+		_, valid := b.Ticket(now, t.StepRef(), w)
+		return valid || b.mayGet(now, t.StepRef(), w)
+	}
+	queues := in.State.Catalog.QueuesByName()
+	var out []wanted
+	index := map[model.StepRef]int{}
+	for _, start := range place.Plan(in.State, in.Workers, options) {
+		step := start.Run.Task.StepRef()
+		workload, _ := in.State.Workloads.Get(step.Workload)
+		if q, ok := queues.Of(&workload); !ok || !q.Advised || !b.mayGet(now, step, start.Worker) {
+			continue
+		}
+		i, ok := index[step]
+		if !ok {
+			i = len(out)
+			index[step] = i
+			out = append(out, wanted{step: step})
+		}
+		if !slices.Contains(out[i].workers, start.Worker) {
+			out[i].workers = append(out[i].workers, start.Worker)
+		}
+	}
+	return out
+}
+
+// turn returns the first step, and with every second call the one that was asked about least
+// recently. So steps that never start, whatever the answers, take half of the calls at most.
+func (b *Book) turn(steps []wanted) wanted {
+	if b.calls%2 == 0 {
+		return steps[0]
+	}
+	return slices.MinFunc(steps, func(x, y wanted) int { return b.askedAt(x.step).Compare(b.askedAt(y.step)) })
+}
+
+// named returns the workers that the call about a step names: those on which it would start, and
+// others that could take it. The service has approved some of them before and will do so again; if
+// that holds for all on which the step would start now, the call names no other.
+func (b *Book) named(now time.Time, in Input, next wanted) []model.WorkerID {
+	out := next.workers[:min(len(next.workers), maxWorkers)]
+	limit := min(maxWorkers, max(minWorkers, 2*len(out)))
+	switch {
+	case in.empty: // any worker may be the first one that has room
+		limit = maxWorkers
+	case !slices.ContainsFunc(out, func(w model.WorkerID) bool { return !b.approvedBefore(next.step, w) }):
+		return out
+	}
+	workload, _ := in.State.Workloads.Get(next.step.Workload)
+	q, _ := in.State.Catalog.QueueOf(workload)
+	spec := workload.Steps[next.step.Step]
+	for i := range in.Workers {
+		w := &in.Workers[i]
+		if len(out) >= limit {
+			break
+		}
+		if w.Pool == q.Pool && w.CanTake(spec) && b.mayGet(now, next.step, w.ID) && !slices.Contains(out, w.ID) {
+			out = append(out, w.ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/command/advise/book.go
@@ -0,0 +1,137 @@
+package advise
+
+import (
+	"time"
+
+	"lacewingturn.example/core/model"
+)
+
+const (
+	// ticketMargin is the time before the expiry of a ticket from which it is no longer used.
+	ticketMargin = 300 * time.Millisecond
+	// minRetry and maxRetry bound the time after which a step is asked about again whose last
+	// calls gave no ticket that could be used in time. It doubles with each of them.
+	minRetry = 300 * time.Millisecond
+	maxRetry = 8 * time.Second
+)
+
+// Book holds what the policy service has answered, by step and worker. Its zero value is not
+// usable; see NewBook.
+type Book struct {
+	steps map[model.StepRef]*stepAnswers
+	calls int // number of calls that were chosen
+}
+
+// stepAnswers are the answers about one step.
+type stepAnswers struct {
+	workers map[model.WorkerID]ticket
+	askedAt time.Time // when the last call was chosen
+	// failures is the number of calls in a row that gave nothing that can be used, retryAt the
+	// time until which there is no further call.
+	failures int
+	retryAt  time.Time
+}
+
+// ticket allows a worker to run the tasks of a step for a limited time.
+type ticket struct {
+	text  string // empty if the worker may not run the step
+	until time.Time
+}
+
+// NewBook returns a book without answers.
+func NewBook() *Book { return &Book{steps: map[model.StepRef]*stepAnswers{}} }
+
+// Ticket returns the valid ticket of a worker for a step; false if there is none.
+func (b *Book) Ticket(now time.Time, step model.StepRef, w model.WorkerID) (string, bool) {
+	t, _ := b.answer(step, w)
+	return t.text, t.valid(now)
+}
+
+func (t ticket) valid(now time.Time) bool { return t.text != "" && now.Before(t.until) }
+
+// answer returns the service's last answer about a worker; false if there is none.
+func (b *Book) answer(step model.StepRef, w model.WorkerID) (ticket, bool) {
+	s := b.steps[step]
+	if s == nil {
+		return ticket{}, false
+	}
+	t, ok := s.workers[w]
+	return t, ok
+}
+
+// approvedBefore reports whether the service has allowed the worker to run the step. The policy
+// does not change, so that it will do so again.
+func (b *Book) approvedBefore(step model.StepRef, w model.WorkerID) bool {
+	t, _ := b.answer(step, w)
+	return t.text != ""
+}
+
+// mayGet reports whether a call now can give a ticket that is not valid yet. Refusals hold for
+// good.
+func (b *Book) mayGet(now time.Time, step model.StepRef, w model.WorkerID) bool {
+	t, known := b.answer(step, w)
+	if known && (t.text == "" || t.valid(now)) {
+		return false
+	}
+	s := b.steps[step]
+	return s == nil || !now.Before(s.retryAt)
+}
+
+// askedAt returns when the last call about the step was chosen; zero if there was none.
+func (b *Book) askedAt(step model.StepRef) time.Time {
+	if s := b.steps[step]; s != nil {
+		return s.askedAt
+	}
+	return time.Time{}
+}
+
+func (b *Book) step(ref model.StepRef) *stepAnswers {
+	s := b.steps[ref]
+	if s == nil {
+		s = &stepAnswers{workers: map[model.WorkerID]ticket{}}
+		b.steps[ref] = s
+	}
+	return s
+}
+
+// chosen records that the call is made.
+func (b *Book) chosen(now time.Time, c Call) {
+	b.calls++
+	b.step(c.Step).askedAt = now
+}
+
+// Record stores the answer to a call that was sent at the given time: the tickets of the workers
+// that may run the step, and for how long they are valid. A worker without a ticket may not run it.
+func (b *Book) Record(now, sent time.Time, c Call, tickets map[model.WorkerID]string, validity time.Duration) {
+	s := b.step(c.Step)
+	until := sent.Add(validity - ticketMargin)
+	for _, w := range c.Workers {
+		s.workers[w] = ticket{tickets[w], until}
+	}
+	if len(tickets) > 0 && !now.Before(until) {
+		s.fail(now)
+		return
+	}
+	s.failures, s.retryAt = 0, time.Time{}
+}
+
+// Fail records that a call gave no answer.
+func (b *Book) Fail(now time.Time, c Call) { b.step(c.Step).fail(now) }
+
+func (s *stepAnswers) fail(now time.Time) {
+	wait := maxRetry
+	if s.failures < 5 {
+		wait = min(maxRetry, minRetry<<s.failures)
+	}
+	s.failures++
+	s.retryAt = now.Add(wait)
+}
+
+// Prune removes the answers about workloads that are not kept.
+func (b *Book) Prune(keep func(model.WorkloadID) bool) {
+	for step := range b.steps {
+		if !keep(step.Workload) {
+			delete(b.steps, step)
+		}
+	}
+}
--- a/core/command/place/place.go
+++ b/core/command/place/place.go
@@ -274,7 +274,7 @@
 	if spec.Filler && spec.Need.MilliCPU > w.FillerMilliCPU {
 		return false
 	}
-	if spec.Label != "" && !slices.Contains(w.Labels, spec.Label) {
+	if !w.hasLabel(spec) {
 		return false
 	}
 	if w.Runs >= maxRuns && c.stepRuns >= wideStep && !spec.Gang {
@@ -286,6 +286,16 @@
 	return !c.advised || p.options.TicketGranted != nil && p.options.TicketGranted(ref, w.ID)
 }
 
+// hasLabel reports whether the worker has the label that the step needs.
+func (w *Worker) hasLabel(spec model.Step) bool {
+	return spec.Label == "" || slices.Contains(w.Labels, spec.Label)
+}
+
+// CanTake reports whether a task of the step fits on the worker and needs no label that it lacks.
+func (w *Worker) CanTake(spec model.Step) bool {
+	return w.Free.Fits(spec.Reserved()) && w.hasLabel(spec)
+}
+
 // runsOn reports whether one of the runs is on the worker.
 func runsOn(active []model.Run, id model.WorkerID) bool {
 	return slices.ContainsFunc(active, func(r model.Run) bool { return r.Worker == id })
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -68,11 +68,11 @@
 	m.checkHealth(now, after)
 	m.evacuate(now, after)
 	m.preempt(now, after)
-	m.requestAdvice(now, after)
 	due := changed || now.Sub(m.plannedAt) >= planInterval
 	if due && now.Sub(m.passedAt) >= pace.PassInterval(m.fleetSize()) {
 		m.plannedIndex, m.plannedAt, m.passedAt = state.Index, now, now
 		progress.Starts = m.plan(now, after)
+		m.requestAdvice(now, state, progress)
 	}
 	if len(progress.Ends) == 0 && len(progress.Starts) == 0 {
 		m.answerAll(now, m.pending)
@@ -91,10 +91,9 @@
 // capacity that workers report as free is not part of the state.
 const planInterval = 100 * time.Millisecond
 
-// applied returns the state with the ends of the progress applied. The progress has no
-// starts yet.
+// applied returns the state with the ends and starts of the progress applied.
 func applied(s model.State, p model.RecordProgress) model.State {
-	if len(p.Ends) == 0 {
+	if len(p.Ends) == 0 && len(p.Starts) == 0 {
 		return s
 	}
 	next, _ := command.Apply(s, s.Index, s.Term, model.Envelope{Command: p})
@@ -280,8 +279,8 @@
 		Now:   max(model.TimestampOf(now), m.view.State.Clock),
 		Avoid: func(t model.TaskRef, w model.WorkerID) bool { return m.avoided.has(now, t, w) },
 		TicketGranted: func(t model.TaskRef, w model.WorkerID) bool {
-			_, ok := m.tickets.get(now, t, w)
-			return ok
+			_, valid := m.advice.book.Ticket(now, t.StepRef(), w)
+			return valid
 		},
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
 		RemoteDataFactor: m.settings.RemoteDataFactor,
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingturn.example/core/command/advise"
 	"lacewingturn.example/core/command/near"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -71,7 +72,7 @@
 	cordons map[model.InstanceID]bool
 	// stopping holds the runs that their workers are told to stop.
 	stopping map[model.RunRef]bool
-	tickets  tickets
+	advice   advice
 	// nextPreemptAt is the time of the next preemption pass.
 	nextPreemptAt time.Time
 
@@ -219,7 +220,7 @@
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
 	m.refusals = refusals{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
-	m.tickets = newTickets()
+	m.advice = advice{book: advise.NewBook()}
 	m.capLoggedAt = map[model.AccountName]time.Time{}
 	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
 	m.publishWaits()
