schedule: withhold a start order until there is a ticket for it

What callers saw: on a queue with advice, starts that are rejected for want of a ticket after a change of leader, or after a lost answer.

Cause: tickets are in the memory of the leader only. A new leader repeated the start orders of its predecessor without them; an order that was repeated late carried none because its ticket had expired.

Change: a start order is sent only with a valid ticket. The next calls ask for the tickets of withheld runs first, since these hold room. A run that gets none within the time of a lease, or whose worker the service does not allow, is stopped and its task planned again.

Measured: TestRepeatedStartOrderHasAValidTicket and TestRunWithoutTicketHoldsNoRoom fail before and pass now.

--- a/core/command/advise/advise.go
+++ b/core/command/advise/advise.go
@@ -34,10 +34,19 @@
 	Capacity func(model.WorkerID) model.Resources
 	// Options are those of the planner; TicketGranted is not used.
 	Options place.Options
+	// Withheld are the runs that are assigned to a worker and not started there for want of a
+	// ticket. They come first, as they hold room.
+	Withheld []Withheld
 	// empty is set if the workers are taken as if nothing ran.
 	empty bool
 }
 
+// Withheld is a run of a step that waits for a ticket on its worker.
+type Withheld struct {
+	Step   model.StepRef
+	Worker model.WorkerID
+}
+
 // Call is a call to the policy service.
 type Call struct {
 	Step    model.StepRef
@@ -101,31 +110,48 @@
 // wantedSteps returns the steps that would start if the service approved them and that lack
 // tickets for that, in the order of scheduling.
 func (b *Book) wantedSteps(now time.Time, in Input) []wanted {
+	var out wantedList
+	for _, w := range in.Withheld {
+		if b.mayGet(now, w.Step, w.Worker) {
+			out.add(w.Step, w.Worker)
+		}
+	}
 	options := in.Options
 	options.TicketGranted = func(t model.TaskRef, w model.WorkerID) bool {
 		_, valid := b.Ticket(now, t.StepRef(), w)
 		return valid || b.mayGet(now, t.StepRef(), w)
 	}
 	queues := in.State.Catalog.QueuesByName()
-	var out []wanted
-	index := map[model.StepRef]int{}
 	for _, start := range place.Plan(in.State, in.Workers, options) {
 		step := start.Run.Task.StepRef()
 		workload, _ := in.State.Workloads.Get(step.Workload)
 		if q, ok := queues.Of(&workload); !ok || !q.Advised || !b.mayGet(now, step, start.Worker) {
 			continue
 		}
-		i, ok := index[step]
-		if !ok {
-			i = len(out)
-			index[step] = i
-			out = append(out, wanted{step: step})
-		}
-		if !slices.Contains(out[i].workers, start.Worker) {
-			out[i].workers = append(out[i].workers, start.Worker)
+		out.add(step, start.Worker)
+	}
+	return out.steps
+}
+
+// wantedList is a list of steps without duplicates.
+type wantedList struct {
+	steps []wanted
+	index map[model.StepRef]int
+}
+
+func (l *wantedList) add(step model.StepRef, w model.WorkerID) {
+	i, ok := l.index[step]
+	if !ok {
+		if l.index == nil {
+			l.index = map[model.StepRef]int{}
 		}
+		i = len(l.steps)
+		l.index[step] = i
+		l.steps = append(l.steps, wanted{step: step})
+	}
+	if workers := l.steps[i].workers; !slices.Contains(workers, w) {
+		l.steps[i].workers = append(workers, w)
 	}
-	return out
 }
 
 // turn returns the first step, and with every second call the one that was asked about least
--- a/core/command/advise/book.go
+++ b/core/command/advise/book.go
@@ -44,7 +44,10 @@
 // Ticket returns the valid ticket of a worker for a step; false if there is none.
 func (b *Book) Ticket(now time.Time, step model.StepRef, w model.WorkerID) (string, bool) {
 	t, _ := b.answer(step, w)
-	return t.text, t.valid(now)
+	if !t.valid(now) {
+		return "", false
+	}
+	return t.text, true
 }
 
 func (t ticket) valid(now time.Time) bool { return t.text != "" && now.Before(t.until) }
@@ -66,11 +69,16 @@
 	return t.text != ""
 }
 
+// Refused reports whether the service does not allow the worker to run the step.
+func (b *Book) Refused(step model.StepRef, w model.WorkerID) bool {
+	t, known := b.answer(step, w)
+	return known && t.text == ""
+}
+
 // mayGet reports whether a call now can give a ticket that is not valid yet. Refusals hold for
 // good.
 func (b *Book) mayGet(now time.Time, step model.StepRef, w model.WorkerID) bool {
-	t, known := b.answer(step, w)
-	if known && (t.text == "" || t.valid(now)) {
+	if t, _ := b.answer(step, w); b.Refused(step, w) || t.valid(now) {
 		return false
 	}
 	s := b.steps[step]
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -36,6 +37,19 @@
 	book    *advise.Book
 	calling bool      // a call is in progress
 	retryAt time.Time // no call is made before this time
+	// withheld holds the assigned runs whose start orders lack a valid ticket: the tickets of an
+	// earlier leader are not known here, and those of this one expire.
+	withheld map[model.RunRef]withheldStart
+}
+
+// withheldStart is a run that is not started for want of a ticket.
+type withheldStart struct {
+	worker model.WorkerID
+	since  time.Time
+}
+
+func newAdvice() advice {
+	return advice{book: advise.NewBook(), withheld: map[model.RunRef]withheldStart{}}
 }
 
 // advised is the message with the result of one call.
@@ -56,7 +70,7 @@
 	}
 	s := applied(before, planned)
 	call, ok := m.advice.book.Next(now, advise.Input{
-		State: s, Workers: m.advisedOffers(now, s), Options: m.placeOptions(now, s),
+		State: s, Workers: m.advisedOffers(now, s), Options: m.placeOptions(now, s), Withheld: m.withheldRuns(s),
 		Capacity: func(id model.WorkerID) model.Resources { return m.workers[id].Capacity },
 	})
 	if ok {
@@ -64,6 +78,49 @@
 	}
 }
 
+// withholds reports whether the start order of a run lacks a valid ticket, without which the worker
+// would reject it. The next calls ask for it. If none comes within the time of a lease, or if
+// the service does not allow the worker, the run is stopped, so that it holds no room.
+func (m *Machine) withholds(now time.Time, s model.State, run model.RunRef, id model.WorkerID) bool {
+	workload, _ := s.Workloads.Get(run.Task.Workload)
+	q, ok := s.Catalog.QueueOf(workload)
+	if !ok || !q.Advised {
+		return false
+	}
+	step := run.Task.StepRef()
+	if _, valid := m.advice.book.Ticket(now, step, id); valid {
+		delete(m.advice.withheld, run)
+		return false
+	}
+	w, known := m.advice.withheld[run]
+	if !known {
+		w = withheldStart{id, now}
+		m.advice.withheld[run] = w
+	}
+	if m.advice.book.Refused(step, id) || now.Sub(w.since) > m.lease() {
+		m.stopping[run] = true
+	}
+	return true
+}
+
+// withheldRuns returns the runs that still wait for tickets, and discards the others. Those that
+// are stopped need none any more.
+func (m *Machine) withheldRuns(s model.State) []advise.Withheld {
+	var out []advise.Withheld
+	for run, w := range m.advice.withheld {
+		a, _ := s.Assignments.Get(w.worker)
+		if !a.Runs.Has(run) || m.stopping[run] || m.workers[w.worker] == nil {
+			delete(m.advice.withheld, run)
+			continue
+		}
+		out = append(out, advise.Withheld{Step: run.Task.StepRef(), Worker: w.worker})
+	}
+	slices.SortFunc(out, func(a, b advise.Withheld) int {
+		return cmp.Or(cmp.Compare(a.Step.Workload, b.Step.Workload), cmp.Compare(a.Step.Round, b.Step.Round), cmp.Compare(a.Step.Step, b.Step.Step), cmp.Compare(a.Worker, b.Worker))
+	})
+	return out
+}
+
 // advisedOffers returns the workers that accept runs and hold their names, by which the policy
 // service knows them.
 func (m *Machine) advisedOffers(now time.Time, s model.State) []place.Worker {
--- a/replica/schedule/advice_test.go
+++ b/replica/schedule/advice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,9 +45,10 @@
 	case <-time.After(wait):
 	}
 	out := Advice{Tickets: map[string]string{}, Validity: validity}
+	ticket := strconv.FormatInt(time.Now().Add(validity).UnixMilli(), 10) // says until when it is valid
 	for _, name := range workers {
 		if p.allows == nil || p.allows(w, name) {
-			out.Tickets[name] = "ticket"
+			out.Tickets[name] = ticket
 		}
 	}
 	return out, err
@@ -136,6 +138,8 @@
 		return
 	}
 	for _, start := range o.Start {
+		until, err := strconv.ParseInt(start.Ticket, 10, 64)
+		assert.Assert(s.t, err == nil && time.Now().UnixMilli() < until, "ticket %q", start.Ticket)
 		id := start.Run.Task.Workload
 		s.running[name] = append(s.running[name], advisedRun{start, time.Now().Add(s.took[id])})
 		if _, ok := s.started[id]; !ok {
@@ -283,3 +287,63 @@
 		s.startedInTime(ids, 10*time.Second)
 	})
 }
+
+// loseAnswer reports for the first worker, with the answer lost on its way, once the answer has a
+// start order.
+func (s *advisedSite) loseAnswer() {
+	for range 100 {
+		o, err := s.report("w00", 1, func(r *Report) { r.Capacity = model.Resources{MilliCPU: 16000, MemoryMB: 16000} })
+		if err == nil && len(o.Start) > 0 {
+			return
+		}
+		time.Sleep(adviceTick)
+	}
+	s.t.Fatal("no start order")
+}
+
+// Guards against start orders that a worker rejects, because a new leader repeats those of its
+// predecessor without its tickets, or because a ticket has expired before the order arrives.
+func TestRepeatedStartOrderHasAValidTicket(t *testing.T) {
+	for name, between := range map[string]func(s *advisedSite){
+		"new leader":     func(s *advisedSite) { s.harness.replica.Lead(2) },
+		"expired ticket": func(*advisedSite) { time.Sleep(adviceValidity) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				s := newAdvisedSite(h, &policyService{}, 1)
+				id := s.hand(1000, time.Second, "")
+				s.loseAnswer()
+				between(s)
+				s.pass(time.Second)
+				s.startedInTime([]model.WorkloadID{id}, startBound+adviceValidity)
+			})
+		})
+	}
+}
+
+// Guards against a run that holds the room of its worker for good, because the service gives no
+// ticket for it any more.
+func TestRunWithoutTicketHoldsNoRoom(t *testing.T) {
+	for name, service := range map[string]*policyService{
+		"refused": {allows: func(w model.WorkloadID, _ string) bool { return w != "0000000000000001" }},
+		"fails": {hurdle: func(w model.WorkloadID, _, _ *time.Duration) error {
+			if w == "0000000000000001" {
+				return errors.New("refused")
+			}
+			return nil
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runHarness(t, func(h *harness) {
+				s := newAdvisedSite(h, &policyService{}, 1)
+				s.hand(16000, time.Second, "")
+				s.loseAnswer()
+				s.harness.replica.Lead(2)
+				h.onLoop(func() { h.machine.settings.Advisor = service })
+				id := s.hand(16000, time.Second, "")
+				s.pass(lease + startBound)
+				s.startedInTime([]model.WorkloadID{id}, lease+startBound)
+			})
+		})
+	}
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"lacewingturn.example/core/command/advise"
 	"lacewingturn.example/core/command/near"
 	"lacewingturn.example/core/compare"
 	"lacewingturn.example/core/model"
@@ -220,7 +219,7 @@
 	m.byName, m.byInstance, m.byAddress = map[string]*worker{}, map[model.InstanceID]*worker{}, map[string]*worker{}
 	m.refusals = refusals{}
 	m.avoided, m.cordons, m.stopping = avoided{}, nil, map[model.RunRef]bool{}
-	m.advice = advice{book: advise.NewBook()}
+	m.advice = newAdvice()
 	m.capLoggedAt = map[model.AccountName]time.Time{}
 	m.near, m.awayTime = near.History{Waits: near.Waits{}}, 0
 	m.publishWaits()
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -89,6 +89,7 @@
 		case p.worker.ignores(now, run) && !m.mayBeInherited(now, p.report.Worker, run):
 			m.abandonStart(now, p.worker, run)
 			o.Stop = append(o.Stop, run)
+		case m.withholds(now, state, run, p.report.Worker):
 		case startBytes < maxStartBytes:
 			start := m.startOrder(now, state, run, p.report.Worker)
 			startBytes += start.size()
