schedule: count no run as serving that an earlier leader may have stopped

Cause: which runs are being stopped is in the memory of the leader only, and a run that is being stopped goes on listing its percent. The next leader took it for one that serves.

Change: a run of an earlier leader does not count as serving until its worker, by its own clock, still lists it when a stop of that leader would have ended. The time begins with the first report that was not late. It holds back stops of other tasks of the step, nothing else.

--- a/cmd/internal/instance/platform_control.go
+++ b/cmd/internal/instance/platform_control.go
@@ -30,7 +30,7 @@
 )
 
 func newScheduler(lifetime *lifetime, p settings.Settings, l *loop.Loop, r *replicacommand.Replica, d *clock.SuspendDetector, metrics prometheus.Registerer, log *zap.Logger) *schedule.Machine {
-	s := schedule.Settings{MaxLease: p.MaxLease, RemoteDataFactor: p.RemoteDataFactor, Metrics: schedule.NewMetrics(metrics), Logger: log}
+	s := schedule.Settings{MaxLease: p.MaxLease, StopTimeout: p.StopTimeout, RemoteDataFactor: p.RemoteDataFactor, Metrics: schedule.NewMetrics(metrics), Logger: log}
 	if p.AdviceAddress != "" {
 		s.Advisor = cloud.New(p.AdviceAddress, p.Name)
 	}
--- a/replica/schedule/health_test.go
+++ b/replica/schedule/health_test.go
@@ -130,3 +130,98 @@
 		assert.Equal(t, len(h.mustReport("a", 1, draining).Stop), 1)
 	})
 }
+
+// startApart starts both tasks of a step of which one may be away, on the workers a and b.
+func startApart(h *harness) (first, second StartOrder) {
+	apart := oneTask
+	apart.Count, apart.Lasting, apart.MaxPerWorker, apart.Missable = 2, true, 1, 1
+	h.submit(1, apart)
+	first, second = h.mustReport("a", 1, nil).Start[0], h.mustReport("b", 1, nil).Start[0]
+	h.mustReport("a", 1, at(100, first))
+	h.mustReport("b", 1, at(100, second))
+	return first, second
+}
+
+// drainingAt adds a run that serves to a report of a worker that drains.
+func drainingAt(start StartOrder) func(*Report) {
+	return func(r *Report) {
+		at(100, start)(r)
+		r.Draining = true
+	}
+}
+
+// Guards against two tasks of a step that are away at the same time although one may be: the
+// earlier leader has told one to stop, which goes on listing its progress until it has ended.
+func TestNewLeaderKeepsTheLimitWhileAnEarlierStopMayGoOn(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		first, second := startApart(h)
+		h.onLoop(func() { h.machine.StopRun(second.Run) })
+		assert.Equal(t, len(h.mustReport("b", 1, at(100, second)).Stop), 1)
+		h.replica.Lead(2)
+		for stopped := time.Now(); time.Since(stopped) < stopTimeout; time.Sleep(50 * time.Millisecond) {
+			assert.Equal(t, len(h.mustReport("b", 1, at(100, second)).Stop), 0)
+			assert.Equal(t, len(h.mustReport("a", 1, drainingAt(first)).Stop), 0)
+		}
+		again := h.mustReport("b", 1, ended(model.RunInterrupted, second))
+		assert.Equal(t, len(h.mustReport("a", 1, drainingAt(first)).Stop), 0)
+		h.mustReport("b", 1, at(100, again.Start...))
+		assert.Equal(t, len(h.mustReport("a", 1, drainingAt(first)).Stop), 1)
+	})
+}
+
+// Guards against planned work that never goes on after a change of leader: a run that is still
+// listed when a stop would have ended is not being stopped.
+func TestRunThatOutlastsTheTimeOfAStopServes(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		first, second := startApart(h)
+		h.replica.Lead(2)
+		began := time.Now()
+		for len(h.mustReport("a", 1, drainingAt(first)).Stop) == 0 {
+			h.mustReport("b", 1, at(100, second))
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, time.Since(began) < 2*stopTimeout)
+		}
+		assert.Assert(t, time.Since(began) >= stopTimeout, "%s", time.Since(began))
+	})
+}
+
+// Guards against a late heartbeat from before the stop, which arrives first and from which the
+// time of the stop would be counted.
+func TestLateHeartbeatIsNotTheBeginOfAStop(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		first, second := startApart(h)
+		held := time.Duration(time.Now().UnixNano())
+		time.Sleep(2 * time.Second)
+		h.mustReport("a", 1, at(100, first)) // keeps its lease
+		h.onLoop(func() { h.machine.StopRun(second.Run) })
+		assert.Equal(t, len(h.mustReport("b", 1, at(100, second)).Stop), 1)
+		h.replica.Lead(2)
+		h.mustReport("b", 1, func(r *Report) {
+			at(100, second)(r)
+			r.Clock = held
+		})
+		for stopped := time.Now(); time.Since(stopped) < stopTimeout; time.Sleep(50 * time.Millisecond) {
+			assert.Equal(t, len(h.mustReport("b", 1, at(100, second)).Stop), 0)
+			assert.Equal(t, len(h.mustReport("a", 1, drainingAt(first)).Stop), 0)
+		}
+	})
+}
+
+// Guards against late heartbeats that show a run as serving: they were sent before the stop had
+// ended, however late they arrive.
+func TestLateHeartbeatProvesNoRunServing(t *testing.T) {
+	runHarness(t, func(h *harness) {
+		first, second := startApart(h)
+		h.replica.Lead(2)
+		sent := time.Duration(time.Now().UnixNano())
+		late := func(r *Report) {
+			at(100, second)(r)
+			r.Clock = sent
+		}
+		for range 3 {
+			h.mustReport("b", 1, late)
+			assert.Equal(t, len(h.mustReport("a", 1, drainingAt(first)).Stop), 0)
+			time.Sleep(stopTimeout)
+		}
+	})
+}
--- a/replica/schedule/machine.go
+++ b/replica/schedule/machine.go
@@ -26,6 +26,8 @@
 type Settings struct {
 	// MaxLease is the longest lease that workers accept; it caps the lease granted.
 	MaxLease time.Duration
+	// StopTimeout is the longest time that a worker takes to stop a run; 0 if it is not known.
+	StopTimeout time.Duration
 	// RemoteDataFactor is how many times longer a task runs far from its data.
 	RemoteDataFactor float64
 	// Advisor is nil where there is no policy service.
@@ -69,7 +71,8 @@
 	avoided  avoided
 	// cordons holds the instances whose workers get no new runs.
 	cordons map[model.InstanceID]bool
-	// stopping holds the runs that their workers are told to stop.
+	// stopping holds the runs that their workers are told to stop. It lacks the stops of earlier
+	// leaders; see mayBeStopping.
 	stopping map[model.RunRef]bool
 	advice   advice
 	// nextPreemptAt is the time of the next preemption pass.
--- a/replica/schedule/machine_test.go
+++ b/replica/schedule/machine_test.go
@@ -19,7 +19,10 @@
 	"lacewingturn.example/replica/replicatest"
 )
 
-const maxLease = 6 * time.Second
+const (
+	maxLease    = 6 * time.Second
+	stopTimeout = 900 * time.Millisecond
+)
 
 // maxReportAge is that of a small fleet.
 const maxReportAge = busyInterval + reportSlack
@@ -63,7 +66,7 @@
 		core, logs := observer.New(zapcore.InfoLevel)
 		h.logs = logs
 		l := loop.New(64)
-		h.machine = New(ctx, l, h.replica, clock.NewSuspendDetector(), Settings{MaxLease: maxLease, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.New(core)})
+		h.machine = New(ctx, l, h.replica, clock.NewSuspendDetector(), Settings{MaxLease: maxLease, StopTimeout: stopTimeout, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.New(core)})
 		h.loop = l.Add(loopCaller{})
 		done := make(chan struct{})
 		go func() { defer close(done); l.Run(ctx) }()
@@ -90,7 +93,7 @@
 	h.sequence++
 	r := Report{
 		Worker: model.MakeWorkerID(name, started), Name: name, StartedAt: started, Address: "10.0.0.1:" + name, Instance: model.InstanceID("m-" + name),
-		Pool: "p", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Sequence: h.sequence,
+		Pool: "p", Capacity: model.Resources{MilliCPU: 4000, MemoryMB: 4000}, Sequence: h.sequence, Clock: time.Duration(time.Now().UnixNano()),
 	}
 	if change != nil {
 		change(&r)
@@ -331,7 +334,7 @@
 // committed the state does not show the run yet, but the instance is not idle.
 func TestStartsInCommitAreObserved(t *testing.T) {
 	r := replicatest.NewLeader(1)
-	m := New(t.Context(), loop.New(1), r, clock.NewSuspendDetector(), Settings{MaxLease: maxLease, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop()})
+	m := New(t.Context(), loop.New(1), r, clock.NewSuspendDetector(), Settings{MaxLease: maxLease, StopTimeout: stopTimeout, Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zap.NewNop()})
 	now := time.Now()
 	m.Flush(now)
 	id := model.MakeWorkerID("a", 1)
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -61,7 +62,8 @@
 const servingPercent = 100
 
 // Serving reports whether a run of a long-running task serves on a worker that reported
-// within reportTimeout. Runs that are being stopped do not count.
+// within reportTimeout. Runs that are being stopped do not count, nor do those that an earlier
+// leader may have told their workers to stop.
 func (m *Machine) Serving(now time.Time, ref model.TaskRef) bool {
 	workload, ok := m.replica.View().State.Workloads.Get(ref.Workload)
 	if !ok {
@@ -71,7 +73,7 @@
 	for _, run := range task.Active {
 		w := m.workers[run.Worker]
 		name := model.RunRef{Task: ref, Number: run.Number}
-		if w == nil || m.stopping[name] || now.Sub(w.reportedAt) > m.reportTimeout() {
+		if w == nil || m.stopping[name] || m.mayBeStopping(w, name) || now.Sub(w.reportedAt) > m.reportTimeout() {
 			continue
 		}
 		if r, ok := w.runningRun(name); ok && r.Percent >= servingPercent {
@@ -81,6 +83,20 @@
 	return false
 }
 
+// mayBeStopping reports whether an earlier leader may have told the worker to stop a run that it
+// lists: a run that is being stopped goes on listing its progress.
+func (m *Machine) mayBeStopping(w *worker, run model.RunRef) bool {
+	a, _ := m.inherited.Get(w.Worker)
+	return a.Runs.Has(run) && !w.stopsOver
+}
+
+// stopTime returns how long a stop takes at most by the clock of a worker, counted from a report
+// that may have been late by reportSlack.
+func (m *Machine) stopTime() time.Duration {
+	timeout := cmp.Or(m.settings.StopTimeout, m.lease())
+	return timeout + time.Duration(float64(timeout)*maxClockDrift) + reportSlack
+}
+
 // SetCordons replaces the set of instances whose workers get no new runs.
 func (m *Machine) SetCordons(cordons map[model.InstanceID]bool) { m.cordons = cordons }
 
--- a/replica/schedule/report.go
+++ b/replica/schedule/report.go
@@ -24,6 +24,8 @@
 	Capacity  model.Resources
 	// Sequence increases with each heartbeat of the incarnation.
 	Sequence int64
+	// Clock is the steady clock of the incarnation when it sent the heartbeat.
+	Clock time.Duration
 	// Draining is set once the worker is about to shut down; it gets no new runs.
 	Draining bool
 	Running  []Running
--- a/replica/schedule/worker.go
+++ b/replica/schedule/worker.go
@@ -14,6 +14,10 @@
 type worker struct {
 	Report
 	reportedAt time.Time
+	// first is the first report to this leader that was not late.
+	first clockMark
+	// stopsOver is set once all stops have ended that earlier leaders may have ordered.
+	stopsOver bool
 	// heardAt is when the last heartbeat was refused as expired.
 	heardAt time.Time
 	// leaseUntil is when all runs on the worker have certainly ended if it does not
@@ -58,6 +62,32 @@
 	endedByOrder bool
 }
 
+// clockMark is the clock of an incarnation in a report, and when the report arrived.
+type clockMark struct {
+	clock time.Duration
+	at    time.Time
+}
+
+// later returns by how much more a report was late than a second one.
+func (c clockMark) later(second clockMark) time.Duration {
+	return (second.clock - c.clock) - second.at.Sub(c.at)
+}
+
+// trackStops finds out when the stops have ended that earlier leaders may have ordered, of which
+// each takes stopTime at most. A worker has one heartbeat outstanding, so that its first report to
+// this leader, unless it is late, was sent after all answers of earlier leaders had arrived or were
+// given up. A later report that took less time on its way shows that the one before was late.
+func (w *worker) trackStops(now time.Time, stopTime time.Duration) {
+	if w.stopsOver {
+		return
+	}
+	latest := clockMark{w.Clock, now}
+	if w.first.at.IsZero() || w.first.later(latest) > reportSlack {
+		w.first = latest
+	}
+	w.stopsOver = w.Clock-w.first.clock >= stopTime
+}
+
 const (
 	// maxClockDrift is the fraction of its length by which a lease may last longer
 	// because the worker's clock is slow.
--- a/replica/schedule/workers.go
+++ b/replica/schedule/workers.go
@@ -83,6 +83,7 @@
 	}
 	suspected := now.Before(w.suspectUntil)
 	w.observe(now, r, m.view.State)
+	w.trackStops(now, m.stopTime())
 	for run := range failedRuns(m.view.State, r) {
 		m.avoidAfterFailure(now, m.view.State, run, r.Worker)
 	}
