--- a/core/command/advise/book.go
+++ b/core/command/advise/book.go
@@ -13,6 +13,8 @@
 	// calls gave no ticket that could be used in time. It doubles with each of them.
 	minRetry = 300 * time.Millisecond
 	maxRetry = 8 * time.Second
+	// maxDoublings is the number of times after which the wait has reached maxRetry.
+	maxDoublings = 5
 )
 
 // Book holds what the policy service has answered, by step and worker. Its zero value is not
@@ -127,12 +129,8 @@
 func (b *Book) Fail(now time.Time, c Call) { b.step(c.Step).fail(now) }
 
 func (s *stepAnswers) fail(now time.Time) {
-	wait := maxRetry
-	if s.failures < 5 {
-		wait = min(maxRetry, minRetry<<s.failures)
-	}
+	s.retryAt = now.Add(min(maxRetry, minRetry<<min(s.failures, maxDoublings)))
 	s.failures++
-	s.retryAt = now.Add(wait)
 }
 
 // Prune removes the answers about workloads that are not kept.
--- a/node/event/replica.go
+++ b/node/event/replica.go
@@ -31,6 +31,6 @@
 	SnapshotFailed         = define(1024, "snapshot failed", zapcore.WarnLevel, "A snapshot could not be sent, received or saved. It is retried.", "If this repeats, check the disk and the network.")
 	WaitsForAdmission      = define(1025, "waits for admission", zapcore.InfoLevel, "This replica is not a member yet and has requested its admission from the leader.", "If this repeats for minutes, check that the old incarnation of this replica has stopped.")
 	ReplicaEnded           = define(1026, "replica ended", zapcore.WarnLevel, "The replica stopped because of the error in the line. Its process exits so that it can be restarted.", "")
-	MemberSuperseded       = define(1028, "replica superseded", zapcore.WarnLevel, "At the address of the control replica named in the line, another incarnation of it has answered: its disk was lost. The leader admits the new incarnation in its place at once.", "")
 	StorageStillFails      = define(1027, "storage still fails", zapcore.WarnLevel, "After a storage failure, the replica tests the disk every 0.5 s; the disk does not accept writes yet.", "Free or replace the disk.")
+	MemberSuperseded       = define(1028, "replica superseded", zapcore.WarnLevel, "At the address of the control replica named in the line, another incarnation of it has answered: its disk was lost. The leader admits the new incarnation in its place at once.", "")
 )
--- a/replica/schedule/observe.go
+++ b/replica/schedule/observe.go
@@ -115,11 +115,15 @@
 // MarkWorkerEnded marks all runs on an incarnation as ended, for example once the
 // platform has confirmed an order that ends them. An unknown incarnation is ignored.
 func (m *Machine) MarkWorkerEnded(now time.Time, id model.WorkerID) {
-	if w := m.workers[id]; w != nil && !m.hasEnded(id) {
+	w := m.workers[id]
+	if w == nil {
+		return
+	}
+	if !m.hasEnded(id) {
 		w.endedByOrder = true
 		delete(m.refusals, id)
-		m.markEnded(id, now)
 	}
+	m.markEnded(id, now)
 }
 
 // hasEnded reports whether the incarnation has announced its shutdown, was replaced or
