--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 	@test -x "$(SYSTEM)/$(BENCH)" || { echo "regression: $(SYSTEM)/$(BENCH) is not there" >&2; exit 1; }
 	@for site in $(REGRESSION_SITES); do "$(SYSTEM)/$(BENCH)" score "$(SYSTEM)/$$site" --why "regression" || exit 1; done
 
-# Plays the cases of the independent review in review/ against the programs, RUNS times each.
+# Plays the cases of the independent reviews in review/ against the programs, RUNS times each.
 # CI does not need it.
 RUNS := 5
 
