fleet: keep that an upkeep may have begun when a move is dropped

What callers saw: none yet; found by reading. The note that an upkeep may have begun was overwritten if a move of the same instance, without an answer, was refused after it; the next order for the upkeep then ended the worker that had come meanwhile.

Change: only orders for upkeep write the note.

Measured: TestMoveDoesNotHideThatUpkeepMayHaveBegun fails before and passes now.

--- a/replica/fleet/machine_test.go
+++ b/replica/fleet/machine_test.go
@@ -256,6 +256,18 @@
 	})
 }
 
+// Guards against the same if a move without answer comes between the two orders for upkeep.
+func TestMoveDoesNotHideThatUpkeepMayHaveBegun(t *testing.T) {
+	m := &Machine{
+		settings: Settings{Logger: zap.NewNop()}, pausedUntil: map[model.InstanceID]time.Time{}, mayHaveBegun: map[model.InstanceID]model.UpkeepNumber{},
+		orders: map[model.InstanceID]*activeOrder{"a": {upkeep: 7, unanswered: true}},
+	}
+	m.finishOrder(time.Now(), orderResult{id: "a", err: RefusedError{Reason: "busy"}})
+	m.orders["a"] = &activeOrder{to: "p", unanswered: true}
+	m.finishOrder(time.Now(), orderResult{id: "a", err: RefusedError{Reason: "busy"}})
+	assert.Assert(t, m.upkeepOrder(model.State{}, "a", model.Upkeep{Number: 7}).mayHaveBegun)
+}
+
 // Guards against an upkeep of an earlier wave, or a move, that makes the order of the next wave
 // look like a repetition: its confirmation ends the worker at once.
 func TestFirstOrderOfAnUpkeepEndsItsWorker(t *testing.T) {
--- a/replica/fleet/orders.go
+++ b/replica/fleet/orders.go
@@ -130,7 +130,7 @@
 	event.InstanceOrderFailed.Log(m.settings.Logger, append(fields, zap.Error(msg.err))...)
 	if refused, ok := msg.err.(RefusedError); ok {
 		delete(m.orders, msg.id)
-		if order.unanswered || order.mayHaveBegun {
+		if order.upkeep != 0 && (order.unanswered || order.mayHaveBegun) {
 			m.mayHaveBegun[msg.id] = order.upkeep
 		}
 		m.pausedUntil[msg.id] = now.Add(orderRetry)
