--- a/replica/schedule/advice_test.go
+++ b/replica/schedule/advice_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 
 // policyService is a policy service as the users' pages describe it.
 type policyService struct {
-	calls int
+	calls atomic.Int64
 	// allows is the policy; nil allows everything.
 	allows func(w model.WorkloadID, worker string) bool
 	// hurdle makes calls about some workloads fail, or changes their duration and validity.
@@ -33,7 +34,7 @@
 }
 
 func (p *policyService) Advise(ctx context.Context, w model.WorkloadID, _, _ int, workers []string) (Advice, error) {
-	p.calls++
+	p.calls.Add(1)
 	wait, validity := adviceDecision+time.Duration(len(workers))*advicePeriod, adviceValidity
 	var err error
 	if p.hurdle != nil {
@@ -153,7 +154,7 @@
 	s.t.Helper()
 	for _, id := range ids {
 		wait, ok := s.started[id]
-		assert.Assert(s.t, ok && wait <= bound, "job %s, started %t after %s, %d calls", id, ok, wait, s.service.calls)
+		assert.Assert(s.t, ok && wait <= bound, "job %s, started %t after %s, %d calls", id, ok, wait, s.service.calls.Load())
 	}
 }
 
@@ -232,9 +233,9 @@
 		id := s.hand(1000, time.Second, "")
 		s.pass(startBound)
 		s.startedInTime([]model.WorkloadID{id}, startBound)
-		calls := service.calls
+		calls := service.calls.Load()
 		s.pass(20 * time.Second) // refusals hold for good
-		assert.Assert(t, service.calls-calls <= 1, "%d calls", service.calls-calls)
+		assert.Assert(t, service.calls.Load()-calls <= 1, "%d calls", service.calls.Load()-calls)
 	})
 }
 
@@ -250,14 +251,14 @@
 			s.pass(200 * time.Millisecond)
 		}
 		s.harness.replica.Lead(2)
-		calls := s.service.calls
+		calls := s.service.calls.Load()
 		for range 60 {
 			after = append(after, s.hand(4000, time.Second, ""))
 			s.pass(200 * time.Millisecond)
 		}
 		s.pass(startBound)
 		s.startedInTime(after, startBound)
-		t.Logf("mean wait %s before and %s after the change of leader; calls %d and %d", s.meanWait(before), s.meanWait(after), calls, s.service.calls-calls)
+		t.Logf("mean wait %s before and %s after the change of leader; calls %d and %d", s.meanWait(before), s.meanWait(after), calls, s.service.calls.Load()-calls)
 	})
 }
 
@@ -283,7 +284,7 @@
 		for len(s.started) < len(ids) && time.Since(began) < time.Minute {
 			s.pass(adviceTick)
 		}
-		t.Logf("30 jobs of 1 s on 6 places were all started after %s, with %d calls", time.Since(began), s.service.calls)
+		t.Logf("30 jobs of 1 s on 6 places were all started after %s, with %d calls", time.Since(began), s.service.calls.Load())
 		s.startedInTime(ids, 10*time.Second)
 	})
 }
