advise: name the record of answers and calls in advance in the terms of the field

Comments and test names say free capacity where they said room. No decision changes; the tests of the packages pass.

--- a/core/command/advise/advise.go
+++ b/core/command/advise/advise.go
@@ -1,10 +1,10 @@
 // Package advise decides which call to the policy service is made next: about which step, and
 // about which workers. The service handles one call at a time, and a call takes longer the more
-// workers it names, so that calls are a scarce resource that waiting work shares.
+// workers it names, so that calls are a limited resource that queued work shares.
 //
-// Calls come in the order of scheduling. The planner itself tells which steps would start if the
-// service approved them; no call is made for a step that has no room. Only when there is no such
-// step, calls are made ahead for those that would start first on empty workers.
+// Calls are made in scheduling order. A plan that takes missing answers for approvals shows which
+// steps would start; a step for which no worker has free capacity is not among them. If nothing
+// would start, calls are made in advance for the steps that would start first on empty workers.
 package advise
 
 import (
@@ -21,8 +21,8 @@
 	// minWorkers is the number of workers that a call names at least, if so many can run the
 	// step, because the service may refuse some of them.
 	minWorkers = 6
-	// aheadStarts is the number of tasks for which calls are made ahead.
-	aheadStarts = 32
+	// prefetchStarts is the number of tasks for which calls are made in advance.
+	prefetchStarts = 32
 )
 
 // Input is what a decision is based on.
@@ -35,7 +35,7 @@
 	// Options are those of the planner; TicketGranted is not used.
 	Options place.Options
 	// Withheld are the runs that are assigned to a worker and not started there for want of a
-	// ticket. They come first, as they hold room.
+	// ticket. They come first, because capacity is reserved for them.
 	Withheld []Withheld
 	// empty is set if the workers are taken as if nothing ran.
 	empty bool
@@ -51,8 +51,8 @@
 type Call struct {
 	Step    model.StepRef
 	Workers []model.WorkerID
-	// Ahead is set if the step has no room yet.
-	Ahead bool
+	// Prefetch is set if no worker has free capacity for the step yet.
+	Prefetch bool
 }
 
 // Needed reports whether tasks of a queue wait that the policy service decides about.
@@ -69,13 +69,13 @@
 }
 
 // Next returns the call to make now; false if there is none.
-func (b *Book) Next(now time.Time, in Input) (Call, bool) {
-	call, ok := b.next(now, in)
+func (a *Answers) Next(now time.Time, in Input) (Call, bool) {
+	call, ok := a.next(now, in)
 	if !ok {
-		call, ok = b.next(now, in.onEmptyWorkers())
+		call, ok = a.next(now, in.onEmptyWorkers())
 	}
 	if ok {
-		b.chosen(now, call)
+		a.recordCall(now, call)
 	}
 	return call, ok
 }
@@ -88,7 +88,7 @@
 		w.Free = in.Capacity(w.ID)
 		w.FillerMilliCPU = w.Free.MilliCPU
 	}
-	in.Options.MaxStarts, in.empty = aheadStarts, true
+	in.Options.MaxStarts, in.empty = prefetchStarts, true
 	return in
 }
 
@@ -98,34 +98,34 @@
 	workers []model.WorkerID
 }
 
-func (b *Book) next(now time.Time, in Input) (Call, bool) {
-	steps := b.wantedSteps(now, in)
+func (a *Answers) next(now time.Time, in Input) (Call, bool) {
+	steps := a.wantedSteps(now, in)
 	if len(steps) == 0 {
 		return Call{}, false
 	}
-	next := b.turn(steps)
-	return Call{Step: next.step, Workers: b.named(now, in, next), Ahead: in.empty}, true
+	next := a.turn(steps)
+	return Call{Step: next.step, Workers: a.named(now, in, next), Prefetch: in.empty}, true
 }
 
 // wantedSteps returns the steps that would start if the service approved them and that lack
 // tickets for that, in the order of scheduling.
-func (b *Book) wantedSteps(now time.Time, in Input) []wanted {
+func (a *Answers) wantedSteps(now time.Time, in Input) []wanted {
 	var out wantedList
 	for _, w := range in.Withheld {
-		if b.mayGet(now, w.Step, w.Worker) {
+		if a.mayGet(now, w.Step, w.Worker) {
 			out.add(w.Step, w.Worker)
 		}
 	}
 	options := in.Options
 	options.TicketGranted = func(t model.TaskRef, w model.WorkerID) bool {
-		_, valid := b.Ticket(now, t.StepRef(), w)
-		return valid || b.mayGet(now, t.StepRef(), w)
+		_, valid := a.Ticket(now, t.StepRef(), w)
+		return valid || a.mayGet(now, t.StepRef(), w)
 	}
 	queues := in.State.Catalog.QueuesByName()
 	for _, start := range place.Plan(in.State, in.Workers, options) {
 		step := start.Run.Task.StepRef()
 		workload, _ := in.State.Workloads.Get(step.Workload)
-		if q, ok := queues.Of(&workload); !ok || !q.Advised || !b.mayGet(now, step, start.Worker) {
+		if q, ok := queues.Of(&workload); !ok || !q.Advised || !a.mayGet(now, step, start.Worker) {
 			continue
 		}
 		out.add(step, start.Worker)
@@ -156,23 +156,23 @@
 
 // turn returns the first step, and with every second call the one that was asked about least
 // recently. So steps that never start, whatever the answers, take half of the calls at most.
-func (b *Book) turn(steps []wanted) wanted {
-	if b.calls%2 == 0 {
+func (a *Answers) turn(steps []wanted) wanted {
+	if a.calls%2 == 0 {
 		return steps[0]
 	}
-	return slices.MinFunc(steps, func(x, y wanted) int { return b.askedAt(x.step).Compare(b.askedAt(y.step)) })
+	return slices.MinFunc(steps, func(x, y wanted) int { return a.askedAt(x.step).Compare(a.askedAt(y.step)) })
 }
 
 // named returns the workers that the call about a step names: those on which it would start, and
 // others that could take it. The service has approved some of them before and will do so again; if
 // that holds for all on which the step would start now, the call names no other.
-func (b *Book) named(now time.Time, in Input, next wanted) []model.WorkerID {
+func (a *Answers) named(now time.Time, in Input, next wanted) []model.WorkerID {
 	out := next.workers[:min(len(next.workers), maxWorkers)]
 	limit := min(maxWorkers, max(minWorkers, 2*len(out)))
 	switch {
-	case in.empty: // any worker may be the first one that has room
+	case in.empty: // any worker may be the first one with free capacity
 		limit = maxWorkers
-	case !slices.ContainsFunc(out, func(w model.WorkerID) bool { return !b.approvedBefore(next.step, w) }):
+	case !slices.ContainsFunc(out, func(w model.WorkerID) bool { return !a.approvedBefore(next.step, w) }):
 		return out
 	}
 	workload, _ := in.State.Workloads.Get(next.step.Workload)
@@ -183,7 +183,7 @@
 		if len(out) >= limit {
 			break
 		}
-		if w.Pool == q.Pool && w.CanTake(spec) && b.mayGet(now, next.step, w.ID) && !slices.Contains(out, w.ID) {
+		if w.Pool == q.Pool && w.CanTake(spec) && a.mayGet(now, next.step, w.ID) && !slices.Contains(out, w.ID) {
 			out = append(out, w.ID)
 		}
 	}
--- a/core/command/advise/book.go
+++ b/core/command/advise/answers.go
@@ -17,17 +17,17 @@
 	maxDoublings = 5
 )
 
-// Book holds what the policy service has answered, by step and worker. Its zero value is not
-// usable; see NewBook.
-type Book struct {
+// Answers holds what the policy service has answered, by step and worker. Its zero value is not
+// usable; see NewAnswers.
+type Answers struct {
 	steps map[model.StepRef]*stepAnswers
-	calls int // number of calls that were chosen
+	calls int // number of calls that Next has returned
 }
 
 // stepAnswers are the answers about one step.
 type stepAnswers struct {
 	workers map[model.WorkerID]ticket
-	askedAt time.Time // when the last call was chosen
+	askedAt time.Time // when Next last returned a call about the step
 	// failures is the number of calls in a row that gave nothing that can be used, retryAt the
 	// time until which there is no further call.
 	failures int
@@ -40,12 +40,12 @@
 	until time.Time
 }
 
-// NewBook returns a book without answers.
-func NewBook() *Book { return &Book{steps: map[model.StepRef]*stepAnswers{}} }
+// NewAnswers returns a record without any answer.
+func NewAnswers() *Answers { return &Answers{steps: map[model.StepRef]*stepAnswers{}} }
 
 // Ticket returns the valid ticket of a worker for a step; false if there is none.
-func (b *Book) Ticket(now time.Time, step model.StepRef, w model.WorkerID) (string, bool) {
-	t, _ := b.answer(step, w)
+func (a *Answers) Ticket(now time.Time, step model.StepRef, w model.WorkerID) (string, bool) {
+	t, _ := a.answer(step, w)
 	if !t.valid(now) {
 		return "", false
 	}
@@ -55,8 +55,8 @@
 func (t ticket) valid(now time.Time) bool { return t.text != "" && now.Before(t.until) }
 
 // answer returns the service's last answer about a worker; false if there is none.
-func (b *Book) answer(step model.StepRef, w model.WorkerID) (ticket, bool) {
-	s := b.steps[step]
+func (a *Answers) answer(step model.StepRef, w model.WorkerID) (ticket, bool) {
+	s := a.steps[step]
 	if s == nil {
 		return ticket{}, false
 	}
@@ -66,54 +66,54 @@
 
 // approvedBefore reports whether the service has allowed the worker to run the step. The policy
 // does not change, so that it will do so again.
-func (b *Book) approvedBefore(step model.StepRef, w model.WorkerID) bool {
-	t, _ := b.answer(step, w)
+func (a *Answers) approvedBefore(step model.StepRef, w model.WorkerID) bool {
+	t, _ := a.answer(step, w)
 	return t.text != ""
 }
 
 // Refused reports whether the service does not allow the worker to run the step.
-func (b *Book) Refused(step model.StepRef, w model.WorkerID) bool {
-	t, known := b.answer(step, w)
+func (a *Answers) Refused(step model.StepRef, w model.WorkerID) bool {
+	t, known := a.answer(step, w)
 	return known && t.text == ""
 }
 
 // mayGet reports whether a call now can give a ticket that is not valid yet. Refusals hold for
 // good.
-func (b *Book) mayGet(now time.Time, step model.StepRef, w model.WorkerID) bool {
-	if t, _ := b.answer(step, w); b.Refused(step, w) || t.valid(now) {
+func (a *Answers) mayGet(now time.Time, step model.StepRef, w model.WorkerID) bool {
+	if t, _ := a.answer(step, w); a.Refused(step, w) || t.valid(now) {
 		return false
 	}
-	s := b.steps[step]
+	s := a.steps[step]
 	return s == nil || !now.Before(s.retryAt)
 }
 
-// askedAt returns when the last call about the step was chosen; zero if there was none.
-func (b *Book) askedAt(step model.StepRef) time.Time {
-	if s := b.steps[step]; s != nil {
+// askedAt returns when Next last returned a call about the step; zero if it has not.
+func (a *Answers) askedAt(step model.StepRef) time.Time {
+	if s := a.steps[step]; s != nil {
 		return s.askedAt
 	}
 	return time.Time{}
 }
 
-func (b *Book) step(ref model.StepRef) *stepAnswers {
-	s := b.steps[ref]
+func (a *Answers) step(ref model.StepRef) *stepAnswers {
+	s := a.steps[ref]
 	if s == nil {
 		s = &stepAnswers{workers: map[model.WorkerID]ticket{}}
-		b.steps[ref] = s
+		a.steps[ref] = s
 	}
 	return s
 }
 
-// chosen records that the call is made.
-func (b *Book) chosen(now time.Time, c Call) {
-	b.calls++
-	b.step(c.Step).askedAt = now
+// recordCall records that Next returns the call.
+func (a *Answers) recordCall(now time.Time, c Call) {
+	a.calls++
+	a.step(c.Step).askedAt = now
 }
 
 // Record stores the answer to a call that was sent at the given time: the tickets of the workers
 // that may run the step, and for how long they are valid. A worker without a ticket may not run it.
-func (b *Book) Record(now, sent time.Time, c Call, tickets map[model.WorkerID]string, validity time.Duration) {
-	s := b.step(c.Step)
+func (a *Answers) Record(now, sent time.Time, c Call, tickets map[model.WorkerID]string, validity time.Duration) {
+	s := a.step(c.Step)
 	until := sent.Add(validity - ticketMargin)
 	for _, w := range c.Workers {
 		s.workers[w] = ticket{tickets[w], until}
@@ -126,7 +126,7 @@
 }
 
 // Fail records that a call gave no answer.
-func (b *Book) Fail(now time.Time, c Call) { b.step(c.Step).fail(now) }
+func (a *Answers) Fail(now time.Time, c Call) { a.step(c.Step).fail(now) }
 
 func (s *stepAnswers) fail(now time.Time) {
 	s.retryAt = now.Add(min(maxRetry, minRetry<<min(s.failures, maxDoublings)))
@@ -134,10 +134,10 @@
 }
 
 // Prune removes the answers about workloads that are not kept.
-func (b *Book) Prune(keep func(model.WorkloadID) bool) {
-	for step := range b.steps {
+func (a *Answers) Prune(keep func(model.WorkloadID) bool) {
+	for step := range a.steps {
 		if !keep(step.Workload) {
-			delete(b.steps, step)
+			delete(a.steps, step)
 		}
 	}
 }
--- a/replica/raft/membership.go
+++ b/replica/raft/membership.go
@@ -200,7 +200,7 @@
 	var lost Member
 	longest := after
 	for _, member := range m.Members() {
-		if member.Voter || m.holdsPlace(member) {
+		if member.Voter || m.holdsVoterSlot(member) {
 			continue
 		}
 		if m.superseded(member.ID) {
@@ -216,10 +216,9 @@
 	}
 }
 
-// holdsPlace reports whether the membership would forget that a voter is missing if the learner
-// were removed: the voter that it replaces has been removed already, and no other learner
-// replaces it.
-func (m *machine) holdsPlace(learner Member) bool {
+// holdsVoterSlot reports whether only the learner records that a voter is missing: the voter that it
+// replaces has been removed already, and no other learner replaces it.
+func (m *machine) holdsVoterSlot(learner Member) bool {
 	if _, waits := m.Members().Get(learner.Replaces); learner.Replaces == "" || waits || m.hasTargetVoters() {
 		return false
 	}
--- a/replica/schedule/advice.go
+++ b/replica/schedule/advice.go
@@ -34,7 +34,7 @@
 // advice is what this leader knows of the policy service. A new leader starts without any of it and
 // asks again.
 type advice struct {
-	book    *advise.Book
+	answers *advise.Answers
 	calling bool      // a call is in progress
 	retryAt time.Time // no call is made before this time
 	// withheld holds the assigned runs whose start orders lack a valid ticket: the tickets of an
@@ -49,7 +49,7 @@
 }
 
 func newAdvice() advice {
-	return advice{book: advise.NewBook(), withheld: map[model.RunRef]withheldStart{}}
+	return advice{answers: advise.NewAnswers(), withheld: map[model.RunRef]withheldStart{}}
 }
 
 // advised is the message with the result of one call.
@@ -69,7 +69,7 @@
 		return
 	}
 	s := applied(before, planned)
-	call, ok := m.advice.book.Next(now, advise.Input{
+	call, ok := m.advice.answers.Next(now, advise.Input{
 		State: s, Workers: m.advisedOffers(now, s), Options: m.placeOptions(now, s), Withheld: m.withheldRuns(s),
 		Capacity: func(id model.WorkerID) model.Resources { return m.workers[id].Capacity },
 	})
@@ -80,7 +80,7 @@
 
 // withholds reports whether the start order of a run lacks a valid ticket, without which the worker
 // would reject it. The next calls ask for it. If none comes within the time of a lease, or if
-// the service does not allow the worker, the run is stopped, so that it holds no room.
+// the service does not allow the worker, the run is stopped, which frees its capacity.
 func (m *Machine) withholds(now time.Time, s model.State, run model.RunRef, id model.WorkerID) bool {
 	workload, _ := s.Workloads.Get(run.Task.Workload)
 	q, ok := s.Catalog.QueueOf(workload)
@@ -88,7 +88,7 @@
 		return false
 	}
 	step := run.Task.StepRef()
-	if _, valid := m.advice.book.Ticket(now, step, id); valid {
+	if _, valid := m.advice.answers.Ticket(now, step, id); valid {
 		delete(m.advice.withheld, run)
 		return false
 	}
@@ -97,7 +97,7 @@
 		w = withheldStart{id, now}
 		m.advice.withheld[run] = w
 	}
-	if m.advice.book.Refused(step, id) || now.Sub(w.since) > m.lease() {
+	if m.advice.answers.Refused(step, id) || now.Sub(w.since) > m.lease() {
 		m.stopping[run] = true
 	}
 	return true
@@ -150,11 +150,11 @@
 // answers about ended workloads.
 func (m *Machine) storeAdvice(now time.Time, a advised) {
 	m.advice.calling, m.plannedAt = false, time.Time{}
-	m.settings.Metrics.countAdvice(a.call.Ahead, a.err)
-	m.advice.book.Prune(m.view.State.Workloads.Has)
+	m.settings.Metrics.countAdvice(a.call.Prefetch, a.err)
+	m.advice.answers.Prune(m.view.State.Workloads.Has)
 	if a.err != nil {
 		m.advice.retryAt = now.Add(adviceRetry)
-		m.advice.book.Fail(now, a.call)
+		m.advice.answers.Fail(now, a.call)
 		event.AdviceFailed.Log(m.settings.Logger, zap.String("workload", string(a.call.Step.Workload)), zap.Error(a.err))
 		return
 	}
@@ -164,5 +164,5 @@
 			tickets[id] = text
 		}
 	}
-	m.advice.book.Record(now, a.sent, a.call, tickets, a.advice.Validity)
+	m.advice.answers.Record(now, a.sent, a.call, tickets, a.advice.Validity)
 }
--- a/replica/schedule/advice_test.go
+++ b/replica/schedule/advice_test.go
@@ -65,14 +65,14 @@
 // the label "rack".
 type advisedSite struct {
 	*harness
-	service *policyService
-	workers int
-	running map[string][]advisedRun
-	ended   map[string]int64
-	took    map[model.WorkloadID]time.Duration // run time of the tasks
-	handed  map[model.WorkloadID]time.Time
-	started map[model.WorkloadID]time.Duration // wait until the first start
-	jobs    int
+	service     *policyService
+	workers     int
+	running     map[string][]advisedRun
+	ended       map[string]int64
+	took        map[model.WorkloadID]time.Duration // run time of the tasks
+	submittedAt map[model.WorkloadID]time.Time
+	started     map[model.WorkloadID]time.Duration // wait until the first start
+	jobs        int
 }
 
 func newAdvisedSite(h *harness, service *policyService, workers int) *advisedSite {
@@ -83,15 +83,15 @@
 	h.replica.Change(func(v *replica.View) { v.State.Catalog = &catalog })
 	return &advisedSite{
 		harness: h, service: service, workers: workers, running: map[string][]advisedRun{}, ended: map[string]int64{}, took: map[model.WorkloadID]time.Duration{},
-		handed: map[model.WorkloadID]time.Time{}, started: map[model.WorkloadID]time.Duration{},
+		submittedAt: map[model.WorkloadID]time.Time{}, started: map[model.WorkloadID]time.Duration{},
 	}
 }
 
-// hand submits a job of one task.
-func (s *advisedSite) hand(milliCPU int64, takes time.Duration, label string) model.WorkloadID {
+// submitJob submits a job of one task.
+func (s *advisedSite) submitJob(milliCPU int64, takes time.Duration, label string) model.WorkloadID {
 	s.jobs++
 	id := s.submit(s.jobs, model.Step{Count: 1, Need: model.Resources{MilliCPU: milliCPU, MemoryMB: 1}, Estimate: takes, Label: label})
-	s.took[id], s.handed[id] = takes, time.Now()
+	s.took[id], s.submittedAt[id] = takes, time.Now()
 	return id
 }
 
@@ -101,7 +101,7 @@
 		for i := range s.workers {
 			name := fmt.Sprintf("w%02d", i)
 			if done := s.work(name); len(done) > 0 || (time.Now().UnixMilli()/adviceTick.Milliseconds()+int64(i))%2 == 0 {
-				s.tell(name, i == 0, done)
+				s.heartbeat(name, i == 0, done)
 			}
 		}
 	}
@@ -123,8 +123,8 @@
 	return done
 }
 
-// tell sends a report and takes its start orders.
-func (s *advisedSite) tell(name string, labelled bool, done []Ended) {
+// heartbeat sends a report and takes its start orders.
+func (s *advisedSite) heartbeat(name string, labelled bool, done []Ended) {
 	o, err := s.report(name, 1, func(r *Report) {
 		r.Capacity = model.Resources{MilliCPU: 16000, MemoryMB: 16000}
 		if labelled {
@@ -144,7 +144,7 @@
 		id := start.Run.Task.Workload
 		s.running[name] = append(s.running[name], advisedRun{start, time.Now().Add(s.took[id])})
 		if _, ok := s.started[id]; !ok {
-			s.started[id] = time.Since(s.handed[id])
+			s.started[id] = time.Since(s.submittedAt[id])
 		}
 	}
 }
@@ -160,34 +160,34 @@
 
 // fill occupies the labelled worker.
 func (s *advisedSite) fill() {
-	s.hand(16000, 10*time.Minute, "rack")
+	s.submitJob(16000, 10*time.Minute, "rack")
 	s.pass(2 * time.Second)
 	assert.Equal(s.t, len(s.running["w00"]), 1)
 }
 
-// handMany hands in n jobs for any worker within d.
-func (s *advisedSite) handMany(n int, d time.Duration) []model.WorkloadID {
+// submitMany submits n jobs for any worker within d.
+func (s *advisedSite) submitMany(n int, d time.Duration) []model.WorkloadID {
 	var ids []model.WorkloadID
 	for range n {
-		ids = append(ids, s.hand(1000, 500*time.Millisecond, ""))
+		ids = append(ids, s.submitJob(1000, 500*time.Millisecond, ""))
 		s.pass(d / time.Duration(n))
 	}
 	return ids
 }
 
-// Guards against jobs that never start beside idle workers, because jobs that have no room use up
-// all calls of the policy service.
-func TestJobsWithoutRoomTakeNoCallsFromOthers(t *testing.T) {
+// Guards against jobs that never start beside idle workers, because jobs for which no worker has
+// capacity use up all calls of the policy service.
+func TestJobsWithoutCapacityTakeNoCallsFromOthers(t *testing.T) {
 	for _, waiting := range []int{1, 30, 300} {
 		t.Run(fmt.Sprint(waiting), func(t *testing.T) {
 			runHarness(t, func(h *harness) {
 				s := newAdvisedSite(h, &policyService{}, 9)
 				s.fill()
 				for range waiting {
-					s.hand(1000, time.Second, "rack")
+					s.submitJob(1000, time.Second, "rack")
 					s.pass(100 * time.Millisecond)
 				}
-				ids := s.handMany(10, 5*time.Second)
+				ids := s.submitMany(10, 5*time.Second)
 				s.pass(startBound)
 				s.startedInTime(ids, startBound)
 			})
@@ -214,9 +214,9 @@
 					return hurdle(wait, validity)
 				}}
 				s := newAdvisedSite(h, service, 9)
-				s.hand(1000, time.Second, "")
+				s.submitJob(1000, time.Second, "")
 				s.pass(10 * time.Second)
-				ids := s.handMany(10, 5*time.Second)
+				ids := s.submitMany(10, 5*time.Second)
 				s.pass(startBound)
 				s.startedInTime(ids, startBound)
 			})
@@ -230,7 +230,7 @@
 		service := &policyService{allows: func(_ model.WorkloadID, worker string) bool { return worker == "w37" }}
 		s := newAdvisedSite(h, service, 40)
 		s.pass(time.Second)
-		id := s.hand(1000, time.Second, "")
+		id := s.submitJob(1000, time.Second, "")
 		s.pass(startBound)
 		s.startedInTime([]model.WorkloadID{id}, startBound)
 		calls := service.calls.Load()
@@ -247,13 +247,13 @@
 		s.pass(time.Second)
 		var before, after []model.WorkloadID
 		for range 60 {
-			before = append(before, s.hand(4000, time.Second, ""))
+			before = append(before, s.submitJob(4000, time.Second, ""))
 			s.pass(200 * time.Millisecond)
 		}
 		s.harness.replica.Lead(2)
 		calls := s.service.calls.Load()
 		for range 60 {
-			after = append(after, s.hand(4000, time.Second, ""))
+			after = append(after, s.submitJob(4000, time.Second, ""))
 			s.pass(200 * time.Millisecond)
 		}
 		s.pass(startBound)
@@ -270,15 +270,15 @@
 	return sum / time.Duration(len(ids))
 }
 
-// Guards against tickets that are missing when room gets free on a full pool: what starts first is
-// asked about ahead.
-func TestFullPoolIsAskedAboutAhead(t *testing.T) {
+// Guards against tickets that are missing when capacity becomes free on a full pool: the
+// service is asked in advance about what starts first.
+func TestFullPoolIsAskedAboutInAdvance(t *testing.T) {
 	runHarness(t, func(h *harness) {
 		s := newAdvisedSite(h, &policyService{}, 3)
 		s.pass(time.Second)
 		var ids []model.WorkloadID
 		for range 30 {
-			ids = append(ids, s.hand(8000, time.Second, ""))
+			ids = append(ids, s.submitJob(8000, time.Second, ""))
 		}
 		began := time.Now()
 		for len(s.started) < len(ids) && time.Since(began) < time.Minute {
@@ -312,7 +312,7 @@
 		t.Run(name, func(t *testing.T) {
 			runHarness(t, func(h *harness) {
 				s := newAdvisedSite(h, &policyService{}, 1)
-				id := s.hand(1000, time.Second, "")
+				id := s.submitJob(1000, time.Second, "")
 				s.loseAnswer()
 				between(s)
 				s.pass(time.Second)
@@ -322,9 +322,9 @@
 	}
 }
 
-// Guards against a run that holds the room of its worker for good, because the service gives no
+// Guards against a run that reserves capacity of its worker for good, because the service gives no
 // ticket for it any more.
-func TestRunWithoutTicketHoldsNoRoom(t *testing.T) {
+func TestRunWithoutTicketReservesNoCapacity(t *testing.T) {
 	for name, service := range map[string]*policyService{
 		"refused": {allows: func(w model.WorkloadID, _ string) bool { return w != "0000000000000001" }},
 		"fails": {hurdle: func(w model.WorkloadID, _, _ *time.Duration) error {
@@ -337,11 +337,11 @@
 		t.Run(name, func(t *testing.T) {
 			runHarness(t, func(h *harness) {
 				s := newAdvisedSite(h, &policyService{}, 1)
-				s.hand(16000, time.Second, "")
+				s.submitJob(16000, time.Second, "")
 				s.loseAnswer()
 				s.harness.replica.Lead(2)
 				h.onLoop(func() { h.machine.settings.Advisor = service })
-				id := s.hand(16000, time.Second, "")
+				id := s.submitJob(16000, time.Second, "")
 				s.pass(lease + startBound)
 				s.startedInTime([]model.WorkloadID{id}, lease+startBound)
 			})
--- a/replica/schedule/cycle.go
+++ b/replica/schedule/cycle.go
@@ -279,7 +279,7 @@
 		Now:   max(model.TimestampOf(now), m.view.State.Clock),
 		Avoid: func(t model.TaskRef, w model.WorkerID) bool { return m.avoided.has(now, t, w) },
 		TicketGranted: func(t model.TaskRef, w model.WorkerID) bool {
-			_, valid := m.advice.book.Ticket(now, t.StepRef(), w)
+			_, valid := m.advice.answers.Ticket(now, t.StepRef(), w)
 			return valid
 		},
 		NeedsCopy:        func(run model.RunRef) bool { return m.needsCopy(now, s, run) },
--- a/replica/schedule/metrics.go
+++ b/replica/schedule/metrics.go
@@ -60,7 +60,7 @@
 		nearWaited:      telemetry.NewDurationHistogram("lacewingturn_near_wait_seconds", "Time that steps waited for places near their data or in one rack."),
 		nearSaved:       prometheus.NewCounter(prometheus.CounterOpts{Name: "lacewingturn_near_saved_seconds_total", Help: "Run time that tasks saved because they waited for a near place."}),
 		nearTasks:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_near_wait_tasks_total", Help: "Tasks that started after a wait for a near place, by where they started."}, []string{"place"}),
-		adviceCalls:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_advice_calls_total", Help: "Calls to the policy service, by whether the step had room or was asked about ahead, and by outcome."}, []string{"purpose", "outcome"}),
+		adviceCalls:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "lacewingturn_advice_calls_total", Help: "Calls to the policy service, by purpose (start: a worker had free capacity for the step; prefetch: none had) and by outcome."}, []string{"purpose", "outcome"}),
 	}
 	m.accounts = newAccountMetrics(r)
 	r.MustRegister(m.adviceCalls, m.nearWaits, m.nearWaited, m.nearSaved, m.nearTasks, m.reports, m.unused, m.readmitted, m.started, m.ended, m.refused, m.finished, m.workloadWait, m.duration, m.lateness, m.commitTime, m.reportWait, m.workers, m.activeWorkloads, m.pendingReports)
@@ -68,10 +68,10 @@
 }
 
 // countAdvice counts a call to the policy service.
-func (m *Metrics) countAdvice(ahead bool, err error) {
+func (m *Metrics) countAdvice(prefetch bool, err error) {
 	purpose, outcome := "start", "answered"
-	if ahead {
-		purpose = "ahead"
+	if prefetch {
+		purpose = "prefetch"
 	}
 	if err != nil {
 		outcome = "failed"
--- a/replica/schedule/orders.go
+++ b/replica/schedule/orders.go
@@ -118,7 +118,7 @@
 
 func (m *Machine) startOrder(now time.Time, s model.State, run model.RunRef, id model.WorkerID) StartOrder {
 	w, _ := s.Workloads.Get(run.Task.Workload)
-	ticket, _ := m.advice.book.Ticket(now, run.Task.StepRef(), id)
+	ticket, _ := m.advice.answers.Ticket(now, run.Task.StepRef(), id)
 	return StartOrder{Run: run, Payload: w.Payload, Checkpoint: w.ResumeFrom(run.Task), Ticket: ticket}
 }
 
