client: take no refusal for final while an earlier attempt is open

Cause: an attempt whose answer is lost may be committed. The next one is refused if the key or the queue was withdrawn in between, and that refusal was passed on as the result of the call: by the client, by the forwarder and by the entry instance.

Change: after an attempt of unknown outcome only a success settles a submission, and a success or the end of the workload a cancellation. Any other refusal leaves the call open (504), and the caller asks again. A refusal of the first attempt is final as before.

--- a/replica/client/client.go
+++ b/replica/client/client.go
@@ -80,6 +80,7 @@
 	req := &replicav1.ProposeRequest{}
 	results := make([]result.Result, len(commands))
 	var positions []int // of the encoded commands
+	var encoded []model.Envelope
 	repeatable := true
 	for i, env := range commands {
 		data, _, err := codec.EncodeForLog(env)
@@ -88,21 +89,21 @@
 			continue
 		}
 		req.Envelopes = append(req.Envelopes, data)
-		positions = append(positions, i)
+		positions, encoded = append(positions, i), append(encoded, env)
 		repeatable = repeatable && Repeatable(env)
 	}
 	if len(positions) == 0 {
 		return results, nil
 	}
-	for i, r := range c.proposeWithRetries(ctx, req, repeatable) {
+	for i, r := range c.proposeWithRetries(ctx, req, encoded, repeatable) {
 		results[positions[i]] = r
 	}
 	return results, nil
 }
 
 // proposeWithRetries tries the replicas until the results are known, a retry would
-// not be safe, or ctx ends.
-func (c *Client) proposeWithRetries(ctx context.Context, req *replicav1.ProposeRequest, repeatable bool) []result.Result {
+// not be safe, or ctx ends. The request contains the commands.
+func (c *Client) proposeWithRetries(ctx context.Context, req *replicav1.ProposeRequest, commands []model.Envelope, repeatable bool) []result.Result {
 	maybeAppended := false // the commands of an attempt may have been appended
 	var results []result.Result
 	c.search(ctx, func(leader presumedLeader) reply {
@@ -112,6 +113,9 @@
 		if settled && !(maybeAppended && slices.ContainsFunc(a.results, notAppended)) {
 			results = a.results
 		}
+		if results != nil && maybeAppended {
+			results = withoutOpenRefusals(commands, results)
+		}
 		maybeAppended = maybeAppended || a.unknown
 		a.final = results != nil || a.unknown && !repeatable
 		return a.reply
@@ -122,6 +126,31 @@
 	return results
 }
 
+// withoutOpenRefusals returns the results of repeated commands, with Unknown for those that leave
+// open what became of the earlier attempts.
+func withoutOpenRefusals(commands []model.Envelope, results []result.Result) []result.Result {
+	out := slices.Clone(results)
+	for i, r := range results {
+		if i < len(commands) && !SettlesEarlierAttempt(commands[i].Command, r) {
+			out[i] = result.New(result.Unknown, "an earlier attempt may have been committed; the last one was refused: %v", r)
+		}
+	}
+	return out
+}
+
+// SettlesEarlierAttempt reports whether the result of a repeated command is also that of its earlier
+// attempts, whose outcome is not known. The refusal of a call of a caller is not: an attempt may have
+// been accepted before the reason arose, for example before the key of the caller was withdrawn.
+func SettlesEarlierAttempt(c model.Command, r result.Result) bool {
+	switch c.(type) {
+	case model.SubmitWorkload:
+		return r.Code.OK()
+	case model.CancelWorkload:
+		return r.Code.OK() || r.Code == result.Expired
+	}
+	return true
+}
+
 // failedResults returns the results of n commands that no leader has confirmed.
 func (c *Client) failedResults(n int, maybeAppended bool) []result.Result {
 	r := result.New(result.NoQuorum, "no leader of the control replicas was found before the deadline")
--- a/replica/client/client_test.go
+++ b/replica/client/client_test.go
@@ -20,6 +20,7 @@
 	"lacewingturn.example/api/gen/lacewingturn/workload/v1/workloadv1connect"
 	"lacewingturn.example/core/model"
 	"lacewingturn.example/core/result"
+	"lacewingturn.example/replica"
 )
 
 // fakeReplica responds to every call, or to none while silent is set.
@@ -155,6 +156,34 @@
 	}
 }
 
+// Guards against a caller that is told that its submission was rejected although it runs: the first
+// attempt was committed, and its key or its queue was withdrawn before the second one.
+func TestRefusedRepetitionLeavesTheSubmissionUnknown(t *testing.T) {
+	for code, want := range map[result.Code]result.Code{
+		result.UnknownKey: result.Unknown, result.NotFound: result.Unknown, result.WrongAccount: result.Unknown, result.Unchanged: result.Unchanged,
+	} {
+		silent, next := serve(t, &fakeReplica{silent: true}), serve(t, &fakeReplica{answer: code})
+		c := New([]string{silent, next}, NewHTTPClient())
+		c.leader.Store(&silent)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		results, err := c.Propose(ctx, submission)
+		cancel()
+		assert.NilError(t, err)
+		assert.Equal(t, results[0].Code, want, code.String())
+
+		local := &localReplica{view: withMembers(replica.View{IsLeader: true}, next), answer: result.Unknown}
+		assert.Equal(t, proposeCommand(t, NewForwarder(local, New(nil, NewHTTPClient())), submission[0].Command), want, code.String())
+	}
+}
+
+// Guards against a first refusal that is taken for one that leaves something open.
+func TestRefusalOfTheFirstAttemptIsFinal(t *testing.T) {
+	c := New([]string{serve(t, &fakeReplica{answer: result.UnknownKey})}, NewHTTPClient())
+	results, err := c.Propose(t.Context(), submission)
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Code, result.UnknownKey)
+}
+
 // Guards against a command that is refused because the replica that led is stopping,
 // although another one could commit it before the deadline.
 func TestCommandPassesStoppingReplica(t *testing.T) {
--- a/replica/client/forward.go
+++ b/replica/client/forward.go
@@ -44,7 +44,7 @@
 	if err != nil || slices.ContainsFunc(forwarded, isUnsettled) {
 		return results, nil // the local replica may have appended the commands
 	}
-	return forwarded, nil
+	return withoutOpenRefusals(commands, forwarded), nil
 }
 
 // proposeLocally proposes to the local replica for at most half of the remaining
